--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -34,16 +34,16 @@
         queue::Queue,
     },
     endpoint::wire::Load,
-    platform::wire::{
-        Member,
-        State,
-        Worker, //
-    },
     prelude::*,
     settings::{
         Limits,
         Timing, //
     },
+    table::wire::{
+        Member,
+        State,
+        Worker, //
+    },
 };
 
 /// Endpoints of today, of a region, and of all data centres together in two years.
--- a/examples/measure/fleet.rs
+++ b/examples/measure/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use poplarknot::platform::wire::{
+use poplarknot::table::wire::{
     List,
     Member,
     Worker as Entry, //
--- a/examples/measure/load.rs
+++ b/examples/measure/load.rs
@@ -25,8 +25,8 @@
         Reply,
         Start, //
     },
-    platform::wire::Worker as Entry,
     prelude::*, //
+    table::wire::Worker as Entry,
 };
 use serde_json::{
     json,
--- a/examples/measure/policy.rs
+++ b/examples/measure/policy.rs
@@ -23,8 +23,8 @@
         },
     },
     endpoint::wire::Load,
-    platform::wire::Worker as Entry,
     prelude::*, //
+    table::wire::Worker as Entry,
 };
 
 use crate::{
--- a/examples/measure/role.rs
+++ b/examples/measure/role.rs
@@ -10,7 +10,7 @@
     time::Duration, //
 };
 
-use poplarknot::platform::wire::{
+use poplarknot::table::wire::{
     List,
     Worker as Entry, //
 };
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -18,11 +18,11 @@
 };
 
 use poplarknot::{
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         List,
         Worker as Entry, //
     },
-    prelude::*,
 };
 use support::{
     client::{
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -9,9 +9,9 @@
 };
 
 use crate::{
-    platform::wire::Write,
     prelude::*,
     record::Name, //
+    table::wire::Write,
 };
 
 /// What an operator wanted done.
--- a/src/core.rs
+++ b/src/core.rs
@@ -22,12 +22,12 @@
         Code,
         Event, //
     },
-    platform::wire::List,
     prelude::*,
     settings::{
         Limits,
         Timing, //
     },
+    table::wire::List,
 };
 
 pub mod admission;
--- a/src/core/claiming.rs
+++ b/src/core/claiming.rs
@@ -31,8 +31,8 @@
 };
 use crate::{
     event::Code,
-    platform::wire,
     prelude::*, //
+    table::wire,
 };
 
 /// How long to wait before a lost claim is read back again.
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -64,9 +64,9 @@
         Code,
         Event, //
     },
-    platform::wire::Worker,
     prelude::*,
     record::check::Capacity,
+    table::wire::Worker,
 };
 
 /// After which an operation or a call whose end was never told counts as lost.
--- a/src/core/config/edit.rs
+++ b/src/core/config/edit.rs
@@ -27,15 +27,15 @@
         Result, //
     },
     event::Code,
-    platform::wire::{
-        Group,
-        Verdict, //
-    },
     prelude::*,
     record::{
         Name,
         Record, //
     },
+    table::wire::{
+        Group,
+        Verdict, //
+    },
 };
 
 mod judge;
--- a/src/core/config/edit/judge.rs
+++ b/src/core/config/edit/judge.rs
@@ -24,10 +24,6 @@
         told::Refusal,
         trail,
     },
-    platform::wire::{
-        Group,
-        Write, //
-    },
     prelude::*,
     record::{
         check::{
@@ -43,6 +39,10 @@
         Record,
         NEWEST, //
     },
+    table::wire::{
+        Group,
+        Write, //
+    },
 };
 
 /// Parses the text of an act, where it has one.
--- a/src/core/config/load.rs
+++ b/src/core/config/load.rs
@@ -24,13 +24,13 @@
 };
 use crate::{
     event::Code,
-    platform::wire::Row,
     prelude::*,
     record::{
         set::Set,
         Name,
         Record, //
     },
+    table::wire::Row,
 };
 
 /// A configuration that is being loaded.
--- a/src/core/config/row.rs
+++ b/src/core/config/row.rs
@@ -18,13 +18,13 @@
 
 use super::told::Refusal;
 use crate::{
-    platform::wire::{
+    prelude::*,
+    record::Name, //
+    table::wire::{
         Condition,
         Row,
         Write, //
     },
-    prelude::*,
-    record::Name, //
 };
 
 /// The key of the head.
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -21,8 +21,8 @@
         Result, //
     },
     event::Code,
-    platform::wire::Row,
     prelude::*,
+    table::wire::Row,
 };
 
 /// Rows in a page of a scan.
--- a/src/core/config/trail.rs
+++ b/src/core/config/trail.rs
@@ -21,7 +21,6 @@
         Result, //
     },
     event::Code,
-    platform::wire::Group,
     prelude::*,
     record::{
         self,
@@ -29,6 +28,7 @@
         Name,
         LONGEST_TEXT, //
     },
+    table::wire::Group,
 };
 
 /// The most entries that wait to be written.
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -16,8 +16,8 @@
         Slot,
         Standing, //
     },
-    platform::wire::Worker,
     prelude::*,
+    table::wire::Worker,
 };
 
 /// Failures one after the other that eject an endpoint, when they are from several jobs.
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -29,12 +29,12 @@
 };
 use crate::{
     core::message::Beat,
-    platform::wire::{
+    prelude::*,
+    settings::Timing,
+    table::wire::{
         Member,
         State, //
     },
-    prelude::*,
-    settings::Timing,
 };
 
 /// The most peers that are known at once.
--- a/src/core/membership/peer.rs
+++ b/src/core/membership/peer.rs
@@ -7,8 +7,8 @@
 
 use super::rank;
 use crate::{
-    platform::wire::State,
     prelude::*, //
+    table::wire::State,
 };
 
 /// Sightings that go along with each heartbeat, all peers in turn.
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -18,13 +18,13 @@
         Status, //
     },
     event::Event,
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         Group,
         List,
         Row,
         Verdict, //
     },
-    prelude::*,
 };
 
 /// Names a request of a caller within this instance, until it is answered.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -29,11 +29,11 @@
 use crate::{
     core::config::Route,
     endpoint::wire::Load,
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         State,
         Worker, //
     },
-    prelude::*,
 };
 
 /// How often the instances together fill the slots of an endpoint before a task goes to another data centre.
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -12,12 +12,12 @@
 };
 use crate::{
     event::Code,
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         Condition,
         Group,
         Write, //
     },
-    prelude::*,
 };
 
 /// Failures in a row after which the table counts as down.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,11 +17,11 @@
 #[allow(missing_docs, unreachable_pub, rust_2018_idioms, clippy::all)]
 #[rustfmt::skip]
 pub mod peer_capnp;
-pub mod platform;
 pub mod prelude;
 pub mod record;
 pub mod ring;
 pub mod serve;
 pub mod settings;
 mod sync;
+pub mod table;
 pub mod time;
--- a/src/record/check.rs
+++ b/src/record/check.rs
@@ -22,11 +22,11 @@
 };
 use crate::{
     core::config::Route,
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         State,
         Worker, //
     },
-    prelude::*,
 };
 
 /// The most records that are in force together.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -42,10 +42,11 @@
         Event, //
     },
     metrics::Metrics,
-    peer, platform,
+    peer,
     prelude::*,
     ring,
     settings::Settings,
+    table,
 };
 
 /// Places in the ring from the main thread.
@@ -170,7 +171,7 @@
             until(e, endpoint::serve(s, clock, m, endpoint_out, endpoint_in))
         })?,
         thread("platform", move || {
-            until(e2, platform::serve(s2, m2, platform_out, platform_in))
+            until(e2, table::serve(s2, m2, platform_out, platform_in))
         })?,
         thread("decisions", move || {
             let duty = decision::serve(core, clock, inlets, outlets, status, metrics, drained);
--- a/tests/orders/world.rs
+++ b/tests/orders/world.rs
@@ -37,7 +37,12 @@
         Status, //
     },
     job::Task,
-    platform::wire::{
+    prelude::*,
+    settings::{
+        Limits,
+        Timing, //
+    },
+    table::wire::{
         Group,
         List,
         Member,
@@ -46,11 +51,6 @@
         Verdict,
         Worker, //
     },
-    prelude::*,
-    settings::{
-        Limits,
-        Timing, //
-    },
 };
 use quickcheck::{
     Arbitrary,
@@ -638,7 +638,7 @@
 
     fn commit(&mut self, group: &Group) -> Verdict {
         let version = |key: &String| self.table.get(key).map_or(0, |row| row.version);
-        let failed = |c: &&poplarknot::platform::wire::Condition| version(&c.key) != c.version;
+        let failed = |c: &&poplarknot::table::wire::Condition| version(&c.key) != c.version;
         let failed: Vec<_> = group.conditions.iter().filter(failed).collect();
         if !failed.is_empty() {
             let rows = failed.iter().filter_map(|c| self.table.get(&c.key));
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -47,16 +47,16 @@
         },
     },
     endpoint::wire::Load,
-    platform::wire::{
-        Member,
-        State,
-        Worker, //
-    },
     prelude::*,
     settings::{
         Limits,
         Timing, //
     },
+    table::wire::{
+        Member,
+        State,
+        Worker, //
+    },
 };
 pub(crate) use quickcheck::quickcheck;
 pub(crate) use rand::{
--- a/tests/proofs/callers.rs
+++ b/tests/proofs/callers.rs
@@ -31,7 +31,7 @@
 /// "not run" and stay so; of the others nobody waits for the end, so they are "unknown" and told to stop.
 #[tokio::test]
 async fn a_wave_of_cancellations_is_answered() -> Result {
-    let few = |worker: &mut poplarknot::platform::wire::Worker| worker.slots = 2;
+    let few = |worker: &mut poplarknot::table::wire::Worker| worker.slots = 2;
     let cluster = launch(cluster().worker(few).set("limits", "outstanding", 2)).await?;
     let wave = |i| {
         let mut job = job(&format!("wave-{i}"), [90_000, 1]);
@@ -121,7 +121,7 @@
 /// slot. What arrives with a deadline to come is served.
 #[tokio::test]
 async fn an_instance_that_overslept_starts_nothing_late() -> Result {
-    let one = |worker: &mut poplarknot::platform::wire::Worker| worker.slots = 1;
+    let one = |worker: &mut poplarknot::table::wire::Worker| worker.slots = 1;
     let builder = cluster().workers(1).instances(1).worker(one);
     let cluster = launch(builder.set("limits", "outstanding", 1)).await?;
     let busy = job("busy", [600]);
--- a/tests/proofs/leaving.rs
+++ b/tests/proofs/leaving.rs
@@ -1,6 +1,6 @@
 //! Endpoints that leave and instances that drain: nothing new goes there, and nothing is cut off.
 
-use poplarknot::platform::wire::State;
+use poplarknot::table::wire::State;
 
 use super::*;
 
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -46,13 +46,6 @@
                 Result, //
             },
         },
-        platform::wire::{
-            Group,
-            Row,
-            State,
-            Verdict,
-            Worker, //
-        },
         prelude::*,
         record::{
             fault::Code,
@@ -62,6 +55,13 @@
             Name,
             Record, //
         },
+        table::wire::{
+            Group,
+            Row,
+            State,
+            Verdict,
+            Worker, //
+        },
     };
 
     pub(crate) use crate::{
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -12,7 +12,8 @@
         Start,
         Status, //
     },
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         Commit,
         Committed,
         Condition,
@@ -20,7 +21,6 @@
         Scan,
         Write, //
     },
-    prelude::*,
 };
 use support::{
     client::{
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -6,7 +6,7 @@
 };
 
 use hyper::Method;
-use poplarknot::platform::wire::Worker as Entry;
+use poplarknot::table::wire::Worker as Entry;
 use serde_json::{
     json,
     Value, //
--- a/tests/support/instance.rs
+++ b/tests/support/instance.rs
@@ -19,7 +19,7 @@
     },
     unistd::Pid,
 };
-use poplarknot::platform::wire::{
+use poplarknot::table::wire::{
     Member,
     State, //
 };
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -17,7 +17,8 @@
 use bytes::Bytes;
 use hyper::Method;
 use poplarknot::{
-    platform::wire::{
+    prelude::Digest,
+    table::wire::{
         Commit,
         Committed,
         Group,
@@ -28,7 +29,6 @@
         Verdict,
         Worker, //
     },
-    prelude::Digest,
 };
 use serde::{
     Deserialize,
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -22,11 +22,11 @@
         Start,
         Status, //
     },
-    platform::wire::{
+    prelude::*,
+    table::wire::{
         State as Listed,
         Worker as Entry, //
     },
-    prelude::*,
 };
 use serde::{
     Deserialize,
