--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod check;
 mod client;
+mod dispatch;
 pub mod exit;
 mod record;
 mod serve;
@@ -34,6 +35,7 @@
 
 Commands:
     serve     Runs an instance
+    dispatch  Runs an instance on the platform, by the platform's own settings file
     check     Checks a settings file and names every fault
     submit    Submits a burst and prints its answer
     record    Submits, amends, withdraws and shows configuration records
@@ -53,14 +55,14 @@
 /// An error is printed on standard error, once.
 pub fn run(args: impl IntoIterator<Item = String>) -> ExitCode {
     let args: Vec<String> = args.into_iter().collect();
-    let exit = dispatch(&args).unwrap_or_else(|error| {
+    let exit = choose(&args).unwrap_or_else(|error| {
         eprintln!("poplarknot: {error}");
         error.exit()
     });
     exit.into()
 }
 
-fn dispatch(args: &[String]) -> Result<Exit, Error> {
+fn choose(args: &[String]) -> Result<Exit, Error> {
     let Some((command, rest)) = args.split_first() else {
         return Err(Error::Usage("no command is given".to_owned()));
     };
@@ -68,6 +70,7 @@
         "-h" | "--help" | "help" => print(HELP),
         "-V" | "--version" => print(concat!("poplarknot ", env!("CARGO_PKG_VERSION"), "\n")),
         "serve" => serve::run(rest),
+        "dispatch" => dispatch::run(rest),
         "check" => check::run(rest),
         "submit" => submit::run(rest),
         "record" => record::run(rest),
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,646 @@
+//! The dispatcher of leased tasks: all decisions of an instance on the platform, without input or output.
+//!
+//! [`Dispatcher::step`] takes what happened and returns what is to be done. It knows no sockets, clocks or
+//! threads, so that every order of events can be played in a test.
+
+pub mod endpoint;
+pub mod entry;
+pub mod id;
+pub mod member;
+pub mod message;
+pub mod owner;
+pub mod queue;
+pub mod roster;
+pub mod route;
+pub mod task;
+
+use std::collections::HashMap;
+
+use self::{
+    entry::Entry,
+    id::{
+        Epoch,
+        RackId,
+        Token, //
+    },
+    member::{
+        deal,
+        Members,
+        Reception,
+        HEARTBEAT,
+        SETTLE, //
+    },
+    message::{
+        Answer,
+        Beat,
+        Claim,
+        Contact,
+        Handover,
+        Input,
+        Letter,
+        Output,
+        Record,
+        Roster,
+        Sender,
+        Ticket, //
+    },
+    owner::{
+        Effects,
+        Owner, //
+    },
+    route::Configuration,
+    task::Submission,
+};
+use crate::prelude::*;
+
+/// Between messages about room: three times shorter than the shortest tasks, so that most of what ends is
+/// known before the next job is placed; a tenth of the interval would cost ten times the messages.
+const ROOMS: Span = Span::millis(20);
+
+/// Between audits of parcels that have been out for long.
+const AUDITS: Span = Span::millis(250);
+
+/// A pause between two steps after which an instance takes all that it holds as lapsed: it ticks every few
+/// milliseconds, and its peers take over what it had after [`member::SILENCE`].
+const PAUSE: Span = Span::millis(450);
+
+/// Bits of an incarnation, a time in milliseconds, that number the parcels of one life.
+const SERIAL_BITS: u32 = 22;
+
+/// Who the instance is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name and where its peers reach it.
+    pub contact: Contact,
+    /// Its data centre.
+    pub centre: String,
+    /// One life of it: a later one is higher.
+    pub incarnation: u64,
+}
+
+/// What the instance has and does, in numbers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Jobs in progress.
+    pub jobs: usize,
+    /// Tasks that wait on its racks.
+    pub waiting: usize,
+    /// Runs on its endpoints.
+    pub runs: usize,
+    /// Endpoints that take tasks.
+    pub open: usize,
+    /// Racks that it owns.
+    pub racks: usize,
+    /// Live peers.
+    pub peers: usize,
+    /// The configuration's version.
+    pub configuration: u64,
+}
+
+/// All state of an instance.
+#[derive(Debug)]
+pub struct Dispatcher {
+    identity: Identity,
+    members: Members,
+    entry: Entry,
+    owner: Owner,
+    configuration: Option<Configuration>,
+    roster: Roster,
+    listed: bool,
+    epoch: Epoch,
+    began: Time,
+    stepped: Time,
+    beat: Time,
+    rooms: Time,
+    audit: Time,
+    draining: bool,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows nothing yet.
+    pub fn new(identity: Identity, now: Time) -> Self {
+        Self {
+            entry: Entry::new(identity.incarnation << SERIAL_BITS),
+            identity,
+            members: Members::default(),
+            owner: Owner::default(),
+            configuration: None,
+            roster: Roster::default(),
+            listed: false,
+            epoch: Epoch::default(),
+            began: now,
+            stepped: Time::default(),
+            beat: Time::default(),
+            rooms: Time::default(),
+            audit: Time::default(),
+            draining: false,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_ref()
+    }
+
+    /// Tells whether it can serve callers, and stays.
+    pub fn ready(&self) -> bool {
+        let known = self.configuration.is_some() && self.listed;
+        known && !self.draining && (self.entry.owned() || self.roster.endpoints.is_empty())
+    }
+
+    /// Tells whether it is about to end.
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Tells whether it hears no peer.
+    pub fn alone(&self) -> bool {
+        self.members.live().next().is_none()
+    }
+
+    /// Counts the jobs of its callers of which nothing has started.
+    pub fn pending(&self) -> usize {
+        self.entry.pending()
+    }
+
+    /// Tells whether a job is in progress here.
+    pub fn knows(&self, job: id::JobId) -> bool {
+        self.entry.knows(job)
+    }
+
+    /// Returns what it has and does, in numbers.
+    pub fn standing(&self) -> Standing {
+        let (waiting, runs, open) = self.owner.counts();
+        Standing {
+            jobs: self.entry.len(),
+            waiting,
+            runs,
+            open,
+            racks: self.owner.racks().count(),
+            peers: self.members.live().count(),
+            configuration: self.configuration.as_ref().map_or(0, |c| c.version),
+        }
+    }
+
+    /// Takes what happened and returns what is to be done.
+    pub fn step(&mut self, now: Time, input: Input) -> Vec<Output> {
+        let mut out = Effects::default();
+        let paused = self.stepped != Time::default() && now.since(self.stepped) > PAUSE;
+        self.stepped = now;
+        if paused {
+            self.awake(now, &mut out);
+        }
+        self.take(now, input, &mut out);
+        self.settle(now, &mut out);
+        out.outputs
+    }
+
+    /// Does what is due, and delivers letters of this instance to itself until there are none left.
+    fn settle(&mut self, now: Time, out: &mut Effects) {
+        loop {
+            let letters = std::mem::take(&mut out.letters);
+            if letters.is_empty() {
+                self.owner.work(now, out);
+                if out.letters.is_empty() {
+                    return;
+                }
+            }
+            for (to, letter) in letters {
+                if to.name == self.identity.contact.name {
+                    let own = self.identity.contact.clone();
+                    self.letter(&own, letter, now, out);
+                } else if let Some(member) = self.members.get(&to.name) {
+                    let to = member.contact.clone();
+                    out.outputs.push(Output::Send(to, letter));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: Time, input: Input, out: &mut Effects) {
+        match input {
+            Input::Submitted {
+                ticket,
+                host,
+                path,
+                submission,
+                wait,
+            } => self.submit(ticket, &host, &path, *submission, wait, now, out),
+            Input::Abandoned(ticket) => self.entry.abandon(ticket, now, out),
+            Input::Cancelled(job) => {
+                if !self.entry.cancel(job, now, out) {
+                    self.tell_all(Letter::CancelJob(job), out);
+                }
+            }
+            Input::Configured(configuration) => self.configure(*configuration, "store", out),
+            Input::Listed(roster) => self.list(roster, now, out),
+            Input::Found(contacts) => {
+                for contact in contacts {
+                    self.find(&contact, now, out);
+                }
+            }
+            Input::Received { from, letters } => self.receive(&from, letters, now, out),
+            Input::Called { call, sent, reply } => self.owner.called(call, sent, reply, now, out),
+            Input::Drain => {
+                self.draining = true;
+                out.outputs.push(Output::Log(Record::new("draining")));
+                self.beat = Time::default();
+                self.tick(now, out);
+            }
+            Input::Tick => self.tick(now, out),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn submit(
+        &mut self,
+        ticket: Ticket,
+        host: &str,
+        path: &str,
+        submission: Submission,
+        wait: Option<Span>,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(configuration) = &self.configuration else {
+            return out.outputs.push(Output::Answer(ticket, Answer::Unready));
+        };
+        let Some((route, _)) = configuration.route(host, path) else {
+            return out.outputs.push(Output::Answer(ticket, Answer::NoRoute));
+        };
+        let centre = &self.identity.centre;
+        self.entry
+            .submit(ticket, submission, route, wait, centre, now, out);
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    fn configure(&mut self, configuration: Configuration, from: &str, out: &mut Effects) {
+        let known = self.configuration.as_ref().map(|c| c.version);
+        if known.is_some_and(|known| known >= configuration.version) {
+            return;
+        }
+        let record = Record::new("configuration_applied").with("version", configuration.version);
+        out.outputs.push(Output::Log(record.with("from", from)));
+        self.configuration = Some(configuration);
+    }
+
+    fn list(&mut self, roster: Roster, now: Time, out: &mut Effects) {
+        if self.listed && roster.version < self.roster.version {
+            return;
+        }
+        self.listed = true;
+        self.entry.list(&roster.endpoints);
+        self.owner.list(&roster.endpoints, now, out);
+        self.roster = roster;
+        self.deal(now, out);
+    }
+
+    fn find(&mut self, contact: &Contact, now: Time, out: &mut Effects) {
+        if contact.name == self.identity.contact.name {
+            return;
+        }
+        if self.members.find(contact, now) {
+            let record = Record::new("member_found").with("member", contact.name.as_str());
+            out.outputs.push(Output::Log(record));
+            let beat = Letter::Beat(self.own_beat());
+            out.outputs.push(Output::Send(contact.clone(), beat));
+        }
+    }
+
+    fn receive(&mut self, from: &Sender, letters: Vec<Letter>, now: Time, out: &mut Effects) {
+        let name = &from.contact.name;
+        let was = self
+            .members
+            .get(name)
+            .map(|m| (m.live, m.incarnation, m.session));
+        match self.members.receive(from, self.identity.incarnation, now) {
+            Reception::Stale => {
+                let record = Record::new("letters_stale").with("member", name.as_str());
+                out.outputs.push(Output::Log(record));
+                return;
+            }
+            Reception::Anew => {
+                let record = Record::new("session_begun").with("member", name.as_str());
+                let record = record.with("session", from.session);
+                out.outputs.push(Output::Log(record));
+                self.owner.abandon(name, out);
+                self.entry.lost(name, now, now, out);
+            }
+            Reception::Valid => {}
+        }
+        let member = self.members.get(name);
+        let is = member.map(|m| (m.live, m.incarnation, m.session));
+        if is.map(|i| (i.1, i.2)) != was.map(|w| (w.1, w.2)) {
+            out.outputs.push(Output::Session {
+                to: from.contact.clone(),
+                incarnation: from.incarnation,
+                session: is.map_or(0, |(_, _, session)| session),
+            });
+        }
+        if was.is_none_or(|(live, _, _)| !live) {
+            self.greet(&from.contact, now, out);
+        }
+        for letter in letters {
+            self.letter(&from.contact, letter, now, out);
+        }
+    }
+
+    /// Tells a member that has just come all that it must know to place tasks.
+    fn greet(&mut self, to: &Contact, now: Time, out: &mut Effects) {
+        let record = Record::new("member_heard").with("member", to.name.as_str());
+        out.outputs.push(Output::Log(record));
+        let beat = Letter::Beat(self.own_beat());
+        out.outputs.push(Output::Send(to.clone(), beat));
+        let rooms = self.owner.rooms(true, now);
+        if !rooms.is_empty() {
+            out.outputs
+                .push(Output::Send(to.clone(), Letter::Rooms(rooms)));
+        }
+    }
+
+    fn letter(&mut self, from: &Contact, letter: Letter, now: Time, out: &mut Effects) {
+        match letter {
+            Letter::Beat(beat) => self.hear(from, beat, now, out),
+            Letter::Rooms(rooms) => {
+                self.entry.rooms(&from.name, rooms);
+                self.want(now, out);
+            }
+            Letter::Parcel(parcel) => self.owner.accept(from, *parcel, now, out),
+            Letter::Cancel(serial) => self.owner.cancel(from, serial, out),
+            Letter::Report {
+                serial,
+                outcome,
+                started,
+            } => {
+                let centre = &self.identity.centre;
+                self.entry
+                    .report(serial, outcome, started, centre, now, out);
+            }
+            Letter::Returned {
+                serial,
+                tasks,
+                started,
+                hint,
+            } => {
+                self.entry.returned(serial, tasks, started, hint, now);
+                self.entry.work(&self.identity.centre, now, out);
+            }
+            Letter::Audit(serials) => self.owner.audit(from, serials, out),
+            Letter::Unknown(serials) => self.entry.unknown(&from.name, &serials, now, out),
+            Letter::Want {
+                from: rack,
+                to,
+                rooms,
+            } => self.owner.spare(rack, to, rooms, out),
+            Letter::Handover(handover) => self.take_over(*handover, now, out),
+            Letter::Moved { serial, to } => self.entry.moved(serial, to, now),
+            Letter::Configuration(configuration) => {
+                self.configure(*configuration, from.name.as_str(), out);
+            }
+            Letter::Roster(roster) => {
+                if roster.version > self.roster.version || !self.listed {
+                    self.list(*roster, now, out);
+                }
+            }
+            Letter::CancelJob(job) => {
+                self.entry.cancel(job, now, out);
+            }
+        }
+    }
+
+    fn hear(&mut self, from: &Contact, beat: Beat, now: Time, out: &mut Effects) {
+        self.epoch = self.epoch.max(beat.epoch);
+        for contact in &beat.members {
+            self.find(contact, now, out);
+        }
+        let own = self.configuration.as_ref();
+        if let Some(own) = own.filter(|c| c.version > beat.configuration) {
+            let letter = Letter::Configuration(Box::new(own.clone()));
+            out.letters.push((from.clone(), letter));
+        }
+        if self.listed && self.roster.version > beat.roster {
+            let letter = Letter::Roster(Box::new(self.roster.clone()));
+            out.letters.push((from.clone(), letter));
+        }
+        self.members.beat(&from.name, beat);
+        self.deal(now, out);
+    }
+
+    fn own_beat(&self) -> Beat {
+        let claim = |(rack, token)| Claim { rack, token };
+        Beat {
+            epoch: self.epoch,
+            configuration: self.configuration.as_ref().map_or(0, |c| c.version),
+            roster: match self.listed {
+                true => self.roster.version,
+                false => 0,
+            },
+            draining: self.draining,
+            racks: self.owner.racks().map(claim).collect(),
+            members: self.members.live().map(|m| m.contact.clone()).collect(),
+        }
+    }
+
+    fn tell_all(&self, letter: Letter, out: &mut Effects) {
+        for member in self.members.live() {
+            out.letters.push((member.contact.clone(), letter.clone()));
+        }
+    }
+
+    /// Decides who owns what: gives up what another owns with a higher token, claims what nobody owns.
+    fn deal(&mut self, now: Time, out: &mut Effects) {
+        let owners = self.members.owners();
+        let lost: Vec<RackId> = self
+            .owner
+            .racks()
+            .filter(|(rack, token)| owners.get(rack).is_some_and(|(_, other)| other > token))
+            .map(|(rack, _)| rack)
+            .collect();
+        for rack in lost {
+            self.owner.yield_rack(rack, "another owns it", out);
+        }
+        if self.draining {
+            self.hand_over(now, out);
+        } else if now.since(self.began) >= SETTLE {
+            self.claim(&owners, now, out);
+        }
+        self.update_owners(&owners);
+    }
+
+    fn claim(&mut self, owners: &HashMap<RackId, (Instance, Token)>, now: Time, out: &mut Effects) {
+        let racks = self.entry.racks();
+        let free = |rack: &RackId| !owners.contains_key(rack) && !self.owner.owns(*rack);
+        let orphans: Vec<(RackId, String)> =
+            racks.into_iter().filter(|(rack, _)| free(rack)).collect();
+        if orphans.is_empty() {
+            return;
+        }
+        let mut held: HashMap<Instance, usize> = HashMap::new();
+        for (name, _) in owners.values() {
+            *held.entry(name.clone()).or_default() += 1;
+        }
+        let own = &self.identity.contact.name;
+        held.insert(own.clone(), self.owner.racks().count());
+        let mut candidates = self.candidates();
+        candidates.push((own.clone(), self.identity.centre.clone()));
+        let mine: Vec<RackId> = deal(&orphans, &candidates, &mut held)
+            .into_iter()
+            .filter(|(_, owner)| owner == own)
+            .map(|(rack, _)| rack)
+            .collect();
+        if mine.is_empty() {
+            return;
+        }
+        let token = self.next_token();
+        for rack in mine {
+            self.owner.claim(rack, token, out);
+        }
+        self.owner.list(&self.roster.endpoints, now, out);
+        // The others must not place tasks by what the former owner said.
+        self.beat = Time::default();
+    }
+
+    fn candidates(&self) -> Vec<(Instance, String)> {
+        let members = self.members.takers();
+        members
+            .map(|m| (m.contact.name.clone(), m.centre.clone()))
+            .collect()
+    }
+
+    fn next_token(&mut self) -> Token {
+        self.epoch = Epoch(self.epoch.max(self.members.epoch()).0 + 1);
+        let name = self.identity.contact.name.as_str().as_bytes();
+        Token::new(self.epoch, id::fnv(self.identity.incarnation, name))
+    }
+
+    fn update_owners(&mut self, owners: &HashMap<RackId, (Instance, Token)>) {
+        let mut contacts: HashMap<RackId, Contact> = HashMap::new();
+        for (rack, (name, _)) in owners {
+            if let Some(member) = self.members.get(name) {
+                contacts.insert(*rack, member.contact.clone());
+            }
+        }
+        for (rack, _) in self.owner.racks() {
+            contacts.insert(rack, self.identity.contact.clone());
+        }
+        self.entry.own(&contacts);
+    }
+
+    /// Gives all racks to members that stay.
+    fn hand_over(&mut self, now: Time, out: &mut Effects) {
+        let racks: Vec<RackId> = self.owner.racks().map(|(rack, _)| rack).collect();
+        if racks.is_empty() {
+            return;
+        }
+        let centres: HashMap<RackId, String> = self.entry.racks().into_iter().collect();
+        let with_centre = |rack: &RackId| (*rack, centres.get(rack).cloned().unwrap_or_default());
+        let racks: Vec<(RackId, String)> = racks.iter().map(with_centre).collect();
+        let mut held: HashMap<Instance, usize> = HashMap::new();
+        for (name, _) in self.members.owners().values() {
+            *held.entry(name.clone()).or_default() += 1;
+        }
+        for (rack, name) in deal(&racks, &self.candidates(), &mut held) {
+            let Some(member) = self.members.get(&name) else {
+                continue;
+            };
+            let to = member.contact.clone();
+            if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
+                out.letters.push((to, Letter::Handover(Box::new(handover))));
+            }
+        }
+        self.beat = Time::default();
+    }
+
+    fn take_over(&mut self, handover: Handover, now: Time, out: &mut Effects) {
+        self.epoch = self.epoch.max(handover.token.epoch());
+        let token = self.next_token();
+        self.owner
+            .take_over(handover, token, &self.roster.endpoints, now, out);
+        self.update_owners(&self.members.owners());
+        self.beat = Time::default();
+        if self.draining {
+            self.hand_over(now, out);
+        }
+    }
+
+    /// Takes all that it holds as lapsed, after the process stood still for longer than its peers wait.
+    fn awake(&mut self, now: Time, out: &mut Effects) {
+        out.outputs.push(Output::Log(Record::new("awoke")));
+        self.owner.void();
+        for member in self.members.void(now) {
+            out.outputs.push(Output::Session {
+                to: member.contact,
+                incarnation: member.incarnation,
+                session: member.session,
+            });
+        }
+        self.entry.void(now, out);
+        self.began = now;
+        self.update_owners(&HashMap::new());
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Effects) {
+        for member in self.members.expire(now) {
+            let name = member.contact.name.clone();
+            let record = Record::new("member_lost").with("member", name.as_str());
+            let heard = member.heard.unwrap_or(now);
+            out.outputs
+                .push(Output::Log(record.with("silent_ms", now.since(heard))));
+            out.outputs.push(Output::Session {
+                to: member.contact,
+                incarnation: member.incarnation,
+                session: member.session,
+            });
+            self.owner.abandon(&name, out);
+            self.entry.lost(&name, heard, now, out);
+            self.update_owners(&self.members.owners());
+        }
+        self.deal(now, out);
+        self.entry.work(&self.identity.centre, now, out);
+        if now.since(self.audit) >= AUDITS {
+            self.audit = now;
+            self.entry.audit(now, out);
+        }
+        if self.beat == Time::default() || now.since(self.beat) >= HEARTBEAT {
+            self.beat = now;
+            let beat = Letter::Beat(self.own_beat());
+            for member in self.members.all() {
+                let to = member.contact.clone();
+                out.outputs.push(Output::Send(to, beat.clone()));
+            }
+        }
+        if now.since(self.rooms) >= ROOMS {
+            self.rooms = now;
+            self.tell_rooms(now, out);
+        }
+        if self.draining && self.entry.is_empty() && self.owner.idle() {
+            out.outputs.push(Output::Drained);
+        }
+    }
+
+    fn tell_rooms(&mut self, now: Time, out: &mut Effects) {
+        let rooms = self.owner.rooms(false, now);
+        if rooms.is_empty() {
+            return;
+        }
+        self.tell_all(Letter::Rooms(rooms.clone()), out);
+        let own = self.identity.contact.name.clone();
+        self.entry.rooms(&own, rooms);
+        self.want(now, out);
+    }
+
+    /// Asks owners whose racks have tasks waiting for some, where an own rack has room and nothing waits.
+    fn want(&mut self, now: Time, out: &mut Effects) {
+        if self.draining {
+            return;
+        }
+        for (to, rooms) in self.owner.spacious(now) {
+            let Some((from, contact)) = self.entry.busiest(to) else {
+                continue;
+            };
+            self.entry.asked(from, rooms.len() as u32);
+            out.letters
+                .push((contact, Letter::Want { from, to, rooms }));
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/endpoint.rs
@@ -0,0 +1,653 @@
+//! An endpoint as its owner sees it: what runs there, until when its leases last, whether it answers.
+
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
+
+use super::{
+    id::{
+        Run,
+        TaskId,
+        Token, //
+    },
+    message::{
+        CallId,
+        End,
+        Ended,
+        Listing,
+        Name,
+        Order,
+        Refusal,
+        Running, //
+    },
+    queue::Handle,
+    task::Room,
+};
+use crate::prelude::*;
+
+/// The lease that a look gives to everything on an endpoint: the longest that the platform allows
+/// (`max_hold_ms`). A longer one outlives its owner's death by more, a shorter one costs runs whenever the owner
+/// is slow.
+pub const LEASE: Span = Span::millis(1_000);
+
+/// The lease that a start carries. A start that arrives after it has passed is refused, so this bounds how long
+/// a start without an answer stays in doubt; the look that follows the start extends it.
+pub const START_LEASE: Span = Span::millis(400);
+
+/// How long a start may take: twenty round trips within a data centre, more than a slow instance needs.
+pub const START_PATIENCE: Span = Span::millis(60);
+
+/// How long a stop may take.
+pub const STOP_PATIENCE: Span = Span::millis(100);
+
+/// How long a look waits for an end: a quarter of the lease, so that three looks fail before a run is lost.
+pub const LOOK_WAIT: Span = Span::millis(250);
+
+/// How long the answer to a look may take beyond its wait.
+pub const LOOK_PATIENCE: Span = Span::millis(200);
+
+/// Between looks at an endpoint that doesn't answer, and at one that is being cleared.
+const LOOK_AGAIN: Span = Span::millis(50);
+
+/// Between looks at an endpoint where nothing runs: its clock may be 2 % slow, which makes 100 ms of doubt.
+const LOOK_IDLE: Span = Span::seconds(5);
+
+/// How often a start is sent before its run is barred and placed elsewhere.
+pub const START_TRIES: u8 = 3;
+
+/// An endpoint's clock may be this much slower than ours, as a share.
+const SLOW: f64 = 0.02;
+
+/// How long an endpoint that refuses as unwell gets no new task.
+const UNWELL: Span = Span::millis(500);
+
+/// How long an endpoint that has no room although it should gets no new task: its next look tells.
+const FULL: Span = Span::millis(30);
+
+/// How many runs must fail in a row, of different jobs, before an endpoint counts as failing: one in five
+/// hundred sound runs fails, so three in a row are no chance.
+const FAILURES: u32 = 3;
+
+/// How long a failing endpoint rests before it is tried with one task, doubled each time up to the second.
+const REST: (Span, Span) = (Span::millis(1_000), Span::seconds(8));
+
+/// A reading of an endpoint's clock.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    /// Milliseconds on its clock.
+    clock: u64,
+    /// When the call left and its answer came: the reading was made between.
+    sent: Time,
+    received: Time,
+}
+
+impl Reading {
+    /// Returns the most that the clock may show now.
+    fn most(&self, now: Time) -> u64 {
+        self.clock + now.since(self.sent).as_millis()
+    }
+
+    /// Returns when the clock will surely have passed `at`.
+    fn passed(&self, at: u64) -> Time {
+        let ahead = at.saturating_sub(self.clock) as f64 * 1_000.0 / (1.0 - SLOW);
+        self.received + Span(ahead as u64 + 1_000)
+    }
+}
+
+/// What a run waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The answer to its start.
+    Starting,
+    /// Its end.
+    Running,
+    /// Its stop.
+    Stopping,
+}
+
+/// What becomes of the task when its run has ended otherwise than done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is started again.
+    Again,
+    /// Nobody wants it any more.
+    Drop,
+}
+
+/// A run on the endpoint.
+#[derive(Debug, Clone)]
+pub struct Post {
+    /// Its parcel.
+    pub parcel: Handle,
+    /// The run.
+    pub run: Run,
+    /// What it takes.
+    pub need: Room,
+    /// What it waits for.
+    pub phase: Phase,
+    /// See [`Fate`].
+    pub fate: Fate,
+    /// When it was started first.
+    pub since: Time,
+    /// When its start, or its stop, was answered.
+    answered: Option<Time>,
+    /// How often its start was sent, or its stop.
+    pub tries: u8,
+    /// Whether an earlier start of this run may still arrive.
+    pub doubt: bool,
+}
+
+/// Something that an owner must act on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A run is done.
+    Done(TaskId, Handle),
+    /// A run failed.
+    Failed(TaskId, Handle),
+    /// A run is gone without a result; it is to be started again, with this number at least.
+    Gone(TaskId, Handle, Run),
+    /// A run that nobody wanted is gone.
+    Cleared(TaskId),
+    /// Another owner has a higher token.
+    Fenced,
+    /// This life of the endpoint has ended.
+    Reborn,
+}
+
+/// How far an endpoint can be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Runs that the owner doesn't know may go on there.
+    Claimed,
+    /// It takes tasks.
+    Open,
+    /// It doesn't answer.
+    Silent,
+}
+
+/// An endpoint and what its owner knows of it.
+#[derive(Debug)]
+pub struct State {
+    /// As the platform lists it.
+    pub listing: Listing,
+    /// Whether the platform lists it no more.
+    pub delisted: bool,
+    /// The owner's token.
+    pub token: Token,
+    /// How far it can be used.
+    pub standing: Standing,
+    /// What runs there.
+    pub posts: HashMap<TaskId, Post>,
+    /// What is free.
+    pub free: Room,
+    /// Until when it gets no task, and why that is.
+    rest: Time,
+    /// How many runs failed in a row, and of which job the last was.
+    failures: (u32, u64),
+    /// How long the next rest is.
+    penalty: Span,
+    /// Whether it is tried with one task.
+    probation: bool,
+    strangers: HashSet<(Name, Run)>,
+    reading: Option<Reading>,
+    /// When every lease that it may have been given has passed.
+    lapse: Time,
+    seen: u64,
+    told: u64,
+    /// Whether a look is wanted although nothing seems to run.
+    unsure: bool,
+    look: Option<CallId>,
+    next_look: Time,
+    answered: Time,
+}
+
+impl State {
+    /// Claims an endpoint; runs that are handed over with it are added by [`State::adopt`].
+    pub fn claim(listing: Listing, token: Token, now: Time) -> Self {
+        Self {
+            free: listing.capacity,
+            listing,
+            delisted: false,
+            token,
+            standing: Standing::Claimed,
+            posts: HashMap::new(),
+            rest: Time::default(),
+            failures: (0, 0),
+            penalty: REST.0,
+            probation: false,
+            strangers: HashSet::new(),
+            reading: None,
+            lapse: now + LEASE + Span::millis(50),
+            seen: 0,
+            told: 0,
+            unsure: false,
+            look: None,
+            next_look: now,
+            answered: Time::default(),
+        }
+    }
+
+    /// Tells whether a task may be started here now.
+    pub fn takes(&self, now: Time) -> bool {
+        self.standing == Standing::Open
+            && !self.listing.draining
+            && !self.delisted
+            && self.reading.is_some()
+            && now >= self.rest
+            && (!self.probation || self.posts.is_empty())
+    }
+
+    /// Takes over a run of the former owner.
+    pub fn adopt(&mut self, task: TaskId, parcel: Handle, run: Run, need: Room, now: Time) {
+        let mut post = Post::new(parcel, run, need, now);
+        post.phase = Phase::Running;
+        // Its start may still be on its way. Not listed by the first looks, it counts as running until its
+        // lease would have passed.
+        post.answered = Some(now + START_LEASE);
+        self.add(task, post);
+    }
+
+    fn add(&mut self, task: TaskId, post: Post) {
+        self.free.take(&post.need);
+        self.posts.insert(task, post);
+    }
+
+    /// Starts a run.
+    pub fn start(&mut self, task: TaskId, post: Post, spec: String, now: Time) -> Option<Order> {
+        let run = post.run;
+        self.add(task, post);
+        self.start_again(task, run, spec, now)
+    }
+
+    /// Sends the start of a run again: an endpoint that has it already says so.
+    pub fn start_again(
+        &mut self,
+        task: TaskId,
+        run: Run,
+        spec: String,
+        now: Time,
+    ) -> Option<Order> {
+        let lease = self.lease(START_LEASE, now)?;
+        Some(Order::Start {
+            task,
+            run,
+            spec,
+            lease,
+            token: self.token,
+        })
+    }
+
+    /// Begins the stop of a run.
+    pub fn stop(&mut self, task: TaskId, fate: Fate) -> Option<Order> {
+        let post = self.posts.get_mut(&task)?;
+        if post.phase == Phase::Stopping {
+            if fate == Fate::Drop {
+                post.fate = fate;
+            }
+            return None;
+        }
+        post.phase = Phase::Stopping;
+        post.fate = fate;
+        post.tries = 0;
+        post.answered = None;
+        let run = post.run;
+        Some(self.stop_again(Name::Known(task), run))
+    }
+
+    /// Orders a stop.
+    pub fn stop_again(&self, task: Name, run: Run) -> Order {
+        Order::Stop {
+            task,
+            run,
+            token: self.token,
+        }
+    }
+
+    /// Returns a lease that ends `span` from now on the endpoint's clock, and takes note of it.
+    fn lease(&mut self, span: Span, now: Time) -> Option<u64> {
+        let reading = self.reading?;
+        let until = reading.most(now) + span.as_millis();
+        self.lapse = self.lapse.max(reading.passed(until));
+        Some(until)
+    }
+
+    /// Returns the look that is due, and its patience.
+    ///
+    /// Leases are extended only where every run is known and all stops are answered: a look also extends what a
+    /// dead instance started.
+    pub fn look(&mut self, call: CallId, now: Time) -> Option<(Order, Span)> {
+        if self.look.is_some() || now < self.next_look {
+            return None;
+        }
+        let quiet = self.posts.is_empty() && self.standing == Standing::Open;
+        let told = self.told >= self.seen;
+        let fresh = self
+            .reading
+            .is_some_and(|r| now.since(r.received) < LOOK_IDLE);
+        if quiet && told && fresh && !self.unsure {
+            return None;
+        }
+        let stuck = |post: &Post| post.phase == Phase::Stopping && post.tries > 2;
+        let extend = self.standing == Standing::Open
+            && !quiet
+            && self.strangers.is_empty()
+            && !self.posts.values().any(stuck);
+        let lease = match extend {
+            true => self.lease(LEASE, now),
+            false => None,
+        };
+        let wait = match extend {
+            true => LOOK_WAIT,
+            false => Span(0),
+        };
+        self.unsure = false;
+        self.look = Some(call);
+        self.told = self.seen;
+        let order = Order::Look {
+            lease,
+            token: self.token,
+            seen: self.seen,
+            wait,
+        };
+        Some((order, Span(wait.0 + LOOK_PATIENCE.0)))
+    }
+
+    /// Tells when the next look is due at the latest.
+    pub fn next_look(&self) -> Time {
+        self.next_look
+    }
+
+    fn read(&mut self, clock: u64, sent: Time, now: Time) {
+        self.answered = now;
+        let better = |r: Reading| now.since(r.received) > Span::seconds(1);
+        let narrow = |r: Reading| now.since(sent) <= r.received.since(r.sent);
+        if self.reading.is_none_or(|r| better(r) || narrow(r)) {
+            self.reading = Some(Reading {
+                clock,
+                sent,
+                received: now,
+            });
+        }
+    }
+
+    /// Takes note of an answer to a start, a stop or a look; its endpoint lives.
+    pub fn answered(&mut self, clock: u64, sent: Time, now: Time) {
+        self.read(clock, sent, now);
+    }
+
+    /// Returns when it answered last.
+    pub fn last_answer(&self) -> Time {
+        self.answered
+    }
+
+    /// Takes note of what runs there and what has ended; returns what to act on, and strangers to stop.
+    pub fn looked(
+        &mut self,
+        call: CallId,
+        sent: Time,
+        running: Vec<Running>,
+        ended: Vec<Ended>,
+        now: Time,
+    ) -> (Vec<Event>, Vec<(Name, Run)>) {
+        if self.look == Some(call) {
+            self.look = None;
+        }
+        let mut events = Vec::new();
+        for end in ended {
+            if end.serial > self.seen {
+                self.seen = end.serial;
+                self.end(&end, &mut events, now);
+            }
+        }
+        let mut listed = HashSet::with_capacity(running.len());
+        let mut strangers = HashSet::new();
+        for entry in running {
+            match &entry.task {
+                Name::Known(task) if self.knows(task, entry.run) => {
+                    listed.insert(*task);
+                }
+                _ => {
+                    strangers.insert((entry.task, entry.run));
+                }
+            }
+        }
+        self.vanish(&listed, sent, &mut events);
+        let order: Vec<_> = strangers.iter().cloned().collect();
+        self.strangers = strangers;
+        let clear = self.strangers.is_empty();
+        self.standing = match clear {
+            true => Standing::Open,
+            false => Standing::Claimed,
+        };
+        self.next_look = match clear {
+            true => now,
+            false => now + LOOK_AGAIN,
+        };
+        (events, order)
+    }
+
+    fn knows(&self, task: &TaskId, run: Run) -> bool {
+        self.posts.get(task).is_some_and(|post| post.run == run)
+    }
+
+    fn end(&mut self, end: &Ended, events: &mut Vec<Event>, now: Time) {
+        let Name::Known(task) = &end.task else {
+            return;
+        };
+        if !self.knows(task, end.run) {
+            return;
+        }
+        let Some(post) = self.remove(task) else {
+            return;
+        };
+        match end.end {
+            End::Done => self.sound(),
+            End::Failed => self.failed(task.job.0, now),
+            _ => {}
+        }
+        events.push(match (end.end, post.fate) {
+            (_, Fate::Drop) => Event::Cleared(*task),
+            (End::Done, _) => Event::Done(*task, post.parcel),
+            (End::Failed, _) => Event::Failed(*task, post.parcel),
+            _ => Event::Gone(*task, post.parcel, post.run.next()),
+        });
+    }
+
+    /// Finds runs that were there before the look left and that it doesn't list.
+    fn vanish(&mut self, listed: &HashSet<TaskId>, sent: Time, events: &mut Vec<Event>) {
+        let gone = |(task, post): (&TaskId, &Post)| {
+            let settled = post.answered.is_some_and(|at| at < sent);
+            (settled && !listed.contains(task)).then_some(*task)
+        };
+        let gone: Vec<TaskId> = self.posts.iter().filter_map(gone).collect();
+        for task in gone {
+            self.lose(task, events);
+        }
+    }
+
+    /// Takes a run out that is gone without a result.
+    pub fn lose(&mut self, task: TaskId, events: &mut Vec<Event>) {
+        if let Some(post) = self.remove(&task) {
+            events.push(match post.fate {
+                Fate::Drop => Event::Cleared(task),
+                Fate::Again => Event::Gone(task, post.parcel, post.run.next()),
+            });
+        }
+    }
+
+    fn remove(&mut self, task: &TaskId) -> Option<Post> {
+        let post = self.posts.remove(task)?;
+        let mut free = self.listing.capacity;
+        for post in self.posts.values() {
+            free.take(&post.need);
+        }
+        self.free = free;
+        Some(post)
+    }
+
+    /// Takes note that a start was carried out.
+    pub fn started(&mut self, task: &TaskId, run: Run, now: Time) {
+        if let Some(post) = self.posts.get_mut(task) {
+            if post.run == run && post.phase == Phase::Starting {
+                post.phase = Phase::Running;
+                post.answered = Some(now);
+            }
+        }
+    }
+
+    /// Takes note that a stop was carried out: the run is barred, and not listed from now on.
+    pub fn stopped(&mut self, task: &TaskId, run: Run, now: Time) {
+        if let Some(post) = self.posts.get_mut(task) {
+            if post.run == run && post.phase == Phase::Stopping {
+                post.answered = Some(now);
+                self.next_look = now;
+            }
+        }
+    }
+
+    /// Takes note that a call got no answer.
+    pub fn silent(&mut self, call: CallId, now: Time) {
+        if self.look == Some(call) {
+            self.look = None;
+            self.next_look = now + LOOK_AGAIN;
+            self.standing = match self.standing {
+                Standing::Open => Standing::Silent,
+                other => other,
+            };
+        }
+    }
+
+    /// Takes note that a look was refused.
+    pub fn unlooked(&mut self, call: CallId, now: Time) {
+        if self.look == Some(call) {
+            self.look = None;
+            self.next_look = now + LOOK_AGAIN;
+        }
+    }
+
+    /// Gives its runs up when it is silent and every lease has passed.
+    pub fn lapse(&mut self, now: Time) -> Vec<Event> {
+        let mut events = Vec::new();
+        if self.standing == Standing::Silent && now > self.lapse {
+            self.lose_all(&mut events);
+        }
+        events
+    }
+
+    /// Returns when every lease that it may have been given has passed.
+    pub fn lapses(&self) -> Time {
+        self.lapse
+    }
+
+    /// Takes all runs out as gone.
+    pub fn lose_all(&mut self, events: &mut Vec<Event>) {
+        let tasks: Vec<TaskId> = self.posts.keys().copied().collect();
+        for task in tasks {
+            self.lose(task, events);
+        }
+    }
+
+    /// Rests an endpoint that refuses as unwell.
+    pub fn unwell(&mut self, now: Time) {
+        self.rest = self.rest.max(now + UNWELL);
+    }
+
+    /// Rests an endpoint that has no room although it should; what it runs is looked up.
+    pub fn full(&mut self, now: Time) {
+        self.rest = self.rest.max(now + FULL);
+        self.next_look = now;
+        self.unsure = true;
+    }
+
+    fn sound(&mut self) {
+        self.failures = (0, 0);
+        self.probation = false;
+        self.penalty = REST.0;
+    }
+
+    /// Counts a failed run: one job that fails everywhere is no sign of a failing endpoint.
+    fn failed(&mut self, job: u64, now: Time) {
+        if self.failures.1 == job {
+            return;
+        }
+        self.failures = (self.failures.0 + 1, job);
+        if self.failures.0 >= FAILURES || self.probation {
+            self.rest = now + self.penalty;
+            self.penalty = Span((self.penalty.0 * 2).min(REST.1 .0));
+            self.probation = true;
+        }
+    }
+
+    /// Tells whether it gets no task because its runs failed.
+    pub fn failing(&self) -> bool {
+        self.probation
+    }
+
+    /// Decides what a refused start means.
+    pub fn refused(&mut self, task: TaskId, run: Run, refusal: Refusal, now: Time) -> Refused {
+        let Some(post) = self.posts.get_mut(&task) else {
+            return Refused::Nothing;
+        };
+        if post.run != run || post.phase != Phase::Starting {
+            return Refused::Nothing;
+        }
+        if refusal == Refusal::Fenced {
+            return Refused::Fenced;
+        }
+        if post.doubt && refusal == Refusal::Old {
+            // The earlier copy of this start was carried out, and its run may have ended: the next look tells.
+            post.phase = Phase::Running;
+            post.answered = Some(now);
+            self.next_look = now;
+            return Refused::Nothing;
+        }
+        if post.doubt {
+            // The earlier copy may still arrive; only a stop bars it.
+            return Refused::Stop;
+        }
+        let parcel = post.parcel;
+        let next = match refusal {
+            Refusal::Old => run.beyond(),
+            _ => run,
+        };
+        self.remove(&task);
+        match refusal {
+            Refusal::Full => self.full(now),
+            Refusal::Late => self.reading = None,
+            _ => {}
+        }
+        self.next_look = now;
+        Refused::Again(parcel, next)
+    }
+}
+
+/// What a refused start means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// It was taken care of.
+    Nothing,
+    /// The run must be barred before the task is placed again.
+    Stop,
+    /// The task can be placed again, with this run.
+    Again(Handle, Run),
+    /// Another owner has a higher token.
+    Fenced,
+}
+
+impl Post {
+    /// Makes a run whose start is about to leave.
+    pub fn new(parcel: Handle, run: Run, need: Room, now: Time) -> Self {
+        Self {
+            parcel,
+            run,
+            need,
+            phase: Phase::Starting,
+            fate: Fate::Again,
+            since: now,
+            answered: None,
+            tries: 1,
+            doubt: false,
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/entry.rs
@@ -0,0 +1,826 @@
+//! The entry's duty: it takes jobs in, gives their tasks out as parcels, and answers.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    rc::Rc,
+};
+
+use super::{
+    id::{
+        JobId,
+        RackId, //
+    },
+    message::{
+        Answer,
+        Contact,
+        Letter,
+        Listing,
+        Outcome,
+        Output,
+        Parcel,
+        Record,
+        Ticket,
+        Vacancy, //
+    },
+    owner::Effects,
+    route::Route,
+    task::{
+        Room,
+        Step,
+        Submission, //
+    },
+};
+use crate::prelude::*;
+
+/// How long after it fell silent, or was found without a parcel, an instance may still have runs of it: it has
+/// noticed by then and stopped them, or their leases have passed.
+const DOUBT: Span = Span::millis(1_250);
+
+/// After which a parcel that hasn't ended is asked for again: a letter may have been lost with a session.
+const AUDIT: Span = Span::millis(700);
+
+/// When callers that are refused for want of room may come back, at the least and at the most. What waits ahead
+/// of them is served at about the rate at which it came; the spread keeps them from coming back together.
+const AGAIN: (Span, Span) = (Span::seconds(1), Span::seconds(4));
+
+/// The share of the estimated wait and work that must fit in a caller's time for its job to be taken.
+const CAUTION: f64 = 0.8;
+
+/// A job in progress.
+#[derive(Debug)]
+struct Job {
+    tickets: Vec<Ticket>,
+    submission: Rc<Submission>,
+    service: String,
+    attempts: u32,
+    arrived: Time,
+    /// Until when it is on time.
+    due: Time,
+    /// Until when its callers wait.
+    until: Time,
+    steps: Vec<Progress>,
+    parcels: HashMap<u64, Sent>,
+    /// Tasks that no owner has, with the earliest time at which they may be placed.
+    loose: Vec<Loose>,
+    /// Whether some start may have left.
+    started: bool,
+    /// Set once it is given up: it is answered when all owners have dropped it.
+    ending: bool,
+}
+
+/// How far a step has come.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    left: u32,
+    placed: bool,
+}
+
+/// Tasks that wait to be placed.
+#[derive(Debug)]
+struct Loose {
+    step: u32,
+    tasks: Vec<u32>,
+    at: Time,
+    hint: Option<RackId>,
+}
+
+/// A parcel that an owner has.
+#[derive(Debug)]
+struct Sent {
+    owner: Instance,
+    step: u32,
+    tasks: Vec<u32>,
+    at: Time,
+}
+
+/// A rack as the entry sees it.
+#[derive(Debug, Clone, Default)]
+struct Rack {
+    service: String,
+    centre: String,
+    name: String,
+    owner: Option<Contact>,
+    /// What is free, by endpoint, less what was sent since it was told.
+    free: Vec<Room>,
+    waiting: u32,
+    movable: u32,
+    backlog: u64,
+    /// Cores of all its endpoints that stay, in thousandths.
+    cpu: u64,
+    labels: Vec<String>,
+}
+
+/// The jobs that an instance has taken in.
+#[derive(Debug, Default)]
+pub struct Entry {
+    jobs: BTreeMap<JobId, Job>,
+    by_ticket: HashMap<Ticket, JobId>,
+    by_serial: HashMap<u64, JobId>,
+    racks: BTreeMap<RackId, Rack>,
+    serial: u64,
+    refused: u32,
+}
+
+impl Entry {
+    /// Starts the numbers of parcels at `serial`, which must be above those of any former life.
+    pub fn new(serial: u64) -> Self {
+        Self {
+            serial,
+            ..Self::default()
+        }
+    }
+
+    /// Counts the jobs in progress.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Tells whether no job is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Tells whether a job is in progress here.
+    pub fn knows(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
+    /// Counts the jobs of a service's queue of which nothing has started.
+    pub fn pending(&self) -> usize {
+        let pending = |job: &&Job| !job.started;
+        self.jobs.values().filter(pending).count()
+    }
+
+    /// Takes note of the endpoints that the platform lists.
+    pub fn list(&mut self, listings: &[Listing]) {
+        let mut racks: BTreeMap<RackId, Rack> = BTreeMap::new();
+        for listing in listings.iter().filter(|l| !l.draining) {
+            let id = listing.rack_id();
+            let rack = racks.entry(id).or_insert_with(|| Rack {
+                service: listing.service.clone(),
+                centre: listing.centre.clone(),
+                name: listing.rack.clone(),
+                ..Rack::default()
+            });
+            rack.cpu += listing.capacity.cpu;
+            for label in &listing.labels {
+                if !rack.labels.contains(label) {
+                    rack.labels.push(label.clone());
+                }
+            }
+        }
+        for (id, rack) in &mut racks {
+            if let Some(known) = self.racks.remove(id) {
+                rack.owner = known.owner;
+                rack.free = known.free;
+                rack.waiting = known.waiting;
+                rack.movable = known.movable;
+                rack.backlog = known.backlog;
+            }
+        }
+        self.racks = racks;
+    }
+
+    /// Takes note of the owners.
+    pub fn own(&mut self, owners: &HashMap<RackId, Contact>) {
+        for (id, rack) in &mut self.racks {
+            let owner = owners.get(id);
+            if rack.owner.as_ref() != owner {
+                rack.owner = owner.cloned();
+                rack.free.clear();
+            }
+        }
+    }
+
+    /// Tells whether every rack has an owner.
+    pub fn owned(&self) -> bool {
+        self.racks.values().all(|rack| rack.owner.is_some())
+    }
+
+    /// Returns the racks with their data centres.
+    pub fn racks(&self) -> Vec<(RackId, String)> {
+        let racks = self.racks.iter();
+        racks.map(|(id, rack)| (*id, rack.centre.clone())).collect()
+    }
+
+    /// Takes note of the room that racks have.
+    pub fn rooms(&mut self, from: &Instance, rooms: Vec<Vacancy>) {
+        for vacancy in rooms {
+            let Some(rack) = self.racks.get_mut(&vacancy.rack) else {
+                continue;
+            };
+            if rack.owner.as_ref().is_some_and(|owner| owner.name == *from) {
+                rack.free = vacancy.free;
+                rack.waiting = vacancy.waiting;
+                rack.movable = vacancy.movable;
+                rack.backlog = vacancy.backlog;
+            }
+        }
+    }
+
+    /// Finds the rack of the same service with the most tasks that wait and could move to `to`.
+    pub fn busiest(&self, to: RackId) -> Option<(RackId, Contact)> {
+        let service = &self.racks.get(&to)?.service;
+        let others = self.racks.iter();
+        let others = others.filter(|(id, r)| **id != to && r.service == *service && r.movable > 0);
+        let (id, rack) = others.max_by_key(|(_, rack)| rack.movable)?;
+        Some((*id, rack.owner.clone()?))
+    }
+
+    /// Takes note that tasks were asked for from a rack.
+    pub fn asked(&mut self, from: RackId, count: u32) {
+        if let Some(rack) = self.racks.get_mut(&from) {
+            rack.movable = rack.movable.saturating_sub(count);
+        }
+    }
+
+    /// Takes a job in, or answers it at once.
+    #[allow(clippy::too_many_arguments)]
+    pub fn submit(
+        &mut self,
+        ticket: Ticket,
+        submission: Submission,
+        route: &Route,
+        wait: Option<Span>,
+        centre: &str,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let id = submission.id;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            // The caller has handed in the same job twice; both get its answer.
+            job.tickets.push(ticket);
+            self.by_ticket.insert(ticket, id);
+            return;
+        }
+        let chain = submission.chain();
+        let limit = wait.map_or(route.timeout, |wait| match route.timeout.0 {
+            0 => wait,
+            _ => wait.min(route.timeout),
+        });
+        if let Some(reason) = unsupported(&submission, route) {
+            return self.refuse(ticket, id, &reason, Span(0), out);
+        }
+        let needed = self.expect(&submission, &route.service);
+        let Some(needed) = needed else {
+            return self.refuse(ticket, id, "no endpoint can run it", AGAIN.1, out);
+        };
+        if needed.0 as f64 * CAUTION > limit.0 as f64 {
+            return self.refuse(ticket, id, "it would end too late", needed, out);
+        }
+        let steps = submission.steps.iter().map(|step| Progress {
+            left: step.count,
+            placed: false,
+        });
+        let job = Job {
+            tickets: vec![ticket],
+            service: route.service.clone(),
+            attempts: route.attempts.max(1),
+            arrived: now,
+            due: now + route.objective(chain),
+            until: now + limit,
+            steps: steps.collect(),
+            submission: Rc::new(submission),
+            parcels: HashMap::new(),
+            loose: Vec::new(),
+            started: false,
+            ending: false,
+        };
+        let record = Record::routine("job_accepted").job(id);
+        let record = record.with("route", route.name.as_str());
+        let record = record.with("due_ms", job.due.since(now));
+        let record = record.with("until_ms", limit);
+        out.outputs
+            .push(Output::Log(record.with("expected_ms", needed)));
+        self.by_ticket.insert(ticket, id);
+        self.jobs.insert(id, job);
+        self.advance(id, centre, now, out);
+    }
+
+    /// Refuses a job of which nothing has left, with the time after which its caller may come back.
+    fn refuse(&mut self, ticket: Ticket, id: JobId, why: &str, ahead: Span, out: &mut Effects) {
+        // Callers of the same moment come back at different ones.
+        self.refused = self.refused.wrapping_add(1);
+        let spread = u64::from(self.refused % 4) * 500_000;
+        let again = ahead.max(AGAIN.0).min(AGAIN.1);
+        let again = Span(again.0 + spread);
+        let record = Record::new("job_refused").job(id).with("reason", why);
+        out.outputs
+            .push(Output::Log(record.with("again_ms", again)));
+        let answer = Answer::Refused { again };
+        out.outputs.push(Output::Answer(ticket, answer));
+    }
+
+    /// Estimates how long a job would take now; none where it can never run.
+    fn expect(&self, submission: &Submission, service: &str) -> Option<Span> {
+        let mut wait = Span(0);
+        for step in &submission.steps {
+            let racks = self.racks.values();
+            let fit = racks.filter(|rack| rack.service == service && rack.carries(step));
+            let waits = fit.map(|rack| rack.wait(step));
+            wait = wait.max(waits.min()?);
+        }
+        Some(Span(wait.0 + submission.chain().0))
+    }
+
+    /// Places the steps of a job whose turn has come, or answers it when all are done.
+    fn advance(&mut self, id: JobId, centre: &str, now: Time, out: &mut Effects) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.steps.iter().all(|step| step.left == 0) {
+            return self.answer(id, Answer::Completed, now, out);
+        }
+        let submission = job.submission.clone();
+        let mut due = Vec::new();
+        for (index, step) in submission.steps.iter().enumerate() {
+            let ready = |s: &u32| job.steps.get(*s as usize).is_some_and(|p| p.left == 0);
+            if !job.steps[index].placed && step.after.iter().all(ready) {
+                job.steps[index].placed = true;
+                due.push((index as u32, (0..step.count).collect::<Vec<u32>>()));
+            }
+        }
+        for (step, tasks) in due {
+            self.place(id, step, tasks, None, centre, now, out);
+        }
+    }
+
+    /// Gives tasks of a step out to the racks where they are expected to end first.
+    #[allow(clippy::too_many_arguments)]
+    fn place(
+        &mut self,
+        id: JobId,
+        step: u32,
+        tasks: Vec<u32>,
+        hint: Option<RackId>,
+        centre: &str,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let submission = job.submission.clone();
+        let wanted = &submission.steps[step as usize];
+        let mut shares: BTreeMap<RackId, Vec<u32>> = BTreeMap::new();
+        let mut loose = Vec::new();
+        for task in tasks {
+            let service = job.service.as_str();
+            match choose(&mut self.racks, wanted, service, hint, centre) {
+                Some(rack) => shares.entry(rack).or_default().push(task),
+                None => loose.push(task),
+            }
+        }
+        if !loose.is_empty() {
+            job.loose.push(Loose {
+                step,
+                tasks: loose,
+                at: now,
+                hint: None,
+            });
+        }
+        for (rack, tasks) in shares {
+            self.send(id, step, tasks, rack, now, out);
+        }
+    }
+
+    fn send(
+        &mut self,
+        id: JobId,
+        step: u32,
+        tasks: Vec<u32>,
+        to: RackId,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let (Some(job), Some(rack)) = (self.jobs.get_mut(&id), self.racks.get(&to)) else {
+            return;
+        };
+        let Some(owner) = rack.owner.clone() else {
+            return;
+        };
+        self.serial += 1;
+        let serial = self.serial;
+        let wanted = &job.submission.steps[step as usize];
+        let rest = job.submission.chain().0.saturating_sub(wanted.estimate.0);
+        let latest = Time(job.due.0.saturating_sub(rest + wanted.estimate.0));
+        let parcel = Parcel {
+            serial,
+            rack: to,
+            job: id,
+            step,
+            tasks: tasks.clone(),
+            need: wanted.need,
+            estimate: wanted.estimate,
+            label: wanted.label.clone(),
+            per_endpoint: wanted.per_endpoint,
+            spec: job.submission.spec.clone(),
+            attempts: job.attempts,
+            tied: wanted.affinity.as_ref() == Some(&rack.name),
+            slack: (latest > now).then(|| latest.since(now)),
+            left: job.until.since(now),
+        };
+        let record = Record::routine("parcel_sent").job(id);
+        let record = record
+            .with("parcel", serial)
+            .with("owner", owner.name.as_str());
+        let record = record.with("rack", rack.name.as_str());
+        out.outputs
+            .push(Output::Log(record.with("tasks", tasks.len())));
+        let sent = Sent {
+            owner: owner.name.clone(),
+            step,
+            tasks,
+            at: now,
+        };
+        job.parcels.insert(serial, sent);
+        self.by_serial.insert(serial, id);
+        out.letters.push((owner, Letter::Parcel(Box::new(parcel))));
+    }
+
+    /// Takes note of how a parcel ended.
+    pub fn report(
+        &mut self,
+        serial: u64,
+        outcome: Outcome,
+        started: bool,
+        centre: &str,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(id) = self.by_serial.remove(&serial) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(sent) = job.parcels.remove(&serial) else {
+            return;
+        };
+        job.started |= started || outcome == Outcome::Done;
+        match outcome {
+            Outcome::Done => {
+                let step = &mut job.steps[sent.step as usize];
+                step.left = step.left.saturating_sub(sent.tasks.len() as u32);
+                match job.ending {
+                    true => self.end(id, "given up", now, out),
+                    false => self.advance(id, centre, now, out),
+                }
+            }
+            Outcome::Failed => {
+                job.started = true;
+                self.end(id, "a task failed too often", now, out);
+            }
+            Outcome::Hopeless => self.end(id, "its time can't be met", now, out),
+            Outcome::Dropped => self.end(id, "given up", now, out),
+        }
+    }
+
+    /// Takes tasks back that their owner doesn't run.
+    pub fn returned(
+        &mut self,
+        serial: u64,
+        tasks: Vec<u32>,
+        started: bool,
+        hint: Option<RackId>,
+        now: Time,
+    ) {
+        let Some(id) = self.by_serial.get(&serial).copied() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(sent) = job.parcels.get_mut(&serial) else {
+            return;
+        };
+        job.started |= started;
+        sent.tasks.retain(|task| !tasks.contains(task));
+        let step = sent.step;
+        if sent.tasks.is_empty() {
+            job.parcels.remove(&serial);
+            self.by_serial.remove(&serial);
+        }
+        // Without a hint the owner has lost the rack, and runs may be left that its next owner stops.
+        let at = match (hint, started) {
+            (None, true) => now + DOUBT,
+            _ => now,
+        };
+        job.loose.push(Loose {
+            step,
+            tasks,
+            at,
+            hint,
+        });
+    }
+
+    /// Takes note that a parcel has another owner.
+    pub fn moved(&mut self, serial: u64, to: Instance, now: Time) {
+        let job = self.by_serial.get(&serial).copied();
+        let job = job.and_then(|id| self.jobs.get_mut(&id));
+        if let Some(sent) = job.and_then(|job| job.parcels.get_mut(&serial)) {
+            sent.owner = to;
+            sent.at = now;
+        }
+    }
+
+    /// Takes the parcels back that an instance lost with its life or with the session.
+    pub fn lost(&mut self, owner: &Instance, heard: Time, now: Time, out: &mut Effects) {
+        self.take_back(|_, sent| sent.owner == *owner, heard + DOUBT, now, out);
+    }
+
+    /// Takes parcels back that their owner doesn't know.
+    pub fn unknown(&mut self, from: &Instance, serials: &[u64], now: Time, out: &mut Effects) {
+        let unknown = |serial: u64, sent: &Sent| {
+            sent.owner == *from && now.since(sent.at) > AUDIT && serials.contains(&serial)
+        };
+        self.take_back(unknown, now + DOUBT, now, out);
+    }
+
+    /// Takes all parcels back, after this process stood still.
+    pub fn void(&mut self, now: Time, out: &mut Effects) {
+        self.take_back(|_, _| true, now + DOUBT, now, out);
+    }
+
+    fn take_back(
+        &mut self,
+        which: impl Fn(u64, &Sent) -> bool,
+        at: Time,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let mut touched = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let lost: Vec<u64> = job
+                .parcels
+                .iter()
+                .filter(|(serial, sent)| which(**serial, sent))
+                .map(|(serial, _)| *serial)
+                .collect();
+            for serial in lost {
+                self.by_serial.remove(&serial);
+                let Some(sent) = job.parcels.remove(&serial) else {
+                    continue;
+                };
+                let record = Record::new("parcel_lost").job(*id).with("parcel", serial);
+                let record = record.with("owner", sent.owner.as_str());
+                out.outputs.push(Output::Log(record));
+                job.started = true;
+                job.loose.push(Loose {
+                    step: sent.step,
+                    tasks: sent.tasks,
+                    at: at.max(now),
+                    hint: None,
+                });
+                touched.push(*id);
+            }
+        }
+        touched.dedup();
+        for id in touched {
+            let ending = self.jobs.get(&id).is_some_and(|job| job.ending);
+            if ending {
+                self.end(id, "given up", now, out);
+            }
+        }
+    }
+
+    /// Gives a job up: its owners drop what they have, then its callers are answered.
+    ///
+    /// "Not run" is only said when no start has left and none can any more, so the answer waits for the owners'
+    /// word. Where something has started the answer is the same whatever they say, and leaves at once.
+    fn end(&mut self, id: JobId, why: &str, now: Time, out: &mut Effects) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !job.ending {
+            job.ending = true;
+            job.loose.clear();
+            let record = Record::new("job_given_up").job(id).with("reason", why);
+            let record = record.with("age_ms", now.since(job.arrived));
+            out.outputs.push(Output::Log(record));
+            let mut serials: Vec<u64> = job.parcels.keys().copied().collect();
+            serials.sort_unstable();
+            for serial in serials {
+                self.cancel_parcel(id, serial, out);
+            }
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.started {
+            self.answer(id, Answer::Failed, now, out);
+        } else if job.parcels.is_empty() {
+            self.answer(id, Answer::Refused { again: AGAIN.0 }, now, out);
+        }
+    }
+
+    fn cancel_parcel(&mut self, id: JobId, serial: u64, out: &mut Effects) {
+        let sent = self.jobs.get(&id).and_then(|job| job.parcels.get(&serial));
+        let owner = sent.map(|sent| sent.owner.clone());
+        if let Some(owner) = owner {
+            let contact = Contact {
+                name: owner,
+                address: String::new(),
+            };
+            out.letters.push((contact, Letter::Cancel(serial)));
+        }
+    }
+
+    fn answer(&mut self, id: JobId, answer: Answer, now: Time, out: &mut Effects) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        for serial in job.parcels.keys() {
+            self.by_serial.remove(serial);
+        }
+        let record = Record::routine("job_answered").job(id);
+        let record = record.with("answer", format!("{answer:?}"));
+        let record = record.with("age_ms", now.since(job.arrived));
+        let on_time = if now <= job.due { "on time" } else { "late" };
+        out.outputs
+            .push(Output::Log(record.with("objective", on_time)));
+        for ticket in job.tickets {
+            self.by_ticket.remove(&ticket);
+            out.outputs.push(Output::Answer(ticket, answer));
+        }
+    }
+
+    /// Drops a job whose callers have all gone.
+    pub fn abandon(&mut self, ticket: Ticket, now: Time, out: &mut Effects) {
+        let Some(id) = self.by_ticket.remove(&ticket) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.tickets.retain(|known| *known != ticket);
+        if job.tickets.is_empty() {
+            self.end(id, "its caller has gone", now, out);
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.remove(&id) {
+            for serial in job.parcels.keys() {
+                self.by_serial.remove(serial);
+            }
+        }
+    }
+
+    /// Cancels a job; returns whether it was in progress here.
+    pub fn cancel(&mut self, id: JobId, now: Time, out: &mut Effects) -> bool {
+        if !self.jobs.contains_key(&id) {
+            return false;
+        }
+        self.end(id, "its caller cancels it", now, out);
+        if self.jobs.contains_key(&id) {
+            self.answer(id, Answer::Failed, now, out);
+        }
+        true
+    }
+
+    /// Does what is due: places loose tasks, gives up jobs whose time has passed.
+    pub fn work(&mut self, centre: &str, now: Time, out: &mut Effects) {
+        let mut over = Vec::new();
+        let mut ready = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if now >= job.until {
+                over.push(*id);
+                continue;
+            }
+            if job.ending {
+                continue;
+            }
+            let chain = job.submission.chain().0 as f64 * CAUTION;
+            let hopeless = |loose: &Loose| loose.at + Span(chain as u64) > job.until;
+            if job.loose.iter().any(hopeless) {
+                over.push(*id);
+                continue;
+            }
+            let (due, later) = std::mem::take(&mut job.loose)
+                .into_iter()
+                .partition(|loose: &Loose| loose.at <= now);
+            job.loose = later;
+            let due: Vec<Loose> = due;
+            ready.extend(due.into_iter().map(|loose| (*id, loose)));
+        }
+        for id in over {
+            self.end(id, "its time has passed or can't be met", now, out);
+            // Nobody waits for the owners' word any more.
+            let passed = self.jobs.get(&id).is_some_and(|job| now >= job.until);
+            if passed {
+                self.answer(id, Answer::Failed, now, out);
+            }
+        }
+        for (id, loose) in ready {
+            let Loose {
+                step, tasks, hint, ..
+            } = loose;
+            self.place(id, step, tasks, hint, centre, now, out);
+        }
+    }
+
+    /// Asks owners for parcels that have been out for long.
+    pub fn audit(&self, now: Time, out: &mut Effects) {
+        let mut asked: BTreeMap<Instance, Vec<u64>> = BTreeMap::new();
+        for job in self.jobs.values() {
+            for (serial, sent) in &job.parcels {
+                if now.since(sent.at) > AUDIT {
+                    asked.entry(sent.owner.clone()).or_default().push(*serial);
+                }
+            }
+        }
+        for (name, serials) in asked {
+            let contact = Contact {
+                name,
+                address: String::new(),
+            };
+            out.letters.push((contact, Letter::Audit(serials)));
+        }
+    }
+}
+
+/// Tells what a job asks for that can't be done yet.
+fn unsupported(submission: &Submission, route: &Route) -> Option<String> {
+    if !submission.best_effort {
+        return Some("jobs that must be stored are not supported".to_owned());
+    }
+    if route.advised {
+        return Some("queues with an adviser are not supported".to_owned());
+    }
+    let steps = submission.steps.iter();
+    let step = steps.filter_map(|step| step.unsupported.clone()).next();
+    submission.unsupported.clone().or(step)
+}
+
+/// Chooses the rack for one task of a step, and takes its room there.
+///
+/// A task whose data lies on a rack goes there: anywhere else it takes a multiple of its time, and its rack's queue
+/// would have to be longer than that to be worse. Any other goes where there is room, in its own data centre
+/// first; where there is room nowhere, to the rack with the least work ahead. Owners with idle endpoints ask for
+/// tasks of others, which evens out what was chosen on old figures.
+fn choose(
+    racks: &mut BTreeMap<RackId, Rack>,
+    step: &Step,
+    service: &str,
+    hint: Option<RackId>,
+    centre: &str,
+) -> Option<RackId> {
+    let fits = |rack: &Rack| rack.owner.is_some() && rack.service == service && rack.carries(step);
+    let tied = |rack: &Rack| step.affinity.as_ref() == Some(&rack.name);
+    let hinted = hint.filter(|id| racks.get(id).is_some_and(&fits));
+    let home = racks.iter().find(|(_, rack)| fits(rack) && tied(rack));
+    let chosen = hinted.or(home.map(|(id, _)| *id)).or_else(|| {
+        let fit = racks.iter().filter(|(_, rack)| fits(rack));
+        let key = |rack: &Rack| {
+            let room = rack.room(&step.need);
+            let far = rack.centre != centre;
+            let ahead = rack.backlog * 1_000 / rack.cpu.max(1);
+            (
+                room == 0,
+                if room == 0 { ahead } else { 0 },
+                far,
+                u64::MAX - room,
+            )
+        };
+        let best = fit.min_by_key(|(_, rack)| key(rack));
+        best.map(|(id, _)| *id)
+    })?;
+    if let Some(rack) = racks.get_mut(&chosen) {
+        rack.take(step);
+    }
+    Some(chosen)
+}
+
+impl Rack {
+    /// Tells whether some endpoint of it can have what a step needs.
+    fn carries(&self, step: &Step) -> bool {
+        let label = step.label.as_ref();
+        label.is_none_or(|label| self.labels.contains(label)) && self.cpu >= step.need.cpu
+    }
+
+    /// Counts how often a need fits into what is free.
+    fn room(&self, need: &Room) -> u64 {
+        self.free.iter().map(|free| free.times(need, 64)).sum()
+    }
+
+    fn take(&mut self, step: &Step) {
+        let free = self.free.iter_mut().find(|free| free.fits(&step.need));
+        match free {
+            Some(free) => free.take(&step.need),
+            None => self.backlog += step.need.cpu * step.estimate.as_millis() / 1_000,
+        }
+    }
+
+    /// Estimates how long a task of a step would wait.
+    fn wait(&self, step: &Step) -> Span {
+        if self.room(&step.need) > 0 {
+            return Span(0);
+        }
+        Span::millis(self.backlog * 1_000 / self.cpu.max(1))
+    }
+}
--- /dev/null
+++ b/src/dispatch/member.rs
@@ -0,0 +1,241 @@
+//! Who else is there, and which member owns a rack.
+
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+
+use super::{
+    id::{
+        Epoch,
+        RackId,
+        Token, //
+    },
+    message::{
+        Beat,
+        Contact,
+        Sender, //
+    },
+};
+use crate::prelude::*;
+
+/// Between heartbeats: six of them fit in [`SILENCE`], so that lost or late ones are no death.
+pub const HEARTBEAT: Span = Span::millis(100);
+
+/// After which a silent member counts as gone. A caller comes again 1.3 s after its connection broke; what the
+/// dead instance had running must have been stopped by then, which takes another 100 ms.
+pub const SILENCE: Span = Span::millis(600);
+
+/// How long a member that starts listens before it claims racks that nobody seems to own: members start
+/// within 0.3 s of each other, and a heartbeat of each must have come.
+pub const SETTLE: Span = Span::millis(800);
+
+/// After which a member that is gone is no longer called: it has left for good, or its row in the store will
+/// show it again.
+const FORGOTTEN: Span = Span::seconds(30);
+
+/// Another instance.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its name and address.
+    pub contact: Contact,
+    /// Its data centre, empty until it was heard.
+    pub centre: String,
+    /// Its life, zero until it was heard.
+    pub incarnation: u64,
+    /// The session with it.
+    pub session: u32,
+    /// When it was heard last; never, if it only was listed.
+    pub heard: Option<Time>,
+    /// Whether it counts as alive.
+    pub live: bool,
+    /// Since when it is known, or gone.
+    since: Time,
+    /// What it said last.
+    pub beat: Option<Beat>,
+}
+
+/// What became of letters that arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reception {
+    /// They count.
+    Valid,
+    /// They count, and all that was agreed with the sender before is void.
+    Anew,
+    /// They are from a life or a session that has ended.
+    Stale,
+}
+
+/// All other instances that this one knows.
+#[derive(Debug, Default)]
+pub struct Members {
+    known: BTreeMap<Instance, Member>,
+}
+
+impl Members {
+    /// Takes note of a member; returns whether it is new or has moved.
+    pub fn find(&mut self, contact: &Contact, now: Time) -> bool {
+        if let Some(member) = self.known.get_mut(&contact.name) {
+            if member.contact.address == contact.address || member.live {
+                return false;
+            }
+            member.contact = contact.clone();
+            member.since = now;
+            return true;
+        }
+        let member = Member {
+            contact: contact.clone(),
+            centre: String::new(),
+            incarnation: 0,
+            session: 0,
+            heard: None,
+            live: false,
+            since: now,
+            beat: None,
+        };
+        self.known.insert(contact.name.clone(), member);
+        true
+    }
+
+    /// Judges letters by the life and session that they are from, and takes note that their sender lives.
+    ///
+    /// A frozen sender's letters may leave long after their time. They carry a session that the receiver gave
+    /// up, so they start nothing.
+    pub fn receive(&mut self, from: &Sender, own: u64, now: Time) -> Reception {
+        self.find(&from.contact, now);
+        // A seed is known by its address only, until it says its name.
+        self.known.retain(|name, member| {
+            *name == from.contact.name
+                || member.live
+                || member.contact.address != from.contact.address
+        });
+        let Some(member) = self.known.get_mut(&from.contact.name) else {
+            return Reception::Stale;
+        };
+        let older = from.incarnation < member.incarnation;
+        let misled = from.to != 0 && from.to != own;
+        if older || misled {
+            return Reception::Stale;
+        }
+        let reborn = from.incarnation > member.incarnation;
+        if !reborn && from.session < member.session {
+            return Reception::Stale;
+        }
+        let anew = reborn || from.session > member.session;
+        member.session = member.session.max(from.session);
+        member.incarnation = from.incarnation;
+        member.contact = from.contact.clone();
+        member.centre.clone_from(&from.centre);
+        member.heard = Some(now);
+        member.live = true;
+        if reborn {
+            member.beat = None;
+        }
+        match anew {
+            true => Reception::Anew,
+            false => Reception::Valid,
+        }
+    }
+
+    /// Takes note of a heartbeat.
+    pub fn beat(&mut self, name: &Instance, beat: Beat) {
+        if let Some(member) = self.known.get_mut(name) {
+            member.beat = Some(beat);
+        }
+    }
+
+    /// Gives up those that have been silent too long, each with a new session; returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<Member> {
+        let mut lost = Vec::new();
+        for member in self.known.values_mut() {
+            let silent = member.heard.is_none_or(|at| now.since(at) > SILENCE);
+            if member.live && silent {
+                member.live = false;
+                member.session += 1;
+                member.beat = None;
+                member.since = now;
+                lost.push(member.clone());
+            }
+        }
+        self.known
+            .retain(|_, member| member.live || now.since(member.since) < FORGOTTEN);
+        lost
+    }
+
+    /// Gives up all of them.
+    pub fn void(&mut self, now: Time) -> Vec<Member> {
+        for member in self.known.values_mut() {
+            member.heard = None;
+        }
+        self.expire(now)
+    }
+
+    /// Returns a member.
+    pub fn get(&self, name: &Instance) -> Option<&Member> {
+        self.known.get(name)
+    }
+
+    /// Returns all that are known.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.known.values()
+    }
+
+    /// Returns those that are alive.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.known.values().filter(|member| member.live)
+    }
+
+    /// Returns the highest epoch that any member told.
+    pub fn epoch(&self) -> Epoch {
+        let told = self.known.values().filter_map(|m| m.beat.as_ref());
+        told.map(|beat| beat.epoch).max().unwrap_or_default()
+    }
+
+    /// Returns the owner of each rack that a live member says it owns, the higher token first.
+    pub fn owners(&self) -> HashMap<RackId, (Instance, Token)> {
+        let mut owners: HashMap<RackId, (Instance, Token)> = HashMap::new();
+        for member in self.live() {
+            for claim in member.beat.iter().flat_map(|beat| &beat.racks) {
+                let known = owners.get(&claim.rack);
+                if known.is_none_or(|(_, token)| *token < claim.token) {
+                    let name = member.contact.name.clone();
+                    owners.insert(claim.rack, (name, claim.token));
+                }
+            }
+        }
+        owners
+    }
+
+    /// Returns the live members that may take racks: those that have been heard whole, and stay.
+    pub fn takers(&self) -> impl Iterator<Item = &Member> {
+        let stays = |m: &&Member| m.beat.as_ref().is_some_and(|beat| !beat.draining);
+        self.live().filter(stays)
+    }
+}
+
+/// Picks the owner of each rack that has none, in the order of the racks: of the candidates in its data
+/// centre, else of all, one of those with the fewest racks, by the weight of rendezvous hashing.
+pub fn deal(
+    orphans: &[(RackId, String)],
+    candidates: &[(Instance, String)],
+    held: &mut HashMap<Instance, usize>,
+) -> Vec<(RackId, Instance)> {
+    let mut dealt = Vec::new();
+    for (rack, centre) in orphans {
+        let near = candidates.iter().filter(|(_, c)| c == centre);
+        let mut fit: Vec<&Instance> = near.map(|(name, _)| name).collect();
+        if fit.is_empty() {
+            fit = candidates.iter().map(|(name, _)| name).collect();
+        }
+        let count = |name: &Instance| held.get(name).copied().unwrap_or(0);
+        let least = fit.iter().map(|name| count(name)).min().unwrap_or(0);
+        let fewest = fit.into_iter().filter(|name| count(name) == least);
+        let Some(owner) = fewest.max_by_key(|name| rack.weight(name.as_str())) else {
+            continue;
+        };
+        let owner = owner.clone();
+        *held.entry(owner.clone()).or_default() += 1;
+        dealt.push((*rack, owner));
+    }
+    dealt
+}
--- /dev/null
+++ b/src/dispatch/message.rs
@@ -0,0 +1,614 @@
+//! What goes into the dispatcher and comes out of it, and what dispatchers tell each other.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    id::{
+        Epoch,
+        JobId,
+        RackId,
+        Run,
+        TaskId,
+        Token, //
+    },
+    route::Configuration,
+    task::{
+        Room,
+        Submission, //
+    },
+};
+use crate::prelude::*;
+
+/// A caller that waits for an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A call to an endpoint that is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// An endpoint as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Names one life of it: after a crash it has another.
+    pub id: Endpoint,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Its rack, where its data lies.
+    pub rack: String,
+    /// Its labels, the rack among them.
+    pub labels: Vec<String>,
+    /// What it has.
+    pub capacity: Room,
+    /// Whether it is leaving: nothing new may start there.
+    pub draining: bool,
+}
+
+impl Listing {
+    /// Returns the rack's identifier.
+    pub fn rack_id(&self) -> RackId {
+        RackId::of(&self.service, &self.centre, &self.rack)
+    }
+}
+
+/// The endpoints that the platform lists, as of a version of its store.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Roster {
+    /// A higher one replaces a lower one.
+    pub version: u64,
+    /// All endpoints.
+    pub endpoints: Vec<Listing>,
+}
+
+/// A member as it can be reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its name.
+    pub name: Instance,
+    /// Where it listens for its peers.
+    pub address: String,
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A caller handed in a job.
+    Submitted {
+        /// The caller.
+        ticket: Ticket,
+        /// The host that it named.
+        host: String,
+        /// The path that it asked for.
+        path: String,
+        /// The job.
+        submission: Box<Submission>,
+        /// How long it waits at most, where it says so.
+        wait: Option<Span>,
+    },
+    /// A caller has gone, or its connection broke.
+    Abandoned(Ticket),
+    /// A caller cancels a job.
+    Cancelled(JobId),
+    /// A configuration was read.
+    Configured(Box<Configuration>),
+    /// The endpoints were read.
+    Listed(Roster),
+    /// Members were found in the store.
+    Found(Vec<Contact>),
+    /// A peer's letters of one session arrived.
+    Received {
+        /// The peer.
+        from: Sender,
+        /// What it says.
+        letters: Vec<Letter>,
+    },
+    /// A call to an endpoint has ended.
+    Called {
+        /// The call.
+        call: CallId,
+        /// When it was sent.
+        sent: Time,
+        /// How it ended.
+        reply: Reply,
+    },
+    /// The instance is to end, once all is answered.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// Who sent letters, and in which session.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Its name and address.
+    pub contact: Contact,
+    /// Its data centre.
+    pub centre: String,
+    /// One life of it: a later one is higher.
+    pub incarnation: u64,
+    /// The life of the receiver that it speaks to, zero where it doesn't know.
+    pub to: u64,
+    /// Grows each time that one side gave the other up: what was said before is void.
+    pub session: u32,
+}
+
+/// What the dispatcher wants done.
+#[derive(Debug, Clone)]
+pub enum Output {
+    /// Answer a caller.
+    Answer(Ticket, Answer),
+    /// Call an endpoint.
+    Call {
+        /// Names the call in its answer.
+        call: CallId,
+        /// The life of the endpoint that is meant.
+        endpoint: Endpoint,
+        /// Where it listens.
+        address: String,
+        /// What to do.
+        order: Order,
+        /// How long to wait for the answer.
+        patience: Span,
+        /// Whether a connection must be new: the last one may have gone silent.
+        fresh: bool,
+    },
+    /// Send a letter to a peer, after all before it.
+    Send(Contact, Letter),
+    /// Forget what has not left for a peer, and begin a session with it.
+    Session {
+        /// The peer.
+        to: Contact,
+        /// Its life, zero where it isn't known.
+        incarnation: u64,
+        /// The session.
+        session: u32,
+    },
+    /// Close all connections to an endpoint, one life of which has ended.
+    Forget(String),
+    /// Write a line to the log.
+    Log(Record),
+    /// All is answered after a drain.
+    Drained,
+}
+
+/// The answer to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// Every task ran to its end.
+    Completed,
+    /// The job has ended without that; some of it may have run.
+    Failed,
+    /// Nothing of it was run or will be; try again after a while.
+    Refused {
+        /// After how long.
+        again: Span,
+    },
+    /// There is no such queue.
+    NoRoute,
+    /// The instance has no configuration yet.
+    Unready,
+}
+
+/// What an endpoint is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    /// Start a run of a task.
+    Start {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: Run,
+        /// What the task is told.
+        spec: String,
+        /// Until when the endpoint's runs may go on, on its clock, in milliseconds.
+        lease: u64,
+        /// The owner's token.
+        token: Token,
+    },
+    /// Stop a run, and bar it and all lower ones.
+    Stop {
+        /// The task.
+        task: Name,
+        /// The run.
+        run: Run,
+        /// The owner's token.
+        token: Token,
+    },
+    /// Tell what runs and what has ended.
+    Look {
+        /// Until when the endpoint's runs may go on, on its clock; none leaves their leases alone.
+        lease: Option<u64>,
+        /// The owner's token.
+        token: Token,
+        /// Ends up to this one are known and can be forgotten.
+        seen: u64,
+        /// How long to wait for an end.
+        wait: Span,
+    },
+}
+
+/// How a call to an endpoint ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    /// It did what it was told. The clock is the endpoint's, in milliseconds.
+    Done {
+        /// Its clock.
+        clock: u64,
+    },
+    /// What runs and what has ended.
+    Looked {
+        /// Its clock.
+        clock: u64,
+        /// What runs there.
+        running: Vec<Running>,
+        /// What has ended.
+        ended: Vec<Ended>,
+    },
+    /// It refused.
+    Refused {
+        /// Its clock.
+        clock: u64,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// It did nothing, since it is unwell.
+    Unwell,
+    /// The life that was meant has ended.
+    Reborn,
+    /// It found the call malformed, or its answer is.
+    Malformed(String),
+    /// No byte of the call left.
+    Unsent,
+    /// No answer came. The call may be carried out, now or later.
+    Silent,
+}
+
+/// Why an endpoint refused an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It has seen a higher token.
+    Fenced,
+    /// The run, or a higher one, has been there or was barred.
+    Old,
+    /// The lease that the order carried had passed.
+    Late,
+    /// It has no room.
+    Full,
+    /// Something else.
+    Other,
+}
+
+/// A task as an endpoint names it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Name {
+    /// One that an instance of this build can have started.
+    Known(TaskId),
+    /// Any other.
+    Foreign(String),
+}
+
+/// A run on an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Running {
+    /// The task.
+    pub task: Name,
+    /// The run.
+    pub run: Run,
+}
+
+/// A run that has ended on an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Counts the ends of one life of the endpoint, from one.
+    pub serial: u64,
+    /// The task.
+    pub task: Name,
+    /// The run.
+    pub run: Run,
+    /// How.
+    pub end: End,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// To its end.
+    Done,
+    /// By its own fault or the endpoint's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease passed.
+    Lapsed,
+    /// Something else.
+    Other,
+}
+
+/// What instances tell each other. Letters of one session arrive in order, each once.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Letter {
+    /// The sender lives.
+    Beat(Beat),
+    /// How much room its racks have.
+    Rooms(Vec<Vacancy>),
+    /// Run these tasks.
+    Parcel(Box<Parcel>),
+    /// Drop a parcel.
+    Cancel(u64),
+    /// A parcel has ended.
+    Report {
+        /// The parcel, by its entry's number.
+        serial: u64,
+        /// How.
+        outcome: Outcome,
+        /// Whether a start of it ever left.
+        started: bool,
+    },
+    /// Tasks of a parcel that are not run here: place them again.
+    Returned {
+        /// The parcel.
+        serial: u64,
+        /// The tasks.
+        tasks: Vec<u32>,
+        /// Whether a start of the parcel ever left.
+        started: bool,
+        /// Who has room for them now.
+        hint: Option<RackId>,
+    },
+    /// Which of these parcels does the receiver hold?
+    Audit(Vec<u64>),
+    /// The receiver's parcels that the sender doesn't hold.
+    Unknown(Vec<u64>),
+    /// The sender has room and nothing waits there: it asks for tasks of the receiver's rack.
+    Want {
+        /// The rack that has tasks waiting.
+        from: RackId,
+        /// The rack that has room.
+        to: RackId,
+        /// The room, by endpoint.
+        rooms: Vec<Room>,
+    },
+    /// A rack changes its owner.
+    Handover(Box<Handover>),
+    /// A parcel of the receiver has moved.
+    Moved {
+        /// The parcel.
+        serial: u64,
+        /// Its new owner.
+        to: Instance,
+    },
+    /// The configuration, since the receiver's is older.
+    Configuration(Box<Configuration>),
+    /// The endpoints, since the receiver's list is older.
+    Roster(Box<Roster>),
+    /// A caller cancels a job that the sender doesn't have.
+    CancelJob(JobId),
+}
+
+/// A member's heartbeat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The highest epoch that it has heard of.
+    pub epoch: Epoch,
+    /// The version of its configuration.
+    pub configuration: u64,
+    /// The version of its list of endpoints.
+    pub roster: u64,
+    /// Whether it is about to end.
+    pub draining: bool,
+    /// The racks that it owns.
+    pub racks: Vec<Claim>,
+    /// Members that it hears.
+    pub members: Vec<Contact>,
+}
+
+/// A rack that a member owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The rack.
+    pub rack: RackId,
+    /// The token of its owner.
+    pub token: Token,
+}
+
+/// The room that a rack has.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Vacancy {
+    /// The rack.
+    pub rack: RackId,
+    /// What is free, by endpoint that takes work.
+    pub free: Vec<Room>,
+    /// Tasks that wait there.
+    pub waiting: u32,
+    /// Of these, the tasks that would run as well elsewhere.
+    pub movable: u32,
+    /// The work that waits, in core-milliseconds.
+    pub backlog: u64,
+}
+
+/// Tasks of one step that one owner is to run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Parcel {
+    /// Counts the parcels of its entry.
+    pub serial: u64,
+    /// The rack that is to run them.
+    pub rack: RackId,
+    /// Their job.
+    pub job: JobId,
+    /// Their step.
+    pub step: u32,
+    /// The tasks.
+    pub tasks: Vec<u32>,
+    /// What each task takes.
+    pub need: Room,
+    /// A task's estimated duration where it is placed.
+    pub estimate: Span,
+    /// A label that the endpoint must have.
+    pub label: Option<String>,
+    /// The most tasks of the step on one endpoint.
+    pub per_endpoint: Option<u32>,
+    /// What the tasks are told.
+    pub spec: String,
+    /// How many runs of a task may fail.
+    pub attempts: u32,
+    /// Whether its data ties it to the rack.
+    pub tied: bool,
+    /// How long until a task must have started to be on time; none where that has passed.
+    pub slack: Option<Span>,
+    /// How long until nobody waits any more.
+    pub left: Span,
+}
+
+/// How a parcel ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Every task is done.
+    Done,
+    /// A task failed as often as it may.
+    Failed,
+    /// Its caller's time can't be met any more.
+    Hopeless,
+    /// It was dropped as its entry asked.
+    Dropped,
+}
+
+/// What the next owner of a rack must know.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The rack.
+    pub rack: RackId,
+    /// The highest token that was used there.
+    pub token: Token,
+    /// Its parcels.
+    pub parcels: Vec<Held>,
+    /// What runs on its endpoints.
+    pub runs: Vec<Posted>,
+}
+
+/// A parcel at its owner, as it is handed over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// The entry that it is from.
+    pub entry: Contact,
+    /// The parcel, with the tasks that are not done.
+    pub parcel: Parcel,
+    /// The next run of each of its tasks.
+    pub next: Vec<Run>,
+    /// How often each of its tasks failed.
+    pub failures: Vec<u32>,
+    /// Whether a start ever left.
+    pub started: bool,
+}
+
+/// A run as it is handed over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Posted {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: Run,
+    /// Its parcel, by the entry and its number.
+    pub entry: Instance,
+    /// See above.
+    pub serial: u64,
+}
+
+/// A line of the log: an event, the job that it touches, and what decided it.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// The event's name.
+    pub event: &'static str,
+    /// Whether it is routine, and may be left out under load.
+    pub routine: bool,
+    /// The job.
+    pub job: Option<JobId>,
+    /// Names and values.
+    pub fields: Vec<(&'static str, Value)>,
+}
+
+/// A value in a line of the log.
+#[derive(Debug, Clone, Serialize)]
+#[serde(untagged)]
+pub enum Value {
+    /// A number.
+    Number(i64),
+    /// A text.
+    Text(String),
+}
+
+impl From<u64> for Value {
+    fn from(number: u64) -> Self {
+        Self::Number(number as i64)
+    }
+}
+
+impl From<u32> for Value {
+    fn from(number: u32) -> Self {
+        Self::Number(i64::from(number))
+    }
+}
+
+impl From<usize> for Value {
+    fn from(number: usize) -> Self {
+        Self::Number(number as i64)
+    }
+}
+
+impl From<Span> for Value {
+    fn from(span: Span) -> Self {
+        Self::Number(span.as_millis() as i64)
+    }
+}
+
+impl From<&str> for Value {
+    fn from(text: &str) -> Self {
+        Self::Text(text.to_owned())
+    }
+}
+
+impl From<String> for Value {
+    fn from(text: String) -> Self {
+        Self::Text(text)
+    }
+}
+
+impl Record {
+    /// Makes a line that is always written.
+    pub fn new(event: &'static str) -> Self {
+        Self {
+            event,
+            routine: false,
+            job: None,
+            fields: Vec::new(),
+        }
+    }
+
+    /// Makes a line that may be left out under load.
+    pub fn routine(event: &'static str) -> Self {
+        Self {
+            routine: true,
+            ..Self::new(event)
+        }
+    }
+
+    /// Names the job.
+    pub fn job(mut self, job: JobId) -> Self {
+        self.job = Some(job);
+        self
+    }
+
+    /// Adds a value.
+    pub fn with(mut self, name: &'static str, value: impl Into<Value>) -> Self {
+        self.fields.push((name, value.into()));
+        self
+    }
+}
--- /dev/null
+++ b/src/dispatch/roster.rs
@@ -0,0 +1,111 @@
+//! The list of endpoints, kept over outages of the store.
+
+use std::collections::BTreeMap;
+
+use super::message::{
+    Listing,
+    Roster, //
+};
+use crate::prelude::*;
+
+/// How long after the store has returned an entry may still be missing although its endpoint lives: endpoints
+/// write their entries anew within about two seconds.
+const RETURN: Span = Span::millis(2_300);
+
+/// An endpoint as listed.
+#[derive(Debug, Clone, PartialEq)]
+struct Entry {
+    listing: Listing,
+    /// When its row vanished, in or just after an outage.
+    lapsed: Option<Time>,
+}
+
+/// What an instance has read of the list of endpoints.
+///
+/// Entries lapse while the store is away, although their endpoints live. Taken for dead, all endpoints would get no
+/// task for two seconds after each outage. So an entry that vanishes in an outage, or shortly after one, is
+/// kept until its endpoint has had the time to come back.
+#[derive(Debug, Default)]
+pub struct Book {
+    entries: BTreeMap<Endpoint, Entry>,
+    version: u64,
+    /// When the store failed last.
+    failed: Option<Time>,
+    dirty: bool,
+}
+
+impl Book {
+    /// Takes note that the store failed.
+    pub fn fail(&mut self, now: Time) {
+        self.failed = Some(now);
+    }
+
+    /// Takes a row that has changed.
+    pub fn set(&mut self, listing: Listing, version: u64) {
+        let id = listing.id.clone();
+        let entry = Entry {
+            listing,
+            lapsed: None,
+        };
+        if self.entries.get(&id) != Some(&entry) {
+            self.change(version);
+            self.entries.insert(id, entry);
+        }
+    }
+
+    /// Takes note that a row has vanished.
+    pub fn remove(&mut self, id: &Endpoint, version: u64, now: Time) {
+        let lapses = self.recently_failed(now);
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        if lapses {
+            entry.lapsed.get_or_insert(now);
+            return;
+        }
+        self.entries.remove(id);
+        self.change(version);
+    }
+
+    /// Takes the whole list anew: what is not in it has vanished.
+    pub fn replace(&mut self, listings: Vec<(Listing, u64)>, now: Time) {
+        let version = listings.iter().map(|(_, v)| *v).max();
+        let version = version.unwrap_or(self.version).max(self.version);
+        let listed = |id: &Endpoint| listings.iter().any(|(listing, _)| listing.id == *id);
+        let known = self.entries.keys();
+        let gone: Vec<Endpoint> = known.filter(|id| !listed(id)).cloned().collect();
+        for id in gone {
+            self.remove(&id, version, now);
+        }
+        for (listing, version) in listings {
+            self.set(listing, version);
+        }
+    }
+
+    fn change(&mut self, version: u64) {
+        self.version = self.version.max(version);
+        self.dirty = true;
+    }
+
+    fn recently_failed(&self, now: Time) -> bool {
+        self.failed.is_some_and(|at| now.since(at) < RETURN)
+    }
+
+    /// Returns the list if it has changed since it was taken last.
+    pub fn take(&mut self, now: Time) -> Option<Roster> {
+        if !self.recently_failed(now) {
+            let before = self.entries.len();
+            self.entries.retain(|_, entry| entry.lapsed.is_none());
+            self.dirty |= self.entries.len() != before;
+        }
+        if !self.dirty {
+            return None;
+        }
+        self.dirty = false;
+        let listings = self.entries.values().map(|entry| entry.listing.clone());
+        Some(Roster {
+            version: self.version,
+            endpoints: listings.collect(),
+        })
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     cli::exit::Exit,
+    platform,
     prelude::*,
     settings::fault::Fault, //
 };
@@ -41,6 +42,14 @@
         /// Every fault in it.
         faults: Vec<Fault>,
     },
+    /// The platform's settings are wrong.
+    #[error("{path}: {fault}")]
+    Site {
+        /// The file.
+        path: String,
+        /// The field, and what is wrong with it.
+        fault: platform::Fault,
+    },
     /// A listener can't be opened.
     #[error("can't listen for {what} at {address}: {source}")]
     Listen {
@@ -97,7 +106,7 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) => Exit::Usage,
-            Self::Settings { .. } => Exit::Settings,
+            Self::Settings { .. } | Self::Site { .. } => Exit::Settings,
             Self::Unreachable(_) => Exit::NotRun,
             Self::Lost(_) | Self::Unsettled { .. } => Exit::Unknown,
             _ => Exit::Failure,
--- a/src/http.rs
+++ b/src/http.rs
@@ -172,6 +172,11 @@
         idle.push((now, connection));
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&mut self, address: &str) {
+        self.idle.remove(address);
+    }
+
     /// Closes the connections that are trusted no more.
     pub fn trim(&mut self) {
         let now = Instant::now();
--- /dev/null
+++ b/src/instance/feeds.rs
@@ -0,0 +1,315 @@
+//! What an instance reads from the store: the configuration, the endpoints, the other instances.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use hyper::{
+    header::{
+        HeaderValue,
+        CONTENT_TYPE, //
+    },
+    Method, //
+};
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+
+use super::hub::{
+    now,
+    Hub, //
+};
+use crate::{
+    dispatch::{
+        message::{
+            Contact,
+            Input,
+            Listing,
+            Record, //
+        },
+        roster::Book, //
+    },
+    http::{
+        self,
+        Connection,
+        Reply, //
+    },
+    platform::{
+        record,
+        store::{
+            self,
+            Page,
+            Row, //
+        },
+        Fault, //
+    },
+    prelude::*,
+};
+
+/// How long a feed of the configuration waits for a change: a connection that has gone silent is found after this
+/// and [`PATIENCE`], while a change must be in force within two seconds.
+const WAIT: Span = Span::millis(1_000);
+
+/// How long an answer of the store may take beyond the wait: a hundred times its usual time.
+const PATIENCE: Duration = Duration::from_millis(400);
+
+/// Between calls that failed.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// Between reads of the endpoints' changes: a leaving endpoint may get tasks for two seconds after it said so,
+/// and each read that returns at once for a heartbeat would cost a call.
+const ENDPOINTS: Duration = Duration::from_millis(500);
+
+/// Between reads of the instances while no peer is heard.
+const LONELY: Duration = Duration::from_millis(1_000);
+
+/// A connection to the store, opened when it is needed.
+struct Client {
+    hub: Rc<Hub>,
+    address: String,
+    connection: Option<Connection>,
+    failed: bool,
+}
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("no answer")]
+    Silent,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("malformed answer: {0}")]
+    Malformed(#[from] Fault),
+}
+
+impl Client {
+    fn new(hub: &Rc<Hub>, address: &str) -> Self {
+        Self {
+            hub: hub.clone(),
+            address: address.to_owned(),
+            connection: None,
+            failed: false,
+        }
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Span,
+    ) -> Result<Bytes, Failure> {
+        let patience = wait.duration() + PATIENCE;
+        let reply = timeout(patience, self.exchange(method, path, body)).await;
+        let result = match reply {
+            Ok(Some(reply)) if reply.status.as_u16() == 200 => Ok(reply.body),
+            Ok(Some(reply)) => Err(Failure::Status(reply.status.as_u16())),
+            // What went silent is not used again.
+            _ => {
+                self.connection = None;
+                Err(Failure::Silent)
+            }
+        };
+        self.note(&result);
+        result
+    }
+
+    async fn exchange(&mut self, method: Method, path: &str, body: Vec<u8>) -> Option<Reply> {
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => Connection::open(&self.address).await.ok()?,
+        };
+        let mut request = http::request(method, &self.address, path, Bytes::from(body));
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+        let reply = connection.send(request).await.ok()?;
+        self.connection = Some(connection);
+        Some(reply)
+    }
+
+    /// Writes one line when the store is lost, and one when it is back.
+    fn note(&mut self, result: &Result<Bytes, Failure>) {
+        self.hub.gauges.store(match result {
+            Ok(_) => "done",
+            Err(Failure::Silent) => "silent",
+            Err(_) => "refused",
+        });
+        match (result, self.failed) {
+            (Err(Failure::Status(410)), _) => {}
+            (Err(failure), false) => {
+                let record = Record::new("store_lost").with("reason", failure.to_string());
+                self.hub.log(&record);
+                self.failed = true;
+            }
+            (Ok(_), true) => {
+                self.hub.log(&Record::new("store_back"));
+                self.failed = false;
+            }
+            _ => {}
+        }
+    }
+
+    async fn page(&mut self, path: &str, wait: Span) -> Result<Page, Failure> {
+        let body = self.call(Method::GET, path, Vec::new(), wait).await?;
+        Ok(store::page(&body)?)
+    }
+
+    /// Reads a whole table; the version is that of the first page, so that the feed repeats what changed since.
+    async fn table(&mut self, table: &str) -> Result<(Vec<Row>, u64), Failure> {
+        let first = self.page(&store::get(table, None), Span(0)).await?;
+        let version = first.version;
+        let (mut rows, mut more) = (first.rows, first.more);
+        while more {
+            let after = rows.last().map(|row| row.key.clone());
+            let next = self
+                .page(&store::get(table, after.as_deref()), Span(0))
+                .await?;
+            more = next.more && !next.rows.is_empty();
+            rows.extend(next.rows);
+        }
+        Ok((rows, version))
+    }
+
+    fn malformed(&self, table: &str, key: &str, fault: &Fault) {
+        let record = Record::new("row_malformed")
+            .with("table", table)
+            .with("key", key);
+        self.hub.log(&record.with("fault", fault.to_string()));
+    }
+}
+
+/// Follows the configuration.
+pub async fn configuration(hub: Rc<Hub>, address: String) {
+    let mut client = Client::new(&hub, &address);
+    let mut version = None;
+    loop {
+        let read = match version {
+            None => client.table(record::OPERATOR).await,
+            Some(after) => {
+                let path = store::feed(record::OPERATOR, after, WAIT);
+                let page = client.page(&path, WAIT).await;
+                page.map(|page| (page.rows, page.version))
+            }
+        };
+        match read {
+            Ok((rows, at)) => {
+                version = Some(at);
+                for row in rows {
+                    take_configuration(&client, row);
+                }
+            }
+            Err(Failure::Status(status)) if store::lacks_history(status) => version = None,
+            Err(_) => sleep(AGAIN).await,
+        }
+    }
+}
+
+fn take_configuration(client: &Client, row: Row) {
+    let Some(value) = row.value.filter(|_| row.key == record::CONFIGURATION) else {
+        return;
+    };
+    match record::configuration(&value) {
+        Ok(read) => client.hub.feed(Input::Configured(Box::new(read))),
+        Err(fault) => client.malformed(record::OPERATOR, &row.key, &fault),
+    }
+}
+
+/// Follows the endpoints.
+pub async fn endpoints(hub: Rc<Hub>, address: String) {
+    let mut client = Client::new(&hub, &address);
+    let book = RefCell::new(Book::default());
+    let mut version = None;
+    let mut read_once = false;
+    loop {
+        let read = match version {
+            None => client.table(record::ENDPOINTS).await,
+            Some(after) => {
+                let path = store::feed(record::ENDPOINTS, after, WAIT);
+                let page = client.page(&path, WAIT).await;
+                page.map(|page| (page.rows, page.version))
+            }
+        };
+        match read {
+            Ok((rows, at)) => {
+                take_endpoints(&client, &book, rows, version.is_none());
+                version = Some(at);
+                read_once = true;
+            }
+            Err(Failure::Status(status)) if store::lacks_history(status) => version = None,
+            Err(_) => book.borrow_mut().fail(now()),
+        }
+        let roster = book.borrow_mut().take(now());
+        if let Some(roster) = roster.filter(|_| read_once) {
+            hub.feed(Input::Listed(roster));
+        }
+        sleep(ENDPOINTS).await;
+    }
+}
+
+fn take_endpoints(client: &Client, book: &RefCell<Book>, rows: Vec<Row>, whole: bool) {
+    let mut listings: Vec<(Listing, u64)> = Vec::new();
+    let mut book = book.borrow_mut();
+    for row in rows {
+        let Some(value) = row.value else {
+            if let Ok(id) = row.key.parse::<Endpoint>() {
+                book.remove(&id, row.version, now());
+            }
+            continue;
+        };
+        match record::endpoint(&row.key, &value) {
+            Ok(listing) if whole => listings.push((listing, row.version)),
+            Ok(listing) => book.set(listing, row.version),
+            Err(fault) => client.malformed(record::ENDPOINTS, &row.key, &fault),
+        }
+    }
+    if whole {
+        book.replace(listings, now());
+    }
+}
+
+/// Makes this instance known, and finds the others.
+pub async fn instances(hub: Rc<Hub>, address: String, own: Contact, seeds: Vec<Contact>) {
+    let mut client = Client::new(&hub, &address);
+    let (path, body) = store::set(
+        record::INSTANCES,
+        own.name.as_str(),
+        &record::write_instance(&own),
+    );
+    while client
+        .call(Method::POST, &path, body.clone(), Span(0))
+        .await
+        .is_err()
+    {
+        // Without the store only the seeds can lead to peers.
+        hub.feed(Input::Found(seeds.clone()));
+        sleep(AGAIN).await;
+    }
+    let mut found = false;
+    loop {
+        if !found || hub.look(|dispatcher| dispatcher.alone()) {
+            if let Ok((rows, _)) = client.table(record::INSTANCES).await {
+                found = true;
+                hub.feed(Input::Found(contacts(&client, rows)));
+            }
+        }
+        sleep(LONELY).await;
+    }
+}
+
+fn contacts(client: &Client, rows: Vec<Row>) -> Vec<Contact> {
+    let mut contacts = Vec::new();
+    for row in rows {
+        let Some(value) = row.value else {
+            continue;
+        };
+        match record::instance(&row.key, &value) {
+            Ok(contact) => contacts.push(contact),
+            Err(fault) => client.malformed(record::INSTANCES, &row.key, &fault),
+        }
+    }
+    contacts
+}
--- /dev/null
+++ b/src/instance/front.rs
@@ -0,0 +1,379 @@
+//! The side towards callers: jobs in, answers out; and whether the instance takes callers.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    body::Incoming,
+    header::{
+        HeaderValue,
+        CONNECTION,
+        CONTENT_TYPE,
+        HOST,
+        RETRY_AFTER, //
+    },
+    server::conn::http1,
+    service::service_fn,
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::Notify,
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use super::hub::{
+    now,
+    Hub, //
+};
+use crate::{
+    dispatch::{
+        id::JobId,
+        message::{
+            Answer,
+            Input,
+            Record,
+            Ticket, //
+        },
+        route::{
+            Limits,
+            Route, //
+        }, //
+    },
+    platform::ingress,
+    prelude::*,
+};
+
+/// Sockets that are kept for endpoints, peers and the store.
+const KEPT: usize = 600;
+
+/// The least buffer of a connection, which the HTTP library insists on, in bytes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// After which an answer that was refused for want of a configuration may be asked for again.
+const UNREADY: Span = Span::seconds(1);
+
+/// Connections of callers, the one that has been idle longest in front.
+struct Door {
+    hub: Rc<Hub>,
+    most: usize,
+    serial: Cell<u64>,
+    open: RefCell<BTreeMap<u64, Rc<Guest>>>,
+}
+
+/// A caller's connection.
+struct Guest {
+    /// When its last request ended; none while one is in progress.
+    idle: Cell<Option<Time>>,
+    close: Notify,
+}
+
+type Answered = Result<Response<Full<Bytes>>, hyper::Error>;
+
+/// Tells the dispatcher when a caller goes before its answer: the future of its request is dropped then.
+struct Presence {
+    hub: Rc<Hub>,
+    ticket: Ticket,
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        self.hub.abandon(self.ticket);
+    }
+}
+
+/// Serves callers.
+pub async fn serve(hub: Rc<Hub>, listener: TcpListener, sockets: usize) {
+    let door = Rc::new(Door {
+        hub,
+        most: sockets.saturating_sub(KEPT).max(64),
+        serial: Cell::new(0),
+        open: RefCell::default(),
+    });
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: some connection ends, or gives way, in a moment.
+            sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        door.make_way();
+        let door = door.clone();
+        spawn_local(async move { door.host(stream).await });
+    }
+}
+
+impl Door {
+    /// Closes the connection that has been idle longest when there are too many: otherwise idle ones would keep
+    /// out callers that want something.
+    fn make_way(&self) {
+        let open = self.open.borrow();
+        if open.len() < self.most {
+            return;
+        }
+        let idle = open.values().filter(|guest| guest.idle.get().is_some());
+        if let Some(guest) = idle.min_by_key(|guest| guest.idle.get()) {
+            guest.close.notify_one();
+        }
+    }
+
+    fn limits(&self) -> Limits {
+        let limits = |d: &crate::dispatch::Dispatcher| d.configuration().map(|c| c.limits.clone());
+        self.hub.look(limits).unwrap_or_default()
+    }
+
+    async fn host(self: Rc<Self>, stream: TcpStream) {
+        stream.set_nodelay(true).ok();
+        let guest = Rc::new(Guest {
+            idle: Cell::new(Some(now())),
+            close: Notify::new(),
+        });
+        self.serial.set(self.serial.get() + 1);
+        let serial = self.serial.get();
+        self.open.borrow_mut().insert(serial, guest.clone());
+        self.talk(stream, &guest).await;
+        self.open.borrow_mut().remove(&serial);
+    }
+
+    async fn talk(&self, stream: TcpStream, guest: &Rc<Guest>) {
+        let limits = self.limits();
+        let service = service_fn(|request| {
+            let (hub, guest) = (self.hub.clone(), guest.clone());
+            async move {
+                guest.idle.set(None);
+                let answer = answer(&hub, request).await;
+                guest.idle.set(Some(now()));
+                answer
+            }
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(limits.headers.max(LEAST_BUFFER));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        loop {
+            let idle = self.limits().idle;
+            let rest = match guest.idle.get() {
+                Some(since) => (since + idle).since(now()),
+                None => idle,
+            };
+            tokio::select! {
+                // A caller that breaks off is no fault of ours.
+                _ = connection.as_mut() => return,
+                () = guest.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = sleep(rest.duration().max(Duration::from_millis(1))) => {
+                    let over = guest.idle.get().is_some_and(|since| now().since(since) >= idle);
+                    if over {
+                        connection.as_mut().graceful_shutdown();
+                        // An idle connection is closed at once; one on which a request comes in this moment
+                        // serves it first.
+                        guest.idle.set(None);
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn answer(hub: &Rc<Hub>, request: Request<Incoming>) -> Answered {
+    let leaving = hub.look(|dispatcher| dispatcher.draining());
+    let mut response = respond(hub, request).await;
+    if leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn respond(hub: &Rc<Hub>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    let host = request.headers().get(HOST).and_then(|h| h.to_str().ok());
+    let host = host.unwrap_or_default().to_owned();
+    let found = hub.look(|dispatcher| {
+        let configuration = dispatcher.configuration()?;
+        let route = configuration.route(&host, &path);
+        Some(route.map(|(route, rest)| (route.clone(), rest.to_owned())))
+    });
+    let (route, rest) = match found {
+        None => return unready(),
+        Some(None) => return failure(StatusCode::NOT_FOUND, "no queue has this host and path"),
+        Some(Some(found)) => found,
+    };
+    if rest.is_empty() && request.method() == Method::GET {
+        let pending = hub.look(|dispatcher| dispatcher.pending());
+        return reply(StatusCode::OK, ingress::queue(pending));
+    }
+    let Ok(id) = rest.parse::<JobId>() else {
+        let text = "the path must end with a job's 16 hexadecimal digits";
+        return failure(StatusCode::NOT_FOUND, text);
+    };
+    match *request.method() {
+        Method::POST => submit(hub, request, &route, id, host, path).await,
+        Method::GET if hub.look(|d| d.knows(id)) => {
+            reply(StatusCode::OK, ingress::state(ingress::State::Running))
+        }
+        Method::DELETE => {
+            let known = hub.look(|d| d.knows(id));
+            hub.feed(Input::Cancelled(id));
+            match known {
+                true => reply(StatusCode::OK, Vec::new()),
+                false => failure(StatusCode::GONE, "no such job is in progress"),
+            }
+        }
+        Method::GET => failure(StatusCode::GONE, "no such job is in progress"),
+        _ => failure(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE"),
+    }
+}
+
+async fn submit(
+    hub: &Rc<Hub>,
+    request: Request<Incoming>,
+    route: &Route,
+    id: JobId,
+    host: String,
+    path: String,
+) -> Response<Full<Bytes>> {
+    let came = now();
+    let wait = request.headers().get(ingress::DEADLINE);
+    let wait = wait.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+    let wait = wait.map(|millis| Span((millis.max(0.0) * 1_000.0) as u64));
+    let limits = hub.look(|d| d.configuration().map(|c| c.limits.clone()));
+    let limits = limits.unwrap_or_default();
+    let body = match read(request.into_body(), &limits).await {
+        Ok(body) => body,
+        Err(status) => return failure(status, "the body is too long, too slow or broken off"),
+    };
+    let submission = match ingress::job(id, &body) {
+        Ok(submission) => submission,
+        Err(fault) => {
+            let record = Record::new("job_malformed").job(id);
+            let record = record.with("route", route.name.as_str());
+            hub.log(&record.with("fault", fault.to_string()));
+            return failure(StatusCode::BAD_REQUEST, &fault.to_string());
+        }
+    };
+    let (ticket, answered) = hub.ticket();
+    let presence = Presence {
+        hub: hub.clone(),
+        ticket,
+    };
+    hub.feed(Input::Submitted {
+        ticket,
+        host,
+        path,
+        submission: Box::new(submission),
+        wait,
+    });
+    // The dispatcher answers every ticket; one that it lost would be a fault that the caller may retry.
+    let answer = answered.await.unwrap_or(Answer::Unready);
+    drop(presence);
+    hub.gauges.answer(answer, now().since(came));
+    match answer {
+        Answer::Completed => reply(StatusCode::OK, ingress::state(ingress::State::Completed)),
+        Answer::Failed => reply(StatusCode::OK, ingress::state(ingress::State::Failed)),
+        Answer::Refused { again } => refusal("there is no room for it in its time", again),
+        Answer::NoRoute => failure(StatusCode::NOT_FOUND, "no queue has this host and path"),
+        Answer::Unready => unready(),
+    }
+}
+
+async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
+    let whole = Limited::new(body, limits.body).collect();
+    match timeout(limits.receive.duration(), whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+fn unready() -> Response<Full<Bytes>> {
+    refusal("there is no configuration yet", UNREADY)
+}
+
+fn refusal(text: &str, again: Span) -> Response<Full<Bytes>> {
+    let mut response = failure(StatusCode::SERVICE_UNAVAILABLE, text);
+    let seconds = again.0.div_ceil(1_000_000);
+    let after = HeaderValue::from(seconds);
+    response.headers_mut().insert(RETRY_AFTER, after);
+    response
+}
+
+fn failure(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    reply(status, ingress::error(text))
+}
+
+fn reply(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Tells the platform whether the instance takes callers, and gives out its metrics at `/metrics`.
+pub async fn watch(hub: Rc<Hub>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let hub = hub.clone();
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let hub = hub.clone();
+                async move { Ok::<_, hyper::Error>(watched(&hub, request.uri().path())) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Whoever asks may break off.
+            connection.await.ok();
+        });
+    }
+}
+
+fn watched(hub: &Hub, path: &str) -> Response<Full<Bytes>> {
+    if path == "/metrics" {
+        let standing = hub.look(|dispatcher| dispatcher.standing());
+        return match hub.gauges.render(standing) {
+            Ok(text) => {
+                let mut response = reply(StatusCode::OK, text.into_bytes());
+                let kind = HeaderValue::from_static(crate::metrics::CONTENT_TYPE);
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => failure(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        };
+    }
+    match (path, hub.look(|dispatcher| dispatcher.ready())) {
+        (ingress::READY, true) => reply(StatusCode::OK, Vec::new()),
+        (ingress::READY, false) => failure(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        _ => failure(StatusCode::NOT_FOUND, "there is /metrics and the readiness"),
+    }
+}
--- /dev/null
+++ b/src/instance/gauges.rs
@@ -0,0 +1,205 @@
+//! Counters and histograms of an instance on the platform, in the OpenMetrics text format.
+
+use std::fmt;
+
+use prometheus_client::{
+    encoding::{
+        text::encode,
+        EncodeLabelSet, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{
+            exponential_buckets,
+            Histogram, //
+        }, //
+    },
+    registry::Registry,
+};
+
+use crate::{
+    dispatch::{
+        message::{
+            Answer,
+            Order,
+            Reply, //
+        },
+        Standing, //
+    },
+    prelude::*,
+};
+
+/// The first bucket of latencies in seconds, their ratio and number: from 1 ms to 16 s.
+const BUCKETS: (f64, f64, u16) = (0.001, 2.0, 15);
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Kind {
+    kind: String,
+}
+
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Called {
+    order: String,
+    reply: String,
+}
+
+/// All counters of an instance.
+#[derive(Debug)]
+pub struct Gauges {
+    registry: Registry,
+    answers: Family<Kind, Counter>,
+    answered: Histogram,
+    calls: Family<Called, Counter>,
+    starts: Histogram,
+    connections: Counter,
+    letters: Counter,
+    store: Family<Kind, Counter>,
+    events: Family<Kind, Counter>,
+    standing: Family<Kind, Gauge>,
+}
+
+impl Gauges {
+    /// Makes counters at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("poplarknot");
+        let histogram = || {
+            let (first, ratio, count) = BUCKETS;
+            Histogram::new(exponential_buckets(first, ratio, count))
+        };
+        let gauges = Self {
+            answers: Family::default(),
+            answered: histogram(),
+            calls: Family::default(),
+            starts: histogram(),
+            connections: Counter::default(),
+            letters: Counter::default(),
+            store: Family::default(),
+            events: Family::default(),
+            standing: Family::default(),
+            registry: Registry::default(),
+        };
+        let r = &mut registry;
+        r.register("answers", "Answers to callers", gauges.answers.clone());
+        r.register(
+            "answer_seconds",
+            "From a request to its answer",
+            gauges.answered.clone(),
+        );
+        r.register("calls", "Calls to endpoints", gauges.calls.clone());
+        r.register(
+            "start_seconds",
+            "From a start to the endpoint's answer",
+            gauges.starts.clone(),
+        );
+        r.register(
+            "connections",
+            "Connections opened to endpoints",
+            gauges.connections.clone(),
+        );
+        r.register("letters", "Letters to peers", gauges.letters.clone());
+        r.register("store_calls", "Calls to the store", gauges.store.clone());
+        r.register("events", "Lines of the log by event", gauges.events.clone());
+        r.register("standing", "What it has and does", gauges.standing.clone());
+        Self { registry, ..gauges }
+    }
+
+    /// Counts an answer.
+    pub fn answer(&self, answer: Answer, took: Span) {
+        let kind = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::Refused { .. } => "refused",
+            Answer::NoRoute => "no_route",
+            Answer::Unready => "unready",
+        };
+        self.answers.get_or_create(&kind_of(kind)).inc();
+        self.answered.observe(seconds(took));
+    }
+
+    /// Counts a call to an endpoint.
+    pub fn call(&self, order: &Order, reply: &Reply, took: Span) {
+        let name = match order {
+            Order::Start { .. } => "start",
+            Order::Stop { .. } => "stop",
+            Order::Look { .. } => "look",
+        };
+        if matches!(order, Order::Start { .. }) {
+            self.starts.observe(seconds(took));
+        }
+        let reply = match reply {
+            Reply::Done { .. } | Reply::Looked { .. } => "done",
+            Reply::Refused { .. } => "refused",
+            Reply::Unwell => "unwell",
+            Reply::Reborn => "reborn",
+            Reply::Malformed(_) => "malformed",
+            Reply::Unsent => "unsent",
+            Reply::Silent => "silent",
+        };
+        let label = Called {
+            order: name.to_owned(),
+            reply: reply.to_owned(),
+        };
+        self.calls.get_or_create(&label).inc();
+    }
+
+    /// Counts a connection that is opened to an endpoint.
+    pub fn connected(&self) {
+        self.connections.inc();
+    }
+
+    /// Counts letters to a peer.
+    pub fn letters(&self, count: usize) {
+        self.letters.inc_by(count as u64);
+    }
+
+    /// Counts a call to the store by how it ended.
+    pub fn store(&self, ended: &'static str) {
+        self.store.get_or_create(&kind_of(ended)).inc();
+    }
+
+    /// Counts a line of the log, also one that is left out.
+    pub fn event(&self, event: &'static str) {
+        self.events.get_or_create(&kind_of(event)).inc();
+    }
+
+    /// Takes what the instance has and does, and writes everything.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the writer does.
+    pub fn render(&self, standing: Standing) -> Result<String, fmt::Error> {
+        let set = |kind: &str, value: usize| {
+            self.standing
+                .get_or_create(&kind_of(kind))
+                .set(value as i64);
+        };
+        set("jobs", standing.jobs);
+        set("waiting_tasks", standing.waiting);
+        set("runs", standing.runs);
+        set("open_endpoints", standing.open);
+        set("racks", standing.racks);
+        set("peers", standing.peers);
+        set("configuration", standing.configuration as usize);
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+impl Default for Gauges {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn kind_of(kind: &str) -> Kind {
+    Kind {
+        kind: kind.to_owned(),
+    }
+}
+
+fn seconds(span: Span) -> f64 {
+    span.0 as f64 / 1e6
+}
--- /dev/null
+++ b/src/instance/peers.rs
@@ -0,0 +1,346 @@
+//! Letters between instances over capnp-rpc: in order, each once, in sessions.
+
+use std::{
+    cell::RefCell,
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
+    rc::Rc,
+    time::Duration,
+};
+
+use capnp_rpc::{
+    rpc_twoparty_capnp::Side,
+    twoparty::VatNetwork,
+    RpcSystem, //
+};
+use futures::AsyncReadExt as _;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::Notify,
+    task::{
+        spawn_local,
+        JoinHandle, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+use super::hub::Hub;
+use crate::{
+    dispatch::{
+        message::{
+            Contact,
+            Input,
+            Letter,
+            Record,
+            Sender, //
+        },
+        Identity, //
+    },
+    fleet_capnp::mailbox,
+    prelude::*,
+};
+
+/// How long a connection to a peer may take to open: some round trips, below the silence that ends a session.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// How long a delivery may take: after that its connection counts as silent, and what was on it is sent again
+/// over a new one, while the peer still waits for it.
+const DELIVERY: Duration = Duration::from_millis(250);
+
+/// Between attempts to reach a peer.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// Letters that wait for one peer; with a session given up they are dropped.
+const WAITING: usize = 20_000;
+
+/// Letters in one envelope.
+const LETTERS: usize = 256;
+
+/// What travels: letters with their sender and their place in the session.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Who sends them.
+    pub sender: Sender,
+    /// Counts the envelopes of a session, from one.
+    pub serial: u64,
+    /// The letters.
+    pub letters: Vec<Letter>,
+}
+
+/// The outgoing side towards one peer.
+struct Line {
+    address: String,
+    incarnation: u64,
+    session: u32,
+    /// Counts the sessions as this side began them, so that a delivery knows when its own has ended.
+    epoch: u64,
+    serial: u64,
+    letters: VecDeque<Letter>,
+    wake: Rc<Notify>,
+    task: Option<JoinHandle<()>>,
+}
+
+/// The last envelope that came from a peer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Last {
+    incarnation: u64,
+    session: u32,
+    serial: u64,
+}
+
+/// Letters to peers and from them.
+pub struct Peers {
+    identity: Identity,
+    lines: RefCell<HashMap<Instance, Line>>,
+    last: RefCell<HashMap<Instance, Last>>,
+}
+
+impl Peers {
+    /// Makes a side that has no lines yet.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            lines: RefCell::default(),
+            last: RefCell::default(),
+        }
+    }
+
+    /// Lets a letter leave after all before it.
+    pub fn send(&self, hub: &Rc<Hub>, to: &Contact, letter: Letter) {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines
+            .entry(to.name.clone())
+            .or_insert_with(|| Line::new(to));
+        if !to.address.is_empty() {
+            line.address.clone_from(&to.address);
+        }
+        line.push(letter);
+        if line.task.is_none() {
+            let (hub, name) = (hub.clone(), to.name.clone());
+            line.task = Some(spawn_local(async move { deliver(hub, name).await }));
+        }
+        line.wake.notify_one();
+    }
+
+    /// Forgets what has not left, and speaks in another session from now on.
+    pub fn session(&self, to: &Contact, incarnation: u64, session: u32) {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines
+            .entry(to.name.clone())
+            .or_insert_with(|| Line::new(to));
+        line.address.clone_from(&to.address);
+        line.incarnation = incarnation;
+        line.session = session;
+        line.epoch += 1;
+        line.serial = 0;
+        line.letters.clear();
+    }
+
+    /// Takes the next envelope for a peer, with its address and the epoch of its session.
+    fn next(&self, name: &Instance) -> Option<(Envelope, String, u64)> {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.get_mut(name)?;
+        if line.letters.is_empty() {
+            return None;
+        }
+        let count = line.letters.len().min(LETTERS);
+        line.serial += 1;
+        let envelope = Envelope {
+            sender: Sender {
+                contact: self.identity.contact.clone(),
+                centre: self.identity.centre.clone(),
+                incarnation: self.identity.incarnation,
+                to: line.incarnation,
+                session: line.session,
+            },
+            serial: line.serial,
+            letters: line.letters.drain(..count).collect(),
+        };
+        Some((envelope, line.address.clone(), line.epoch))
+    }
+
+    fn wake(&self, name: &Instance) -> Option<Rc<Notify>> {
+        let lines = self.lines.borrow();
+        lines.get(name).map(|line| line.wake.clone())
+    }
+
+    fn current(&self, name: &Instance, epoch: u64) -> bool {
+        let lines = self.lines.borrow();
+        lines.get(name).is_some_and(|line| line.epoch == epoch)
+    }
+
+    /// Tells whether an envelope came before, over another connection.
+    fn repeated(&self, envelope: &Envelope) -> bool {
+        let last = Last {
+            incarnation: envelope.sender.incarnation,
+            session: envelope.sender.session,
+            serial: envelope.serial,
+        };
+        let mut known = self.last.borrow_mut();
+        let name = &envelope.sender.contact.name;
+        if let Some(known) = known.get(name) {
+            let same = (known.incarnation, known.session) == (last.incarnation, last.session);
+            if same && last.serial <= known.serial {
+                return true;
+            }
+        }
+        known.insert(name.clone(), last);
+        false
+    }
+}
+
+impl Line {
+    fn new(to: &Contact) -> Self {
+        Self {
+            address: to.address.clone(),
+            incarnation: 0,
+            session: 0,
+            epoch: 0,
+            serial: 0,
+            letters: VecDeque::new(),
+            wake: Rc::new(Notify::new()),
+            task: None,
+        }
+    }
+
+    /// Adds a letter; of heartbeats in a row only the last says anything.
+    fn push(&mut self, letter: Letter) {
+        let beat = matches!(letter, Letter::Beat(_));
+        if beat && matches!(self.letters.back(), Some(Letter::Beat(_))) {
+            self.letters.pop_back();
+        }
+        if self.letters.len() < WAITING {
+            self.letters.push_back(letter);
+        }
+    }
+}
+
+/// Delivers a peer's letters, one envelope after the other, each until it is acknowledged.
+async fn deliver(hub: Rc<Hub>, name: Instance) {
+    let mut link: Option<(String, mailbox::Client)> = None;
+    let Some(wake) = hub.peers.wake(&name) else {
+        return;
+    };
+    loop {
+        let Some((envelope, address, epoch)) = hub.peers.next(&name) else {
+            wake.notified().await;
+            continue;
+        };
+        hub.gauges.letters(envelope.letters.len());
+        let bytes = match postcard::to_stdvec(&envelope) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let record = Record::new("letters_unwritten").with("error", error.to_string());
+                hub.log(&record);
+                continue;
+            }
+        };
+        // An envelope of a session that has ended meanwhile is void.
+        while hub.peers.current(&name, epoch) {
+            if link.as_ref().is_none_or(|(known, _)| *known != address) {
+                link = connect(&address)
+                    .await
+                    .map(|client| (address.clone(), client));
+            }
+            let Some((_, client)) = &link else {
+                sleep(AGAIN).await;
+                continue;
+            };
+            let mut request = client.deliver_request();
+            request.get().set_envelope(&bytes);
+            match timeout(DELIVERY, request.send().promise).await {
+                Ok(Ok(_)) => break,
+                Ok(Err(error)) => {
+                    let record = Record::new("letters_broken").with("member", name.as_str());
+                    hub.log(&record.with("error", error.extra));
+                }
+                Err(_) => {
+                    let record = Record::new("letters_unanswered").with("member", name.as_str());
+                    hub.log(&record);
+                }
+            }
+            link = None;
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+async fn connect(address: &str) -> Option<mailbox::Client> {
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let client: mailbox::Client = system.bootstrap(Side::Server);
+    spawn_local(system);
+    Some(client)
+}
+
+fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<impl futures::AsyncRead + Unpin>> {
+    stream.set_nodelay(true).ok();
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        side,
+        Default::default(),
+    );
+    Box::new(network)
+}
+
+/// Serves peers that connect.
+pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let hub = hub.clone();
+        spawn_local(async move {
+            let client: mailbox::Client = capnp_rpc::new_client(Served { hub });
+            let network = network(stream, Side::Server);
+            // A connection ends with its peer, which says so itself or falls silent.
+            RpcSystem::new(network, Some(client.client)).await.ok();
+        });
+    }
+}
+
+/// What an instance offers to its peers.
+struct Served {
+    hub: Rc<Hub>,
+}
+
+impl mailbox::Server for Served {
+    async fn deliver(
+        self: Rc<Self>,
+        params: mailbox::DeliverParams,
+        _results: mailbox::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let bytes = params.get()?.get_envelope()?;
+        let envelope: Envelope = postcard::from_bytes(bytes).map_err(|error| {
+            let record = Record::new("letters_malformed").with("error", error.to_string());
+            self.hub.log(&record);
+            capnp::Error::failed(error.to_string())
+        })?;
+        if !self.hub.peers.repeated(&envelope) {
+            self.hub.feed(Input::Received {
+                from: envelope.sender,
+                letters: envelope.letters,
+            });
+        }
+        Ok(())
+    }
+}
