--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -257,10 +257,8 @@
             return;
         }
         let chain = submission.chain();
-        let limit = wait.map_or(route.timeout, |wait| match route.timeout.0 {
-            0 => wait,
-            _ => wait.min(route.timeout),
-        });
+        // A caller that says how long it waits may ask for more work than fits in the route's usual time.
+        let limit = wait.unwrap_or(route.timeout);
         if let Some(reason) = unsupported(&submission, route) {
             return self.refuse(ticket, id, &reason, Span(0), out);
         }
