--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -46,6 +46,10 @@
 /// of them is served at about the rate at which it came; the spread keeps them from coming back together.
 const AGAIN: (Span, Span) = (Span::seconds(1), Span::seconds(4));
 
+/// The answer to a job that was given up after it may have started. The time covers the stop of what runs, in
+/// the worst case until its leases have lapsed, and what keeps the caller's place from being served now.
+const GIVEN_UP: Answer = Answer::GivenUp { again: AGAIN.0 };
+
 /// The share of the estimated wait and work that must fit in a caller's time for its job to be taken.
 const CAUTION: f64 = 0.8;
 
@@ -69,6 +73,8 @@
     started: bool,
     /// Set once it is given up: it is answered when all owners have dropped it.
     ending: bool,
+    /// Whether it is given up because a task failed as often as it may.
+    failed: bool,
 }
 
 /// How far a step has come.
@@ -286,6 +292,7 @@
             loose: Vec::new(),
             started: false,
             ending: false,
+            failed: false,
         };
         let record = Record::routine("job_accepted").job(id);
         let record = record.with("route", route.name.as_str());
@@ -470,6 +477,7 @@
             }
             Outcome::Failed => {
                 job.started = true;
+                job.failed = true;
                 self.end(id, "a task failed too often", now, out);
             }
             Outcome::Hopeless => self.end(id, "its time can't be met", now, out),
@@ -608,8 +616,11 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        if job.started {
+        let (started, failed) = (job.started, job.failed);
+        if failed {
             self.answer(id, Answer::Failed, now, out);
+        } else if started {
+            self.answer(id, GIVEN_UP, now, out);
         } else if job.parcels.is_empty() {
             self.answer(id, Answer::Refused { again: AGAIN.0 }, now, out);
         }
@@ -676,7 +687,7 @@
         }
         self.end(id, "its caller cancels it", now, out);
         if self.jobs.contains_key(&id) {
-            self.answer(id, Answer::Failed, now, out);
+            self.answer(id, GIVEN_UP, now, out);
         }
         true
     }
@@ -711,7 +722,7 @@
             // Nobody waits for the owners' word any more.
             let passed = self.jobs.get(&id).is_some_and(|job| now >= job.until);
             if passed {
-                self.answer(id, Answer::Failed, now, out);
+                self.answer(id, GIVEN_UP, now, out);
             }
         }
         for (id, loose) in ready {
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -183,8 +183,13 @@
 pub enum Answer {
     /// Every task ran to its end.
     Completed,
-    /// The job has ended without that; some of it may have run.
+    /// A task failed as often as it may.
     Failed,
+    /// The job was given up for want of time; some of it may have run, and what runs is being stopped.
+    GivenUp {
+        /// After how long its caller may try again.
+        again: Span,
+    },
     /// Nothing of it was run or will be; try again after a while.
     Refused {
         /// After how long.
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -299,7 +299,14 @@
     match answer {
         Answer::Completed => reply(StatusCode::OK, ingress::state(ingress::State::Completed)),
         Answer::Failed => reply(StatusCode::OK, ingress::state(ingress::State::Failed)),
-        Answer::Refused { again } => refusal("there is no room for it in its time", again),
+        Answer::GivenUp { again } => {
+            let text = "it can't end in its time; some of it may have run, and is being stopped";
+            later(StatusCode::GATEWAY_TIMEOUT, text, again)
+        }
+        Answer::Refused { again } => {
+            let text = "nothing of it was run: there is no room for it in its time";
+            later(StatusCode::SERVICE_UNAVAILABLE, text, again)
+        }
         Answer::NoRoute => failure(StatusCode::NOT_FOUND, "no queue has this host and path"),
         Answer::Unready => unready(),
     }
@@ -315,11 +322,13 @@
 }
 
 fn unready() -> Response<Full<Bytes>> {
-    refusal("there is no configuration yet", UNREADY)
+    let text = "there is no configuration yet";
+    later(StatusCode::SERVICE_UNAVAILABLE, text, UNREADY)
 }
 
-fn refusal(text: &str, again: Span) -> Response<Full<Bytes>> {
-    let mut response = failure(StatusCode::SERVICE_UNAVAILABLE, text);
+/// Writes why a request was not served, and after how long it may come again.
+fn later(status: StatusCode, text: &str, again: Span) -> Response<Full<Bytes>> {
+    let mut response = failure(status, text);
     let seconds = again.0.div_ceil(1_000_000);
     let after = HeaderValue::from(seconds);
     response.headers_mut().insert(RETRY_AFTER, after);
--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -110,6 +110,7 @@
         let kind = match answer {
             Answer::Completed => "completed",
             Answer::Failed => "failed",
+            Answer::GivenUp { .. } => "given_up",
             Answer::Refused { .. } => "refused",
             Answer::NoRoute => "no_route",
             Answer::Unready => "unready",
