Let tasks that an owner sent back wait for its next heartbeat

Cause: an instance that gave a rack up still took itself for the owner until the end of the step. Owners are now told to the entry before letters are delivered, and such tasks wait 10 ms.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -205,6 +205,7 @@
                     return;
                 }
             }
+            self.update_owners(&self.members.owners());
             for (to, letter) in letters {
                 if to.name == self.identity.contact.name {
                     let own = self.identity.contact.clone();
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -39,6 +39,9 @@
 /// noticed by then and stopped them, or their leases have passed.
 const DOUBT: Span = Span::millis(1_250);
 
+/// How long tasks that an owner sent back wait for its heartbeat, which tells what it owns.
+const ELSEWHERE: Span = Span::millis(10);
+
 /// After which a parcel that hasn't ended is asked for again: a letter may have been lost with a session.
 const AUDIT: Span = Span::millis(700);
 
@@ -510,10 +513,12 @@
             job.parcels.remove(&serial);
             self.by_serial.remove(&serial);
         }
-        // Without a hint the owner has lost the rack, and runs may be left that its next owner stops.
+        // Without a hint the owner has lost the rack, and runs may be left that its next owner stops. A rack whose
+        // loss isn't known here yet would send the tasks back at once, over and over.
         let at = match (hint, started) {
             (None, true) => now + DOUBT,
-            _ => now,
+            (None, false) => now + ELSEWHERE,
+            (Some(_), _) => now,
         };
         job.loose.push(Loose {
             step,
