--- a/src/instance.rs
+++ b/src/instance.rs
@@ -194,17 +194,10 @@
     term.recv().await;
     let begun = now();
     hub.feed(Input::Drain);
-    let last = Span(grace.0.saturating_sub(MARGIN.0));
-    loop {
-        let spent = now().since(begun);
-        let rest = Span(last.0.saturating_sub(spent.0)).duration();
-        if rest.is_zero() {
-            break;
-        }
-        tokio::select! {
-            () = hub.drained.notified() => break,
-            () = sleep(rest) => break,
-        }
+    let last = Span(grace.0.saturating_sub(MARGIN.0)).duration();
+    tokio::select! {
+        () = hub.drained.notified() => {}
+        () = sleep(last) => hub.log(&Record::new("drain_unfinished")),
     }
     hub.log(&Record::new("ended").with("after_ms", now().since(begun)));
     hub.flush();
--- /dev/null
+++ b/tests/adapter.rs
@@ -0,0 +1,188 @@
+//! The adapter to the platform: what it reads and writes, and that a fault names its field.
+
+use poplarknot::{
+    dispatch::{
+        id::{
+            JobId,
+            Run,
+            TaskId,
+            Token, //
+        },
+        message::{
+            End,
+            Name,
+            Order,
+            Refusal,
+            Reply, //
+        }, //
+    },
+    platform::{
+        ingress,
+        order,
+        record,
+        settings,
+        store, //
+    },
+    prelude::*,
+};
+use serde_json::{
+    json,
+    Value, //
+};
+
+const BOOT: &str = r#"
+node = "edge-a-1"
+zone = "a"
+ip = "10.1.0.13"
+port_range = [7720, 7735]
+seeds = ["10.1.0.13:8166", "10.2.0.30:8166"]
+tomorrow = "unknown"
+[listen_addrs]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[limits]
+cpu_share = 0.25
+max_fds = 4100
+[bounds]
+grace_s = 6
+[platform]
+address = "10.200.1.7:8169"
+"#;
+
+/// The settings are read as they come; what is not known is left alone, and a missing field is named.
+#[test]
+fn settings_are_read() {
+    let site = settings::parse(BOOT).unwrap();
+    assert_eq!(site.peers.port(), 7720);
+    assert_eq!((site.share, site.sockets), (250, 3_900));
+    assert_eq!(site.grace, Span::seconds(6));
+    assert!(site.seeds.is_empty());
+    let control = BOOT.replace("front =", "control = \"10.1.0.13:8166\"\nfront =");
+    let site = settings::parse(&control).unwrap();
+    assert_eq!((site.peers.port(), site.seeds.len()), (8166, 2));
+    let fault = settings::parse(&BOOT.replace("address", "adress")).unwrap_err();
+    assert!(fault.to_string().contains("platform"), "{fault}");
+    let fault = settings::parse(&BOOT.replace("10.1.0.13:8167", "nowhere")).unwrap_err();
+    assert!(fault.to_string().contains("listen_addrs.ready"), "{fault}");
+}
+
+/// A job's fields get their meaning; what this build can't run is named, and so is what is malformed.
+#[test]
+fn jobs_are_read() {
+    let body = json!({"spec": "x", "best_effort": true, "steps": [
+        {"count": 4, "cpu": 500, "mem_mb": 256, "estimated_ms": 900, "affinity": "r1-3"},
+        {"count": 2, "cpu": 2000, "after": [0], "max_per_server": 1, "required_label": "b"},
+    ]});
+    let job = ingress::job(JobId(7), body.to_string().as_bytes()).unwrap();
+    assert_eq!(job.steps[0].estimate, Span::millis(900));
+    assert_eq!(job.steps[0].affinity.as_deref(), Some("r1-3"));
+    assert_eq!(job.steps[1].per_endpoint, Some(1));
+    assert_eq!(job.chain(), Span::millis(900));
+    let fault = |body: Value| {
+        let read = ingress::job(JobId(7), body.to_string().as_bytes());
+        read.unwrap_err().field
+    };
+    assert_eq!(fault(json!({"steps": [{"count": 0}]})), "steps[0].count");
+    assert_eq!(
+        fault(json!({"steps": [{"count": "four"}]})),
+        "steps[0].count"
+    );
+    assert_eq!(fault(json!({"steps": [{"after": [0]}]})), "steps[0].after");
+    assert_eq!(fault(json!({"steps": []})), "steps");
+    assert_eq!(
+        fault(json!({"steps": [{}], "spec": "x".repeat(4_001)})),
+        "spec"
+    );
+    let gang = json!({"best_effort": true, "steps": [{"count": 2, "gang": true}]});
+    let job = ingress::job(JobId(7), gang.to_string().as_bytes()).unwrap();
+    assert_eq!(job.steps[0].unsupported.as_deref(), Some("gang"));
+}
+
+/// Orders bear the names of the wire, and answers are read by status and reason.
+#[test]
+fn orders_are_written_and_answers_read() {
+    let task = TaskId {
+        job: JobId(0x5c0e_7a21_d94b_36f8),
+        step: 1,
+        index: 17,
+    };
+    let start = Order::Start {
+        task,
+        run: Run(2),
+        spec: "text".to_owned(),
+        lease: 486_000,
+        token: Token(7),
+    };
+    let (path, body) = order::write(&start);
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let expected = json!({"task": "5c0e7a21d94b36f8.0.1.17", "run": 2, "spec": "text",
+        "deadline_ms": 486_000, "fencing_token": 7});
+    assert_eq!((path, body), ("/api/run-start", expected));
+    let refused = br#"{"clock_ms":482113,"reason":"fence"}"#;
+    let fenced = Reply::Refused {
+        clock: 482_113,
+        refusal: Refusal::Fenced,
+    };
+    assert_eq!(order::read(&start, 409, refused), fenced);
+    assert_eq!(order::read(&start, 421, b""), Reply::Reborn);
+    assert_eq!(order::read(&start, 503, b""), Reply::Unwell);
+    let look = Order::Look {
+        lease: None,
+        token: Token(7),
+        seen: 57,
+        wait: Span(0),
+    };
+    let (_, body) = order::write(&look);
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(body, json!({"fencing_token": 7, "last_seen": 57}));
+    let lists = json!({"clock_ms": 9, "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41, 3]],
+        "finished": [[58, "5c0e7a21d94b36f8.3.1.9", 1, "done", ""]]});
+    let Reply::Looked { running, ended, .. } =
+        order::read(&look, 200, lists.to_string().as_bytes())
+    else {
+        panic!("the lists are not read");
+    };
+    assert_eq!(running[0].task, Name::Known(task));
+    // A task of another occurrence is none that an instance of this build can have started.
+    assert!(matches!(&ended[0].task, Name::Foreign(name) if name.contains(".3.")));
+    assert_eq!(ended[0].end, End::Done);
+    let Reply::Malformed(fault) = order::read(&look, 200, br#"{"clock_ms":"x"}"#) else {
+        panic!("a malformed answer is taken");
+    };
+    assert!(fault.contains("clock_ms"), "{fault}");
+}
+
+/// Rows of the store are read with their base64, dropped ones too; the configuration and endpoints get their meaning.
+#[test]
+fn records_are_read() {
+    let body = br#"{"rows":[{"table":"t","part":"","key":"k","value":"eA==","ver":3},
+        {"table":"t","part":"","key":"gone","ver":4,"deleted":true}],"has_more":true,"ver":5}"#;
+    let page = store::page(body).unwrap();
+    assert_eq!(page.rows[0].value.as_deref(), Some(&b"x"[..]));
+    assert_eq!(
+        (page.rows[1].value.as_ref(), page.more, page.version),
+        (None, true, 5)
+    );
+    let wrong = br#"{"rows":[{"key":"k","value":"?"}],"ver":5}"#;
+    assert!(store::page(wrong).unwrap_err().field.contains("k"));
+    assert_eq!(
+        store::get("servers", Some("i-1")),
+        "/api/rows-get?table=servers&part=&from=i-1%20"
+    );
+    let configuration = json!({"version": 7, "routes": [{"name": "r", "hostname": "h", "prefix": "/p/",
+        "service": "s", "timeout_ms": 1500, "target_duration_ms": 60, "stretch": 1.6}]});
+    let read = record::configuration(configuration.to_string().as_bytes()).unwrap();
+    let (route, rest) = read.route("H:8161", "/p/5c").unwrap();
+    assert_eq!((route.timeout, rest), (Span::millis(1_500), "5c"));
+    assert_eq!(route.objective(Span::millis(100)), Span::millis(220));
+    let fault = record::configuration(br#"{"version":7,"routes":[{"name":"r"}]}"#).unwrap_err();
+    assert!(fault.to_string().contains("routes[0]"), "{fault}");
+    let row = json!({"service": "s", "address": "10.0.0.9:80", "zone": "a", "state": "draining",
+        "capacity": {"cpu": 16000, "mem_mb": 1, "gpu": 0}, "labels": ["a", "r1-3"]});
+    let listing = record::endpoint("i-1", row.to_string().as_bytes()).unwrap();
+    assert!(listing.draining);
+    assert_eq!(
+        (listing.rack.as_str(), listing.capacity.cpu),
+        ("r1-3", 16_000)
+    );
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,243 @@
+//! Real instances on stand-ins of the platform: a store with rows and feeds, and endpoints that run leased tasks.
+
+#[path = "platform/fleet.rs"]
+mod fleet;
+#[path = "platform/runner.rs"]
+mod runner;
+#[path = "platform/store.rs"]
+mod store;
+mod support;
+
+use std::{
+    path::Path,
+    time::Duration, //
+};
+
+use fleet::{
+    configure,
+    Fleet,
+    PREFIX, //
+};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use store::Mood;
+use support::{
+    client,
+    until,
+    Result, //
+};
+
+const SHORT: Duration = Duration::from_millis(60);
+const LONG: Duration = Duration::from_millis(900);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_poplarknot"))
+}
+
+fn state(response: &client::Response) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap_or_default();
+    body["state"].as_str().unwrap_or_default().to_owned()
+}
+
+/// Callers hand jobs in at every instance; each gets its answer when its last task has ended. Each task ran once.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_complete() -> Result {
+    let fleet = Fleet::start(program(), 3, 4, SHORT).await?;
+    for id in 0..12 {
+        let node = &fleet.nodes[id % 3];
+        let answer = node.submit(id as u64, 3, 60).await?;
+        assert_eq!((answer.status, state(&answer).as_str()), (200, "completed"));
+    }
+    assert_eq!(fleet.judge(), 36);
+    Ok(())
+}
+
+/// What a request must not be is told at once with a status of its own, and nothing runs: no such queue, a body that is
+/// malformed or too long, a job that must be stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_are_told() -> Result {
+    let fleet = Fleet::start(program(), 1, 1, SHORT).await?;
+    let node = &fleet.nodes[0];
+    let id = format!("{PREFIX}{:016x}", 1);
+    let no_steps = json!({"spec": "x", "best_effort": true, "steps": []});
+    let answer = node.post(&id, &no_steps).await?;
+    assert_eq!(answer.status, 400);
+    assert!(String::from_utf8_lossy(&answer.body).contains("steps"));
+    let text = json!({"spec": 7, "steps": [{"count": 1}]});
+    let answer = node.post(&id, &text).await?;
+    assert!(String::from_utf8_lossy(&answer.body).contains("spec"));
+    assert_eq!(
+        node.post("/other/0000000000000001", &no_steps)
+            .await?
+            .status,
+        404
+    );
+    assert_eq!(node.post("/q/17", &no_steps).await?.status, 404);
+    let long = json!({"spec": "x".repeat(5_000), "steps": [{"count": 1}]});
+    assert_eq!(node.post(&id, &long).await?.status, 413);
+    let stored = json!({"spec": "x", "steps": [{"count": 1, "cpu": 1000}]});
+    let answer = node.post(&id, &stored).await?;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(fleet.judge(), 0);
+    Ok(())
+}
+
+/// A new configuration adds a queue and drops another. It is in force at every instance within its time, although the
+/// store has just forgotten its history; and while the store turns everybody away, the last one stays in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_followed() -> Result {
+    let fleet = Fleet::start(program(), 2, 2, SHORT).await?;
+    fleet.store.compact();
+    configure(&fleet.store, 9, 3_000);
+    for node in &fleet.nodes {
+        until("the configuration is in force", || async {
+            node.log().contains("\"version\":9").then_some(())
+        })
+        .await?;
+    }
+    for mood in [Mood::Busy, Mood::Silent] {
+        fleet.store.mood(mood);
+        let answer = fleet.nodes[1].submit(mood as u64, 2, 60).await?;
+        assert_eq!(state(&answer), "completed");
+    }
+    Ok(())
+}
+
+/// An instance is killed while tasks of its callers run. They come again elsewhere after 1.3 s; what ran for the first
+/// attempt has been stopped by then, so that no task runs twice at a time, and the second attempt completes.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_instance_is_outlived() -> Result {
+    let fleet = Fleet::start(program(), 3, 4, LONG).await?;
+    let (first, second) = tokio::join!(fleet.nodes[0].submit(5, 4, 900), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.nodes[0].signal(Signal::SIGKILL)?;
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        fleet.nodes[1].submit(5, 4, 900).await
+    });
+    assert!(first.is_err());
+    assert_eq!(state(&second?), "completed", "{}", fleet.logs());
+    fleet.judge();
+    Ok(())
+}
+
+/// An instance gets SIGTERM while its callers' jobs run on endpoints that it owns. Its racks go to others with what runs
+/// there; every caller gets its complete answer, nothing is run again, and the instance ends in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_cuts_nothing_off() -> Result {
+    let mut fleet = Fleet::start(program(), 3, 4, LONG).await?;
+    let nodes = &fleet.nodes;
+    let (one, two, three) = tokio::join!(
+        nodes[0].submit(1, 3, 900),
+        nodes[1].submit(2, 3, 900),
+        async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            nodes[0].signal(Signal::SIGTERM)?;
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            nodes[2].submit(3, 3, 900).await
+        }
+    );
+    for answer in [one?, two?, three?] {
+        assert_eq!(state(&answer), "completed");
+    }
+    assert!(fleet.nodes[0].exit().await?.success());
+    assert_eq!(fleet.judge(), 9, "{}", fleet.logs());
+    Ok(())
+}
+
+/// An instance is paused for two seconds and goes on. Others have taken its racks over meanwhile; it does nothing by what
+/// it believed before, and serves again afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_instance_recovers() -> Result {
+    let fleet = Fleet::start(program(), 3, 4, SHORT).await?;
+    fleet.nodes[1].signal(Signal::SIGSTOP)?;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let answer = fleet.nodes[0].submit(1, 6, 60).await?;
+    assert_eq!(state(&answer), "completed", "{}", fleet.logs());
+    fleet.nodes[1].signal(Signal::SIGCONT)?;
+    until("it has heard the others again", || async {
+        let answer = fleet.nodes[1].submit(2, 6, 60).await.ok()?;
+        (state(&answer) == "completed").then_some(())
+    })
+    .await?;
+    assert!(fleet.nodes[1].log().contains("\"event\":\"awoke\""));
+    fleet.judge();
+    Ok(())
+}
+
+/// An endpoint carries starts out and answers none of them. They are sent again over new connections, which it
+/// confirms; each task runs once.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_are_asked_again() -> Result {
+    let fleet = Fleet::start(program(), 1, 1, SHORT).await?;
+    fleet.runners[0].mute(2);
+    let answer = fleet.nodes[0].submit(1, 3, 60).await?;
+    assert_eq!(state(&answer), "completed", "{}", fleet.nodes[0].log());
+    assert_eq!(fleet.judge(), 3);
+    Ok(())
+}
+
+/// An endpoint says that it leaves. From then on nothing new starts there, and jobs run elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_gets_nothing_new() -> Result {
+    let fleet = Fleet::start(program(), 2, 4, SHORT).await?;
+    fleet.runners[0].leave(&fleet.store);
+    until("all owners know", || async {
+        fleet.logs().contains("endpoint_leaving").then_some(())
+    })
+    .await?;
+    let before = fleet.runners[0].history().len();
+    for id in 0..8 {
+        assert_eq!(
+            state(&fleet.nodes[id % 2].submit(id as u64, 3, 60).await?),
+            "completed"
+        );
+    }
+    assert_eq!(fleet.runners[0].history().len(), before);
+    fleet.store.remove("servers", "i-0");
+    assert!(!fleet.store.keys("instances").is_empty());
+    Ok(())
+}
+
+/// All instances are killed at once and started again: nothing but the store has survived. They find each other and
+/// serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_are_killed() -> Result {
+    let mut fleet = Fleet::start(program(), 2, 2, SHORT).await?;
+    for node in &mut fleet.nodes {
+        node.signal(Signal::SIGKILL)?;
+        node.exit().await?;
+    }
+    let mut again = Vec::new();
+    for node in &fleet.nodes {
+        again.push(node.restart(program()).await?);
+    }
+    fleet.nodes = again;
+    for (id, node) in fleet.nodes.iter().enumerate() {
+        node.ready().await?;
+        let answer = node.submit(id as u64, 2, 60).await?;
+        assert_eq!(state(&answer), "completed");
+    }
+    Ok(())
+}
+
+/// A failed request's id leads through the log from its arrival to its cause, and the metrics count it.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_and_metrics_tell_the_cause() -> Result {
+    let fleet = Fleet::start(program(), 1, 1, SHORT).await?;
+    let node = &fleet.nodes[0];
+    let answer = node.submit(0xabc, 1, 60_000).await?;
+    assert_eq!(answer.status, 503);
+    until("the log tells it", || async {
+        let log = node.log();
+        let line = log.lines().find(|line| line.contains("0000000000000abc"))?;
+        line.contains("it would end too late").then_some(())
+    })
+    .await?;
+    let metrics = node.metrics().await?;
+    assert!(
+        metrics.contains("poplarknot_answers_total{kind=\"refused\"} 1"),
+        "{metrics}"
+    );
+    Ok(())
+}
--- /dev/null
+++ b/tests/platform/runner.rs
@@ -0,0 +1,295 @@
+//! A stand-in for an endpoint of the platform: it runs leased tasks that sleep, and keeps a history of them.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio::{
+    sync::Notify,
+    time::{
+        timeout,
+        Instant, //
+    },
+};
+
+use super::store::Store;
+use crate::support::server::{
+    json as answer,
+    Request,
+    Response,
+    Server, //
+};
+
+/// A run, as it was.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Past {
+    pub(crate) task: String,
+    pub(crate) run: u64,
+    pub(crate) from: Instant,
+    pub(crate) until: Option<Instant>,
+    pub(crate) how: &'static str,
+}
+
+struct Active {
+    run: u64,
+    ends: Instant,
+    place: usize,
+}
+
+#[derive(Default)]
+struct State {
+    running: HashMap<String, Active>,
+    finished: Vec<(u64, String, u64, &'static str)>,
+    barred: BTreeMap<String, u64>,
+    history: Vec<Past>,
+    serial: u64,
+    lease: u64,
+    token: u64,
+    /// How long tasks run.
+    takes: Duration,
+    /// How many tasks fit.
+    slots: usize,
+    /// Orders that are left without an answer, after they were carried out.
+    mute: usize,
+}
+
+/// An endpoint.
+pub(crate) struct Runner {
+    pub(crate) id: String,
+    state: Arc<Mutex<State>>,
+    row: Value,
+    _server: Server,
+}
+
+impl Runner {
+    pub(crate) fn start(
+        id: &str,
+        centre: &str,
+        rack: &str,
+        slots: usize,
+        takes: Duration,
+    ) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            takes,
+            slots,
+            ..State::default()
+        }));
+        let begun = Instant::now();
+        let ended = Arc::new(Notify::new());
+        let (s, name) = (state.clone(), id.to_owned());
+        let server = Server::start(64, move |request| {
+            let (state, ended, name) = (s.clone(), ended.clone(), name.clone());
+            async move { serve(&state, &ended, begun, &name, request).await }
+        })?;
+        let address = server.address().to_string();
+        let row = json!({
+            "service": "cells", "address": address, "zone": centre, "version": "v1",
+            "slots": slots, "state": "ready", "cold_remaining_ms": 0,
+            "capacity": {"cpu": slots * 1000, "mem_mb": 32768, "gpu": 0},
+            "labels": ["a", rack], "clock_ms": 5000, "sequence": 1,
+        });
+        Ok(Self {
+            id: id.to_owned(),
+            state,
+            row,
+            _server: server,
+        })
+    }
+
+    pub(crate) fn enlist(&self, store: &Store) {
+        store.set("servers", &self.id, &self.row);
+    }
+
+    pub(crate) fn leave(&self, store: &Store) {
+        let mut row = self.row.clone();
+        row["state"] = json!("draining");
+        store.set("servers", &self.id, &row);
+    }
+
+    pub(crate) fn history(&self) -> Vec<Past> {
+        self.state.lock().unwrap().history.clone()
+    }
+
+    /// Leaves the next orders without an answer, after they were carried out.
+    pub(crate) fn mute(&self, orders: usize) {
+        self.state.lock().unwrap().mute = orders;
+    }
+}
+
+impl State {
+    fn pass(&mut self, clock: u64) {
+        let now = Instant::now();
+        let lapsed = clock >= self.lease;
+        let over: Vec<String> = self
+            .running
+            .iter()
+            .filter(|(_, run)| run.ends <= now || lapsed)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in over {
+            let done = self.running[&task].ends <= now;
+            self.end(&task, if done { "done" } else { "lapsed" });
+        }
+    }
+
+    fn end(&mut self, task: &str, how: &'static str) {
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
+        self.serial += 1;
+        let past = &mut self.history[run.place];
+        (past.until, past.how) = (Some(Instant::now()), how);
+        self.bar(task, run.run);
+        let row = (self.serial, task.to_owned(), run.run, how);
+        self.finished.push(row);
+    }
+
+    fn bar(&mut self, task: &str, run: u64) {
+        let barred = self.barred.entry(task.to_owned()).or_default();
+        *barred = (*barred).max(run);
+    }
+
+    fn start(&mut self, body: &Value, clock: u64) -> Result<(), &'static str> {
+        let (Some(task), Some(run), Some(lease)) = (
+            body["task"].as_str(),
+            body["run"].as_u64(),
+            body["deadline_ms"].as_u64(),
+        ) else {
+            return Err("malformed");
+        };
+        if self.running.get(task).is_some_and(|known| known.run == run) {
+            return Ok(());
+        }
+        if self.barred.get(task).is_some_and(|barred| run <= *barred) {
+            return Err("old");
+        }
+        if lease <= clock {
+            return Err("late");
+        }
+        if self.running.len() >= self.slots {
+            return Err("room");
+        }
+        self.lease = self.lease.max(lease.min(clock + 1_000));
+        let now = Instant::now();
+        let active = Active {
+            run,
+            ends: now + self.takes,
+            place: self.history.len(),
+        };
+        self.history.push(Past {
+            task: task.to_owned(),
+            run,
+            from: now,
+            until: None,
+            how: "",
+        });
+        self.running.insert(task.to_owned(), active);
+        Ok(())
+    }
+
+    fn lists(&self, clock: u64) -> Value {
+        let running = self.running.iter();
+        let running: Vec<Value> = running.map(|(t, r)| json!([t, r.run, "", 40])).collect();
+        let finished = self.finished.iter();
+        let finished: Vec<Value> = finished
+            .map(|(n, task, run, how)| json!([n, task, run, how, ""]))
+            .collect();
+        json!({"clock_ms": clock, "running": running, "finished": finished})
+    }
+}
+
+async fn serve(
+    state: &Mutex<State>,
+    ended: &Notify,
+    begun: Instant,
+    name: &str,
+    request: Request,
+) -> Response {
+    let clock = || 5_000 + begun.elapsed().as_millis() as u64;
+    let body: Value = serde_json::from_slice(&request.body).ok()?;
+    let expected = request.header("x-poplarknot-expected-instance");
+    if expected.is_some_and(|expected| expected != name) {
+        return answer(421, &json!({}));
+    }
+    let response = {
+        let mut state = state.lock().unwrap();
+        state.pass(clock());
+        let token = body["fencing_token"].as_u64().unwrap_or(0);
+        if token < state.token {
+            return answer(409, &json!({"clock_ms": clock(), "reason": "fence"}));
+        }
+        state.token = token;
+        let response = match request.path.as_str() {
+            "/api/run-start" => Some(match state.start(&body, clock()) {
+                Ok(()) => answer(200, &json!({"clock_ms": clock()})),
+                Err(reason) => answer(409, &json!({"clock_ms": clock(), "reason": reason})),
+            }),
+            "/api/run-stop" => {
+                let (task, run) = (body["task"].as_str()?, body["run"].as_u64()?);
+                if state
+                    .running
+                    .get(task)
+                    .is_some_and(|known| known.run <= run)
+                {
+                    state.end(task, "stopped");
+                    ended.notify_waiters();
+                }
+                state.bar(task, run);
+                Some(answer(200, &json!({"clock_ms": clock()})))
+            }
+            "/api/hold" => {
+                if let Some(lease) = body["deadline_ms"].as_u64() {
+                    state.lease = state.lease.max(lease.min(clock() + 1_000));
+                }
+                let seen = body["last_seen"].as_u64().unwrap_or(0);
+                state.finished.retain(|(n, ..)| *n > seen);
+                None
+            }
+            _ => return answer(404, &json!({})),
+        };
+        if response.is_some() && state.mute > 0 {
+            state.mute -= 1;
+            return None;
+        }
+        response
+    };
+    match response {
+        Some(response) => response,
+        None => hold(state, ended, &clock, body["wait_ms"].as_u64().unwrap_or(0)).await,
+    }
+}
+
+/// Answers a look at the next end, or when its wait is over.
+async fn hold(
+    state: &Mutex<State>,
+    ended: &Notify,
+    clock: &impl Fn() -> u64,
+    wait: u64,
+) -> Response {
+    let until = Instant::now() + Duration::from_millis(wait);
+    loop {
+        let notified = ended.notified();
+        let next = {
+            let mut state = state.lock().unwrap();
+            state.pass(clock());
+            if !state.finished.is_empty() || Instant::now() >= until {
+                return answer(200, &state.lists(clock()));
+            }
+            state.running.values().map(|run| run.ends).min()
+        };
+        let wake = next.map_or(until, |next| next.min(until));
+        let _ = timeout(wake.saturating_duration_since(Instant::now()), notified).await;
+    }
+}
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -80,10 +80,14 @@
         headers: Headers<'_>,
         body: impl Into<Bytes>,
     ) -> Result<Response> {
+        let own = self.address.to_string();
+        let host = headers.iter().find(|(name, _)| *name == "host");
+        let host = host.map_or(own.as_str(), |(_, host)| *host);
+        let headers = headers.iter().filter(|(name, _)| *name != "host");
         let mut request = hyper::Request::builder()
             .method(method)
             .uri(path)
-            .header("host", self.address.to_string());
+            .header("host", host);
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -85,11 +85,18 @@
     pub query: String,
     /// The state that the client knows, where it names one.
     pub if_none_match: Option<String>,
+    /// The headers.
+    pub headers: hyper::HeaderMap,
     /// The body.
     pub body: Bytes,
 }
 
 impl Request {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
     async fn read(request: hyper::Request<Incoming>) -> hyper::Result<Self> {
         let (head, body) = request.into_parts();
         Ok(Self {
@@ -101,6 +108,7 @@
                 .and_then(|value| value.to_str().ok())
                 .map(str::to_owned),
             query: head.uri.query().unwrap_or_default().to_owned(),
+            headers: head.headers,
             body: body.collect().await?.to_bytes(),
         })
     }
