Prove four safeguards of the owner by themselves

With each of them taken out the tests over worlds stayed green: an endpoint in use before a dead instance's runs are gone, an instance that keeps its racks over a pause, starts for an entry that is not heard, and the kept part of a parcel that is never told done. Each has a test of its own now, seen red with the safeguard out.

--- /dev/null
+++ b/tests/owner.rs
@@ -0,0 +1,268 @@
+//! The owner of racks and its endpoints by themselves: safeguards that a whole world seldom puts to the test.
+
+use poplarknot::{
+    dispatch::{
+        endpoint::{
+            Standing,
+            State, //
+        },
+        id::{
+            Epoch,
+            JobId,
+            RackId,
+            Run,
+            TaskId,
+            Token, //
+        },
+        message::{
+            CallId,
+            Contact,
+            Input,
+            Letter,
+            Listing,
+            Name,
+            Order,
+            Outcome,
+            Output,
+            Parcel,
+            Reply,
+            Roster,
+            Running, //
+        },
+        owner::{
+            Effects,
+            Owner, //
+        },
+        task::Room,
+        Dispatcher,
+        Identity, //
+    },
+    prelude::*,
+};
+
+const START: Time = Time(10_000_000);
+
+fn contact(name: &str) -> Contact {
+    Contact {
+        name: name.parse().unwrap(),
+        address: format!("{name}:1"),
+    }
+}
+
+fn listing(slots: u64) -> Listing {
+    Listing {
+        id: "w-1".parse().unwrap(),
+        service: "cells".to_owned(),
+        address: "w-1:80".to_owned(),
+        centre: "a".to_owned(),
+        rack: "r".to_owned(),
+        labels: vec!["a".to_owned(), "r".to_owned()],
+        capacity: Room {
+            cpu: slots * 1_000,
+            memory: 1_000,
+            gpu: 0,
+        },
+        draining: false,
+    }
+}
+
+fn parcel(serial: u64, tasks: Vec<u32>) -> Parcel {
+    Parcel {
+        serial,
+        rack: listing(1).rack_id(),
+        job: JobId(serial),
+        step: 0,
+        tasks,
+        need: Room {
+            cpu: 1_000,
+            memory: 1,
+            gpu: 0,
+        },
+        estimate: Span::millis(60),
+        label: None,
+        per_endpoint: None,
+        spec: String::new(),
+        attempts: 2,
+        tied: false,
+        slack: Some(Span::seconds(1)),
+        left: Span::seconds(3),
+    }
+}
+
+/// An owner of one rack with one endpoint, and the calls that it wants made.
+struct Bench {
+    owner: Owner,
+    rack: RackId,
+}
+
+impl Bench {
+    fn new(slots: u64) -> Self {
+        let own = contact("own");
+        let mut owner = Owner::new(&own.name);
+        let mut out = Effects::default();
+        let listing = listing(slots);
+        let rack = listing.rack_id();
+        owner.claim(rack, Token::new(Epoch(1), 1), &mut out);
+        owner.list(&[listing], START, &mut out);
+        let mut bench = Self { owner, rack };
+        bench.work(START);
+        bench
+    }
+
+    /// Lets the owner work, and answers every look that leaves with what `running` lists; returns all orders.
+    fn work(&mut self, now: Time) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let mut out = Effects::default();
+        self.owner.work(now, &mut out);
+        for output in out.outputs {
+            let Output::Call { call, order, .. } = output else {
+                continue;
+            };
+            let reply = match &order {
+                Order::Look { .. } => Reply::Looked {
+                    clock: now.0 / 1_000,
+                    running: Vec::new(),
+                    ended: Vec::new(),
+                },
+                _ => Reply::Done {
+                    clock: now.0 / 1_000,
+                },
+            };
+            orders.push(order);
+            let mut out = Effects::default();
+            self.owner.called(call, now, reply, now, &mut out);
+        }
+        orders
+    }
+}
+
+fn starts(orders: &[Order]) -> usize {
+    let is_start = |order: &&Order| matches!(order, Order::Start { .. });
+    orders.iter().filter(is_start).count()
+}
+
+/// A new owner finds a run on an endpoint that it doesn't know, left by a dead one. It must not extend the run's lease,
+/// nor start anything there, until the run is gone: its caller comes again elsewhere soon.
+#[test]
+fn strangers_are_cleared_first() {
+    let mut state = State::claim(listing(4), Token(5), START);
+    let (order, _) = state.look(CallId(1), START).unwrap();
+    assert!(matches!(order, Order::Look { lease: None, .. }));
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    let stranger = Running {
+        task: Name::Known(task),
+        run: Run(1),
+    };
+    let now = START + Span::millis(1);
+    state.answered(7, START, now);
+    let (_, strangers) = state.looked(CallId(1), START, vec![stranger], Vec::new(), now);
+    assert_eq!(strangers.len(), 1);
+    assert!(!state.takes(now));
+    let later = now + Span::millis(60);
+    let (order, _) = state.look(CallId(2), later).unwrap();
+    assert!(matches!(order, Order::Look { lease: None, .. }));
+    state.looked(CallId(2), later, Vec::new(), Vec::new(), later);
+    assert_eq!(state.standing, Standing::Open);
+    assert!(state.takes(later));
+}
+
+/// A parcel comes from an entry that the owner doesn't hear: the letter may have lain in a buffer while the entry gave the
+/// owner up and placed its tasks elsewhere. Nothing starts until the entry is heard.
+#[test]
+fn unheard_entries_get_no_start() {
+    let mut bench = Bench::new(4);
+    let entry = contact("entry");
+    let mut out = Effects::default();
+    bench
+        .owner
+        .accept(&entry, parcel(1, vec![0, 1]), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 0);
+    bench.owner.hear(&entry.name);
+    assert_eq!(starts(&bench.work(START)), 2);
+}
+
+/// Of a parcel one task has ended, and the other, which waits, is given to a rack that has room. The entry must be
+/// told that what was kept is done: otherwise its caller waits until the parcel is missed.
+#[test]
+fn kept_part_of_a_parcel_is_told() {
+    let mut bench = Bench::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    bench
+        .owner
+        .accept(&own, parcel(1, vec![0, 1]), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 1);
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    let mut out = Effects::default();
+    bench.owner.work(START + Span::millis(130), &mut out);
+    let look = out.outputs.iter().find_map(|output| match output {
+        Output::Call { call, order, .. } if matches!(order, Order::Look { .. }) => Some(*call),
+        _ => None,
+    });
+    let ended = poplarknot::dispatch::message::Ended {
+        serial: 1,
+        task: Name::Known(task),
+        run: Run(1),
+        end: poplarknot::dispatch::message::End::Done,
+    };
+    let now = START + Span::millis(140);
+    let reply = Reply::Looked {
+        clock: now.0 / 1_000,
+        running: Vec::new(),
+        ended: vec![ended],
+    };
+    let mut out = Effects::default();
+    bench.owner.called(look.unwrap(), now, reply, now, &mut out);
+    let to = RackId::of("cells", "a", "other");
+    let room = Room {
+        cpu: 4_000,
+        memory: 100,
+        gpu: 0,
+    };
+    bench.owner.spare(bench.rack, to, vec![room], &mut out);
+    let returned = |l: &Letter| matches!(l, Letter::Returned { tasks, .. } if tasks == &[1]);
+    assert!(out.letters.iter().any(|(_, letter)| returned(letter)));
+    let done = |l: &Letter| {
+        let Letter::Report { outcome, .. } = l else {
+            return false;
+        };
+        *outcome == Outcome::Done
+    };
+    assert!(out.letters.iter().any(|(_, letter)| done(letter)));
+}
+
+/// An instance stands still for three seconds. Before it does anything else it takes its racks as lost: others own them
+/// by now, and what waits in its buffers is old.
+#[test]
+fn pause_voids_racks() {
+    let identity = Identity {
+        contact: contact("own"),
+        centre: "a".to_owned(),
+        incarnation: 1,
+        share: 250,
+    };
+    let mut dispatcher = Dispatcher::new(identity, START);
+    let roster = Roster {
+        version: 1,
+        endpoints: vec![listing(1)],
+    };
+    dispatcher.step(START, Input::Listed(roster));
+    let mut now = START;
+    for _ in 0..100 {
+        now = now + Span::millis(10);
+        dispatcher.step(now, Input::Tick);
+    }
+    assert_eq!(dispatcher.standing().racks, 1);
+    now = now + Span::seconds(3);
+    let outputs = dispatcher.step(now, Input::Tick);
+    assert_eq!(dispatcher.standing().racks, 0);
+    assert!(!outputs.iter().any(|o| matches!(o, Output::Call { .. })));
+}
