--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -54,6 +54,11 @@
 /// the worst case until its leases have lapsed, and what keeps the caller's place from being served now.
 const GIVEN_UP: Answer = Answer::GivenUp { again: AGAIN.0 };
 
+/// After this multiple of its objective an answer is of little use. A job that would end later is refused where it
+/// would have to wait, so that those which can still be of use get the room: without that, two seconds of overload
+/// make everything late for as long as the load lasts.
+const USEFUL: f64 = 3.0;
+
 /// The share of the estimated wait and work that must fit in a caller's time for its job to be taken.
 const CAUTION: f64 = 0.8;
 
@@ -67,6 +72,8 @@
     arrived: Time,
     /// Until when it is on time.
     due: Time,
+    /// Until when an answer is of use.
+    useful: Time,
     /// Until when its callers wait.
     until: Time,
     steps: Vec<Progress>,
@@ -272,11 +279,14 @@
         if let Some(reason) = unsupported(&submission, route) {
             return self.refuse(ticket, id, &reason, Span(0), out);
         }
+        let objective = route.objective(chain);
+        let useful = Span((objective.0 as f64 * USEFUL) as u64);
         let needed = self.expect(&submission, &route.service);
         let Some(needed) = needed else {
             return self.refuse(ticket, id, "no endpoint can run it", AGAIN.1, out);
         };
-        if needed.0 as f64 * CAUTION > limit.0 as f64 {
+        let waits = needed > chain;
+        if needed.0 as f64 * CAUTION > limit.0 as f64 || waits && needed > useful {
             return self.refuse(ticket, id, "it would end too late", needed, out);
         }
         let steps = submission.steps.iter().map(|step| Progress {
@@ -288,7 +298,8 @@
             service: route.service.clone(),
             attempts: route.attempts.max(1),
             arrived: now,
-            due: now + route.objective(chain),
+            due: now + objective,
+            useful: now + useful,
             until: now + limit,
             steps: steps.collect(),
             submission: Rc::new(submission),
@@ -430,6 +441,7 @@
             attempts: job.attempts,
             tied: wanted.affinity.as_ref() == Some(&rack.name),
             slack: (latest > now).then(|| latest.since(now)),
+            useful: job.useful.since(now),
             left: job.until.since(now),
         };
         let record = Record::routine("parcel_sent").job(id);
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -487,6 +487,8 @@
     pub tied: bool,
     /// How long until a task must have started to be on time; none where that has passed.
     pub slack: Option<Span>,
+    /// How long until an answer is of so little use that the room is better given to others.
+    pub useful: Span,
     /// How long until nobody waits any more.
     pub left: Span,
 }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -86,6 +86,8 @@
     parcel: Parcel,
     /// When a task must start to be on time.
     due: Time,
+    /// When an answer is of little use.
+    useful: Time,
     /// When nobody waits any more.
     until: Time,
     tasks: BTreeMap<u32, Progress>,
@@ -457,6 +459,7 @@
         let load = Load {
             entry: entry.clone(),
             due: parcel.slack.map_or(now, |slack| now + slack),
+            useful: now + parcel.useful,
             until: now + parcel.left,
             parcel,
             tasks,
@@ -972,13 +975,21 @@
             let kind = (load.parcel.need, load.parcel.label.clone());
             let task = load.task(waiting.index);
             let absent = !self.present.contains(&load.entry.name);
-            if absent || misfits.contains(&kind) || self.busy.contains_key(&task) {
+            if absent || self.busy.contains_key(&task) {
                 continue;
             }
-            match self.pick(id, load, now) {
-                Some(endpoint) => self.start(id, &endpoint, waiting, task, now, out),
-                None if misfits.len() >= LOOK_AHEAD => break,
-                None => misfits.push(kind),
+            let room = match misfits.contains(&kind) {
+                true => None,
+                false => self.pick(id, load, now),
+            };
+            if let Some(endpoint) = room {
+                self.start(id, &endpoint, waiting, task, now, out);
+            } else if now + least > load.useful && !load.started {
+                hopeless.push(waiting.parcel);
+            } else if misfits.len() >= LOOK_AHEAD {
+                break;
+            } else if !misfits.contains(&kind) {
+                misfits.push(kind);
             }
         }
         hopeless.dedup();
@@ -1278,6 +1289,7 @@
     fn held(self, now: Time) -> Held {
         let mut parcel = self.parcel;
         parcel.slack = (self.due > now).then(|| self.due.since(now));
+        parcel.useful = self.useful.since(now);
         parcel.left = self.until.since(now);
         parcel.tasks = self.tasks.keys().copied().collect();
         Held {
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -85,6 +85,7 @@
         attempts: 2,
         tied: false,
         slack: Some(Span::seconds(1)),
+        useful: Span::seconds(2),
         left: Span::seconds(3),
     }
 }
