Begin claims above those of former lives, and name handed over racks for a while

Endpoints remember the highest token, each claim was refused, and the wait after a refusal (3 s since the last change) made ten seconds of it. Epochs begin at the wall clock's second now, and leap when refused. - pulses overtake the letter that hands a rack over. The next owner took the rack as nobody's and stopped what ran there.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -99,6 +99,14 @@
 /// a cut between instances must not take racks from each other by turns.
 const FENCED: Span = Span::seconds(3);
 
+/// How far the epoch leaps when a token was too low: clocks of two lives may disagree by some seconds, which are as many
+/// epochs.
+const LEAP: u64 = 16;
+
+/// How long a draining instance goes on naming racks that it has handed over: its pulses overtake the letter with what
+/// runs there, and the next owner would claim the rack as nobody's and stop it.
+const CEDED: Span = Span::millis(700);
+
 /// Bits of an incarnation, a time in milliseconds, that number the parcels of one life.
 const SERIAL_BITS: u32 = 22;
 
@@ -113,6 +121,9 @@
     pub incarnation: u64,
     /// Its processor share, in thousandths of a core.
     pub share: u32,
+    /// Where its claims begin: above those of any life before, as far as clocks agree. Endpoints remember the
+    /// highest token, and a lower one costs a refused claim.
+    pub epoch: Epoch,
 }
 
 /// What the instance has and does, in numbers.
@@ -159,6 +170,8 @@
     /// Racks that nobody is heard to own, and that may still be somebody's.
     former: HashMap<RackId, Former>,
     epoch: Epoch,
+    /// Racks that were handed over, with the time of that.
+    ceded: Vec<(Claim, Time)>,
     began: Time,
     stepped: Time,
     beat: Time,
@@ -174,6 +187,7 @@
 impl Dispatcher {
     /// Makes a dispatcher that knows nothing yet.
     pub fn new(identity: Identity, now: Time) -> Self {
+        let identity_epoch = identity.epoch;
         Self {
             entry: Entry::new(identity.incarnation << SERIAL_BITS),
             owner: Owner::new(&identity.contact.name),
@@ -183,7 +197,8 @@
             roster: Roster::default(),
             listed: false,
             former: HashMap::new(),
-            epoch: Epoch::default(),
+            epoch: identity_epoch,
+            ceded: Vec::new(),
             began: now,
             stepped: Time::default(),
             beat: Time::default(),
@@ -576,6 +591,7 @@
 
     fn own_beat(&self) -> Beat {
         let claim = |(rack, token)| Claim { rack, token };
+        let ceded = self.ceded.iter().map(|(claim, _)| *claim);
         Beat {
             epoch: self.epoch,
             configuration: self.configuration.as_ref().map_or(0, |c| c.version),
@@ -585,7 +601,7 @@
             },
             draining: self.draining(),
             share: self.identity.share,
-            racks: self.owner.racks().map(claim).collect(),
+            racks: self.owner.racks().map(claim).chain(ceded).collect(),
         }
     }
 
@@ -608,6 +624,7 @@
             self.owner.yield_rack(rack, "another owns it", out);
         }
         for (rack, token) in self.owner.take_fenced() {
+            self.epoch = Epoch(self.epoch.0 + LEAP);
             let former = Former {
                 owner: None,
                 token,
@@ -742,6 +759,8 @@
             };
             let to = member.contact.clone();
             if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
+                let token = handover.token;
+                self.ceded.push((Claim { rack, token }, now));
                 out.letters.push((to, Letter::Handover(Box::new(handover))));
             }
         }
@@ -797,6 +816,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Effects) {
+        self.ceded.retain(|(_, at)| now.since(*at) < CEDED);
         self.deal(now, out);
         self.entry.work(&self.identity.centre, now, out);
         if now.since(self.audit) >= AUDITS {
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -27,8 +27,9 @@
 pub const SILENCE: Span = Span::millis(600);
 
 /// How long a member that starts listens before it claims racks that nobody seems to own: members start
-/// within 0.3 s of each other, and a heartbeat of each must have come.
-pub const SETTLE: Span = Span::millis(800);
+/// within 0.3 s of each other, and a heartbeat of each must have come. Claims that collide cost a moment, not more, and
+/// after a loss of all instances callers wait for this.
+pub const SETTLE: Span = Span::millis(450);
 
 /// How much the clocks of two machines may run apart, as a share: ten times what crystals do.
 const DRIFT: f64 = 0.001;
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -46,6 +46,7 @@
 use crate::{
     clock::wall,
     dispatch::{
+        id::Epoch,
         message::{
             Contact,
             Input,
@@ -100,6 +101,7 @@
         centre: site.centre.clone(),
         incarnation: wall(),
         share: site.share,
+        epoch: Epoch(wall() / 1_000),
     };
     let pulses = UdpSocket::bind(site.peers).await;
     let pulses = pulses.map_err(|source| Error::Listen {
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -249,6 +249,7 @@
         centre: "a".to_owned(),
         incarnation: 1,
         share: 250,
+        epoch: Epoch(1),
     };
     let mut dispatcher = Dispatcher::new(identity, START);
     let roster = Roster {
