--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,11 +9,13 @@
 pub mod member;
 pub mod message;
 pub mod owner;
+mod ownership;
 pub mod patience;
 pub mod queue;
 pub mod roster;
 pub mod route;
 pub mod task;
+mod telling;
 
 use std::{
     collections::HashMap,
@@ -24,24 +26,16 @@
     entry::Entry,
     id::{
         Epoch,
-        RackId,
-        Token, //
+        RackId, //
     },
     member::{
-        deal,
-        Candidate,
-        Member,
         Members,
-        Reception,
-        HEARTBEAT,
-        SETTLE, //
+        Reception, //
     },
     message::{
         Answer,
-        Beat,
         Claim,
         Contact,
-        Handover,
         Input,
         Letter,
         Output,
@@ -49,37 +43,18 @@
         Record,
         Roster,
         Sender,
-        Ticket,
-        Vacancy, //
+        Ticket, //
     },
     owner::{
         Effects,
-        Owner,
-        Verdict, //
+        Owner, //
     },
+    ownership::Former,
     route::Configuration,
     task::Submission,
 };
 use crate::prelude::*;
 
-/// Between pulses about room: three times shorter than the shortest tasks, so that most of what ends is
-/// known before the next job is placed; a tenth of the interval would cost ten times the messages.
-const ROOMS: Span = Span::millis(20);
-
-/// Between pulses that tell the room of all racks: one that told a change may have been lost.
-const REFRESH: Span = Span::millis(500);
-
-/// Peers that are told of room every [`ROOMS`]; with more of them the interval grows, so that an instance sends 400
-/// pulses a second at the most, for about a hundredth of a core.
-const AUDIENCE: u64 = 8;
-
-/// Racks in one pulse, so that it fits in one packet.
-const RACKS: usize = 6;
-
-/// How long a peer may have an older configuration, or list of endpoints, before it gets this instance's: most
-/// hear it from the store at the same time.
-const BEHIND: (Span, Span) = (Span::millis(300), Span::millis(1_000));
-
 /// Between audits of parcels that have been out for long.
 const AUDITS: Span = Span::millis(250);
 
@@ -95,14 +70,6 @@
 /// When a caller that a leaving instance refuses may come back: at once, anywhere else.
 const LEAVING: Span = Span::millis(500);
 
-/// How long an instance that was fenced off a rack leaves it alone while nobody is heard to own it: the two sides of
-/// a cut between instances must not take racks from each other by turns.
-const FENCED: Span = Span::seconds(3);
-
-/// How far the epoch leaps when a token was too low: clocks of two lives may disagree by some seconds, which are as many
-/// epochs.
-const LEAP: u64 = 16;
-
 /// How long a draining instance goes on naming racks that it has handed over: its pulses overtake the letter with what
 /// runs there, and the next owner would claim the rack as nobody's and stop it.
 const CEDED: Span = Span::millis(700);
@@ -145,18 +112,6 @@
     pub configuration: u64,
 }
 
-/// A rack whose owner has fallen silent, or has fenced this instance off.
-#[derive(Debug, Clone)]
-struct Former {
-    /// Who owned it, as far as is known.
-    owner: Option<Instance>,
-    /// The highest token known there.
-    token: Token,
-    since: Time,
-    /// Whether the token was too low already.
-    fenced: bool,
-}
-
 /// All state of an instance.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -441,26 +396,6 @@
         self.want(now, out);
     }
 
-    /// Gives a peer the configuration and the endpoints that it hasn't heard of for a while: the store may turn
-    /// it away.
-    fn help(&mut self, to: &Contact, now: Time, out: &mut Effects) {
-        let own = self.configuration.as_ref().map_or(0, |c| c.version);
-        let roster = match self.listed {
-            true => self.roster.version,
-            false => 0,
-        };
-        let (lacks_configuration, lacks_roster) =
-            self.members.behind(&to.name, own, roster, BEHIND, now);
-        if let Some(own) = self.configuration.as_ref().filter(|_| lacks_configuration) {
-            let letter = Letter::Configuration(Box::new(own.clone()));
-            out.letters.push((to.clone(), letter));
-        }
-        if lacks_roster {
-            let letter = Letter::Roster(Box::new(self.roster.clone()));
-            out.letters.push((to.clone(), letter));
-        }
-    }
-
     /// Judges a message by its sender's life and session; returns whether it counts.
     fn meet(&mut self, from: &Sender, now: Time, out: &mut Effects) -> bool {
         let name = &from.contact.name;
@@ -500,18 +435,6 @@
         true
     }
 
-    /// Tells a member that has just come all that it must know to place tasks.
-    fn greet(&mut self, to: &Contact, now: Time, out: &mut Effects) {
-        let record = Record::new("member_heard").with("member", to.name.as_str());
-        out.outputs.push(Output::Log(record));
-        let members = self.members.live().map(|m| m.contact.clone()).collect();
-        out.letters.push((to.clone(), Letter::Members(members)));
-        let rooms = self.owner.rooms(true, now);
-        let own = self.identity.contact.name.clone();
-        self.entry.rooms(&own, rooms.clone());
-        self.pulse(Some(to), rooms, now, out);
-    }
-
     fn letter(&mut self, from: &Contact, letter: Letter, now: Time, out: &mut Effects) {
         match letter {
             Letter::Members(contacts) => {
@@ -562,223 +485,6 @@
         }
     }
 
-    /// Sends pulses with `rooms` to one member or to all.
-    fn pulse(&mut self, to: Option<&Contact>, rooms: Vec<Vacancy>, now: Time, out: &mut Effects) {
-        let mut parts: Vec<Vec<Vacancy>> = rooms.chunks(RACKS).map(<[Vacancy]>::to_vec).collect();
-        if parts.is_empty() {
-            parts.push(Vec::new());
-        }
-        for part in parts {
-            let pulse = Rc::new(self.own_pulse(part, now));
-            if let Some(to) = to {
-                out.outputs.push(Output::Pulse(to.clone(), pulse));
-                continue;
-            }
-            for member in self.members.all() {
-                let to = member.contact.clone();
-                out.outputs.push(Output::Pulse(to, pulse.clone()));
-            }
-        }
-    }
-
-    fn own_pulse(&self, rooms: Vec<Vacancy>, now: Time) -> Pulse {
-        Pulse {
-            sent: now,
-            beat: self.own_beat(),
-            rooms,
-        }
-    }
-
-    fn own_beat(&self) -> Beat {
-        let claim = |(rack, token)| Claim { rack, token };
-        let ceded = self.ceded.iter().map(|(claim, _)| *claim);
-        Beat {
-            epoch: self.epoch,
-            configuration: self.configuration.as_ref().map_or(0, |c| c.version),
-            roster: match self.listed {
-                true => self.roster.version,
-                false => 0,
-            },
-            draining: self.draining(),
-            share: self.identity.share,
-            racks: self.owner.racks().map(claim).chain(ceded).collect(),
-        }
-    }
-
-    fn tell_all(&self, letter: Letter, out: &mut Effects) {
-        for member in self.members.live() {
-            out.letters.push((member.contact.clone(), letter.clone()));
-        }
-    }
-
-    /// Decides who owns what: gives up what another owns with a higher token, claims what nobody owns.
-    fn deal(&mut self, now: Time, out: &mut Effects) {
-        let owners = self.members.owners();
-        let lost: Vec<RackId> = self
-            .owner
-            .racks()
-            .filter(|(rack, token)| owners.get(rack).is_some_and(|(_, other)| other > token))
-            .map(|(rack, _)| rack)
-            .collect();
-        for rack in lost {
-            self.owner.yield_rack(rack, "another owns it", out);
-        }
-        for (rack, token) in self.owner.take_fenced() {
-            self.epoch = Epoch(self.epoch.0 + LEAP);
-            let former = Former {
-                owner: None,
-                token,
-                since: now,
-                fenced: true,
-            };
-            self.former.insert(rack, former);
-        }
-        self.former.retain(|rack, _| !owners.contains_key(rack));
-        if self.draining() {
-            self.hand_over(now, out);
-        } else if now.since(self.began) >= SETTLE {
-            self.claim(&owners, now, out);
-        }
-        self.update_owners(&owners);
-    }
-
-    fn claim(&mut self, owners: &HashMap<RackId, (Instance, Token)>, now: Time, out: &mut Effects) {
-        let racks = self.entry.racks();
-        let free = |rack: &RackId| !owners.contains_key(rack) && !self.owner.owns(*rack);
-        let orphans: Vec<(RackId, String)> =
-            racks.into_iter().filter(|(rack, _)| free(rack)).collect();
-        if orphans.is_empty() {
-            return;
-        }
-        let own = &self.identity.contact.name;
-        let mut candidates = self.candidates();
-        candidates.push(Candidate {
-            name: own.clone(),
-            centre: self.identity.centre.clone(),
-            share: self.identity.share,
-            racks: self.owner.racks().count(),
-        });
-        let mine: Vec<RackId> = deal(&orphans, &mut candidates)
-            .into_iter()
-            .filter(|(_, owner)| owner == own)
-            .map(|(rack, _)| rack)
-            .collect();
-        let mine: Vec<RackId> = mine
-            .into_iter()
-            .filter(|rack| self.is_free(*rack, now, out))
-            .collect();
-        if mine.is_empty() {
-            return;
-        }
-        let token = self.next_token();
-        for rack in mine {
-            self.owner.claim(rack, token, out);
-        }
-        self.owner.list(&self.roster.endpoints, now, out);
-        // The others must not place tasks by what the former owner said.
-        self.beat = Time::default();
-    }
-
-    /// Tells whether a rack that nobody is heard to own can be claimed.
-    fn is_free(&mut self, rack: RackId, now: Time, out: &mut Effects) -> bool {
-        let Some(former) = self.former.get(&rack).cloned() else {
-            return true;
-        };
-        let free = match former.fenced {
-            true => now.since(former.since) >= FENCED,
-            false => {
-                let endpoints = &self.roster.endpoints;
-                let verdict = self.owner.probe(rack, former.token, endpoints, now, out);
-                verdict == Verdict::Free
-            }
-        };
-        if free {
-            self.former.remove(&rack);
-        }
-        free
-    }
-
-    /// Takes note of racks whose owner isn't heard any more.
-    fn remember(&mut self, owner: &Instance, claims: &[Claim], now: Time) {
-        for claim in claims {
-            let former = Former {
-                owner: Some(owner.clone()),
-                token: claim.token,
-                since: now,
-                fenced: false,
-            };
-            self.former.insert(claim.rack, former);
-        }
-    }
-
-    fn candidates(&self) -> Vec<Candidate> {
-        let members = self.members.takers();
-        let candidate = |m: &Member| {
-            let beat = m.beat.as_ref()?;
-            Some(Candidate {
-                name: m.contact.name.clone(),
-                centre: m.centre.clone(),
-                share: beat.share,
-                racks: beat.racks.len(),
-            })
-        };
-        members.filter_map(candidate).collect()
-    }
-
-    fn next_token(&mut self) -> Token {
-        self.epoch = Epoch(self.epoch.max(self.members.epoch()).0 + 1);
-        let name = self.identity.contact.name.as_str().as_bytes();
-        Token::new(self.epoch, id::fnv(self.identity.incarnation, name))
-    }
-
-    fn update_owners(&mut self, owners: &HashMap<RackId, (Instance, Token)>) {
-        let mut contacts: HashMap<RackId, Contact> = HashMap::new();
-        for (rack, (name, _)) in owners {
-            if let Some(member) = self.members.get(name) {
-                contacts.insert(*rack, member.contact.clone());
-            }
-        }
-        for (rack, _) in self.owner.racks() {
-            contacts.insert(rack, self.identity.contact.clone());
-        }
-        self.entry.own(&contacts);
-    }
-
-    /// Gives all racks to members that stay.
-    fn hand_over(&mut self, now: Time, out: &mut Effects) {
-        let racks: Vec<RackId> = self.owner.racks().map(|(rack, _)| rack).collect();
-        if racks.is_empty() {
-            return;
-        }
-        let centres: HashMap<RackId, String> = self.entry.racks().into_iter().collect();
-        let with_centre = |rack: &RackId| (*rack, centres.get(rack).cloned().unwrap_or_default());
-        let racks: Vec<(RackId, String)> = racks.iter().map(with_centre).collect();
-        for (rack, name) in deal(&racks, &mut self.candidates()) {
-            let Some(member) = self.members.get(&name) else {
-                continue;
-            };
-            let to = member.contact.clone();
-            if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
-                let token = handover.token;
-                self.ceded.push((Claim { rack, token }, now));
-                out.letters.push((to, Letter::Handover(Box::new(handover))));
-            }
-        }
-        self.beat = Time::default();
-    }
-
-    fn take_over(&mut self, handover: Handover, now: Time, out: &mut Effects) {
-        self.epoch = self.epoch.max(handover.token.epoch());
-        let token = self.next_token();
-        self.owner
-            .take_over(handover, token, &self.roster.endpoints, now, out);
-        self.update_owners(&self.members.owners());
-        self.beat = Time::default();
-        if self.draining() {
-            self.hand_over(now, out);
-        }
-    }
-
     /// Takes all that it holds as lapsed, after the process stood still for longer than its peers wait.
     fn awake(&mut self, now: Time, out: &mut Effects) {
         out.outputs.push(Output::Log(Record::new("awoke")));
@@ -832,40 +538,4 @@
             out.outputs.push(Output::Drained);
         }
     }
-
-    /// Tells peers that it lives, and of room that has changed.
-    fn tell(&mut self, now: Time, out: &mut Effects) {
-        let peers = self.members.live().count() as u64;
-        let interval = Span(ROOMS.0 * peers.max(AUDIENCE) / AUDIENCE);
-        let due = now.since(self.beat) >= HEARTBEAT;
-        let changed = now.since(self.rooms) >= interval && self.owner.changed(now);
-        if !due && !changed {
-            return;
-        }
-        let all = now.since(self.refresh) >= REFRESH;
-        if all {
-            self.refresh = now;
-        }
-        let rooms = self.owner.rooms(all, now);
-        (self.beat, self.rooms) = (now, now);
-        let own = self.identity.contact.name.clone();
-        self.entry.rooms(&own, rooms.clone());
-        self.pulse(None, rooms, now, out);
-        self.want(now, out);
-    }
-
-    /// Asks owners whose racks have tasks waiting for some, where an own rack has room and nothing waits.
-    fn want(&mut self, now: Time, out: &mut Effects) {
-        if self.draining() {
-            return;
-        }
-        for (to, rooms) in self.owner.spacious(now) {
-            let Some((from, contact)) = self.entry.busiest(to) else {
-                continue;
-            };
-            self.entry.asked(from, rooms.len() as u32);
-            out.letters
-                .push((contact, Letter::Want { from, to, rooms }));
-        }
-    }
 }
--- /dev/null
+++ b/src/dispatch/owner/answer.rs
@@ -0,0 +1,329 @@
+//! What answers of endpoints, and their absence, mean for tasks.
+
+use super::{
+    super::{
+        endpoint::{
+            Event,
+            Fate,
+            Phase,
+            Refused,
+            Standing,
+            START_TRIES, //
+        },
+        id::{
+            Run,
+            TaskId, //
+        },
+        message::{
+            CallId,
+            Name,
+            Outcome,
+            Record,
+            Refusal,
+            Reply, //
+        },
+        queue::Handle, //
+    },
+    Effects,
+    Owner,
+    Purpose, //
+};
+use crate::prelude::*;
+
+impl Owner {
+    /// Takes the answer of an endpoint, or its absence.
+    pub fn called(&mut self, call: CallId, sent: Time, reply: Reply, now: Time, out: &mut Effects) {
+        let Some((id, purpose)) = self.calls.remove(&call) else {
+            return;
+        };
+        if let Purpose::Probe(rack) = purpose {
+            return self.probed(rack, call, &reply);
+        }
+        let Some(state) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        let (Reply::Done { clock } | Reply::Looked { clock, .. } | Reply::Refused { clock, .. }) =
+            &reply
+        else {
+            if reply == Reply::Silent {
+                self.patience.missed();
+            }
+            return self.unanswered(call, &id, purpose, reply, now, out);
+        };
+        if purpose != Purpose::Look {
+            self.patience.answered(now.since(sent));
+        }
+        state.answered(*clock, sent, now);
+        let events = match (purpose, reply) {
+            (Purpose::Look, Reply::Looked { running, ended, .. }) => {
+                let (events, strangers) = state.looked(call, sent, running, ended, now);
+                for (task, run) in strangers {
+                    self.stop_stranger(&id, task, run, out);
+                }
+                events
+            }
+            (Purpose::Look, Reply::Refused { refusal, .. }) => {
+                state.unlooked(call, now);
+                fenced(refusal)
+            }
+            (Purpose::Start(task, run), Reply::Refused { refusal, .. }) => {
+                return self.start_refused(&id, task, run, refusal, now, out);
+            }
+            (Purpose::Start(task, run), _) => {
+                state.started(&task, run, now);
+                Vec::new()
+            }
+            (Purpose::Stop(_, _), Reply::Refused { refusal, .. }) if refusal == Refusal::Fenced => {
+                fenced(refusal)
+            }
+            (Purpose::Stop(Name::Known(task), run), _) => {
+                state.stopped(&task, run, now);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        };
+        self.act(&id, events, now, out);
+    }
+
+    pub(super) fn stop_stranger(&mut self, id: &Endpoint, task: Name, run: Run, out: &mut Effects) {
+        let Some(state) = self.endpoints.get(id) else {
+            return;
+        };
+        let name = match &task {
+            Name::Known(task) => task.to_string(),
+            Name::Foreign(name) => name.clone(),
+        };
+        let record = Record::new("stranger_stopped").with("endpoint", id.as_str());
+        out.log(record.with("task", name).with("run", run.0));
+        let order = state.stop_again(task.clone(), run);
+        self.call(id, order, Purpose::Stop(task, run), false, out);
+    }
+
+    pub(super) fn start_refused(
+        &mut self,
+        id: &Endpoint,
+        task: TaskId,
+        run: Run,
+        refusal: Refusal,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let record = Record::new("start_refused").job(task.job);
+        let record = record.with("endpoint", id.as_str());
+        out.log(record.with("reason", format!("{refusal:?}")));
+        match state.refused(task, run, refusal, now) {
+            Refused::Nothing => {}
+            Refused::Stop => {
+                let handle = state.posts.get(&task).map(|post| post.parcel);
+                if let Some(handle) = handle {
+                    self.stop(task, handle, Fate::Again, out);
+                }
+            }
+            Refused::Again(handle, next) => {
+                self.busy.remove(&task);
+                self.again(task, handle, next, now);
+            }
+            Refused::Fenced => self.act(id, vec![Event::Fenced], now, out),
+        }
+    }
+
+    /// Deals with a call that has no proper answer.
+    pub(super) fn unanswered(
+        &mut self,
+        call: CallId,
+        id: &Endpoint,
+        purpose: Purpose,
+        reply: Reply,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if reply == Reply::Reborn {
+            return self.act(id, vec![Event::Reborn], now, out);
+        }
+        if let Reply::Malformed(fault) = &reply {
+            let record = Record::new("endpoint_malformed").with("endpoint", id.as_str());
+            out.log(record.with("fault", fault.clone()));
+        }
+        match purpose {
+            Purpose::Look => {
+                if state.standing == Standing::Open {
+                    let record = Record::new("endpoint_silent").with("endpoint", id.as_str());
+                    out.log(record.with("reply", format!("{reply:?}")));
+                }
+                match reply {
+                    Reply::Unwell | Reply::Malformed(_) => state.unlooked(call, now),
+                    _ => state.silent(call, now),
+                }
+                self.touch(id);
+            }
+            Purpose::Start(task, run) => self.start_unanswered(id, task, run, reply, now, out),
+            Purpose::Stop(Name::Known(task), run) => {
+                let Some(post) = state.posts.get_mut(&task) else {
+                    return;
+                };
+                if post.run != run {
+                    return;
+                }
+                // A stop must arrive: it is sent again until the endpoint answers or its leases have passed.
+                post.tries = post.tries.saturating_add(1);
+                let order = state.stop_again(Name::Known(task), run);
+                let purpose = Purpose::Stop(Name::Known(task), run);
+                self.call(id, order, purpose, true, out);
+            }
+            // The next look shows a stranger that is still there.
+            Purpose::Stop(Name::Foreign(_), _) | Purpose::Probe(_) => {}
+        }
+    }
+
+    pub(super) fn start_unanswered(
+        &mut self,
+        id: &Endpoint,
+        task: TaskId,
+        run: Run,
+        reply: Reply,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let Some(post) = state.posts.get_mut(&task) else {
+            return;
+        };
+        if post.run != run || post.phase != Phase::Starting {
+            return;
+        }
+        let nothing_done = matches!(reply, Reply::Unwell | Reply::Unsent);
+        post.doubt |= !nothing_done;
+        post.tries += 1;
+        let (handle, doubt, tries) = (post.parcel, post.doubt, post.tries);
+        let record = Record::new("start_unanswered").job(task.job);
+        let record = record
+            .with("endpoint", id.as_str())
+            .with("tries", u32::from(tries));
+        out.log(record.with("reply", format!("{reply:?}")));
+        if nothing_done && !doubt {
+            state.unwell(now);
+            let mut events = Vec::new();
+            state.lose(task, &mut events);
+            return self.act(id, events, now, out);
+        }
+        let spec = self.loads.get(&handle).map(|load| load.parcel.spec.clone());
+        if tries <= START_TRIES {
+            if let Some(order) = spec.and_then(|s| state.start_again(task, run, s, now)) {
+                let purpose = Purpose::Start(task, run);
+                return self.call(id, order, purpose, true, out);
+            }
+        }
+        self.stop(task, handle, Fate::Again, out);
+    }
+
+    pub(super) fn touch(&mut self, id: &Endpoint) {
+        if let Some(state) = self.endpoints.get(id) {
+            if let Some(rack) = self.racks.get_mut(&state.listing.rack_id()) {
+                rack.changed = true;
+            }
+        }
+    }
+
+    pub(super) fn act(&mut self, id: &Endpoint, events: Vec<Event>, now: Time, out: &mut Effects) {
+        if !events.is_empty() {
+            self.touch(id);
+        }
+        for event in events {
+            match event {
+                Event::Done(task, handle) => {
+                    self.busy.remove(&task);
+                    self.done(task, handle, out);
+                }
+                Event::Failed(task, handle) => {
+                    self.busy.remove(&task);
+                    let record = Record::new("task_failed").job(task.job);
+                    let record = record.with("task", task.to_string());
+                    out.log(record.with("endpoint", id.as_str()));
+                    self.failed(task, handle, now, out);
+                }
+                Event::Gone(task, handle, next) => {
+                    self.busy.remove(&task);
+                    let record = Record::new("run_gone").job(task.job);
+                    let record = record.with("task", task.to_string());
+                    out.log(record.with("endpoint", id.as_str()));
+                    self.again(task, handle, next, now);
+                }
+                Event::Cleared(task) => {
+                    self.busy.remove(&task);
+                }
+                Event::Fenced => {
+                    let state = self.endpoints.get(id);
+                    if let Some((rack, token)) = state.map(|s| (s.listing.rack_id(), s.token)) {
+                        self.fenced.push((rack, token));
+                        self.yield_rack(rack, "fenced", out);
+                    }
+                }
+                Event::Reborn => self.reborn(id, now, out),
+            }
+        }
+    }
+
+    pub(super) fn reborn(&mut self, id: &Endpoint, now: Time, out: &mut Effects) {
+        let mut events = Vec::new();
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.lose_all(&mut events);
+        }
+        self.act(id, events, now, out);
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.delisted = true;
+        }
+        self.drop_endpoint(id, out);
+    }
+
+    pub(super) fn done(&mut self, task: TaskId, handle: Handle, out: &mut Effects) {
+        let Some(load) = self.loads.get_mut(&handle) else {
+            return;
+        };
+        load.tasks.remove(&task.index);
+        if load.tasks.is_empty() {
+            self.finish(handle, Outcome::Done, out);
+        }
+    }
+
+    pub(super) fn failed(&mut self, task: TaskId, handle: Handle, now: Time, out: &mut Effects) {
+        let Some(load) = self.loads.get_mut(&handle) else {
+            return;
+        };
+        let Some(progress) = load.tasks.get_mut(&task.index) else {
+            return;
+        };
+        progress.failures += 1;
+        if progress.failures >= load.parcel.attempts {
+            return self.finish(handle, Outcome::Failed, out);
+        }
+        let next = progress.next;
+        self.again(task, handle, next, now);
+    }
+
+    /// Lets a task wait for its next run.
+    pub(super) fn again(&mut self, task: TaskId, handle: Handle, next: Run, now: Time) {
+        let Some(mut load) = self.loads.remove(&handle) else {
+            return;
+        };
+        if let Some(progress) = load.tasks.get_mut(&task.index) {
+            progress.next = progress.next.max(next);
+            self.enqueue(handle, &load, task.index, now);
+        }
+        self.loads.insert(handle, load);
+    }
+}
+
+fn fenced(refusal: Refusal) -> Vec<Event> {
+    match refusal {
+        Refusal::Fenced => vec![Event::Fenced],
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/dispatch/owner/handover.rs
@@ -0,0 +1,125 @@
+//! Racks that change their owner with all that waits and runs there.
+
+use super::{
+    super::{
+        endpoint::Phase,
+        id::{
+            RackId,
+            Token, //
+        },
+        message::{
+            Contact,
+            Handover,
+            Letter,
+            Listing,
+            Posted,
+            Record, //
+        },
+        queue::Waiting, //
+    },
+    Effects,
+    Owner,
+    Progress, //
+};
+use crate::prelude::*;
+
+impl Owner {
+    /// Takes a rack out to give it to its next owner, with all that waits and runs there.
+    pub fn hand_over(
+        &mut self,
+        rack: RackId,
+        to: &Contact,
+        now: Time,
+        out: &mut Effects,
+    ) -> Option<Handover> {
+        let state = self.racks.get(&rack)?;
+        let (token, ids) = (state.token, state.endpoints.clone());
+        let mut runs = Vec::new();
+        for id in &ids {
+            let Some(state) = self.endpoints.get(id) else {
+                continue;
+            };
+            for (task, post) in &state.posts {
+                // A run that is being stopped is a stranger to the next owner, who stops it too.
+                let Some(load) = self.loads.get(&post.parcel) else {
+                    continue;
+                };
+                if post.phase != Phase::Stopping {
+                    runs.push(Posted {
+                        endpoint: id.clone(),
+                        task: *task,
+                        run: post.run,
+                        entry: load.entry.name.clone(),
+                        serial: load.parcel.serial,
+                    });
+                }
+            }
+        }
+        let mut parcels = Vec::new();
+        for handle in self.loads_of(rack) {
+            let Some(load) = self.remove_load(handle) else {
+                continue;
+            };
+            let letter = Letter::Moved {
+                serial: load.parcel.serial,
+                to: to.name.clone(),
+            };
+            out.tell(&load.entry, letter);
+            parcels.push(load);
+        }
+        self.racks.remove(&rack);
+        for id in &ids {
+            self.forget(id);
+        }
+        let record = Record::new("rack_handed_over").with("rack", rack.to_string());
+        out.log(record.with("to", to.name.as_str()));
+        Some(Handover {
+            rack,
+            token,
+            parcels: parcels.into_iter().map(|load| load.held(now)).collect(),
+            runs,
+        })
+    }
+
+    /// Takes a rack over from its former owner.
+    pub fn take_over(
+        &mut self,
+        handover: Handover,
+        token: Token,
+        listings: &[Listing],
+        now: Time,
+        out: &mut Effects,
+    ) {
+        self.claim(handover.rack, token, out);
+        self.list(listings, now, out);
+        for held in handover.parcels {
+            let numbers = held.next.iter().zip(&held.failures);
+            let progress = numbers.map(|(next, failures)| Progress {
+                next: *next,
+                failures: *failures,
+            });
+            let tasks = held.parcel.tasks.iter().copied().zip(progress).collect();
+            self.load(&held.entry, held.parcel, tasks, held.started, now);
+        }
+        for run in handover.runs {
+            let key = (run.entry, run.serial);
+            let Some(handle) = self.by_entry.get(&key).copied() else {
+                continue;
+            };
+            let Some(load) = self.loads.get(&handle) else {
+                continue;
+            };
+            let need = load.parcel.need;
+            if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
+                state.adopt(run.task, handle, run.run, need, now);
+                self.busy.insert(run.task, run.endpoint.clone());
+            }
+            if let Some(rack) = self.racks.get_mut(&handover.rack) {
+                rack.queue.remove(Waiting {
+                    parcel: handle,
+                    index: run.task.index,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/owner/place.rs
@@ -0,0 +1,189 @@
+//! Placement: which task starts next, and on which endpoint.
+
+use super::{
+    super::{
+        endpoint::{
+            Post,
+            Standing,
+            State, //
+        },
+        id::{
+            RackId,
+            TaskId, //
+        },
+        message::{
+            Outcome,
+            Record, //
+        },
+        queue::Waiting,
+        task::Room, //
+    },
+    Effects,
+    Load,
+    Owner,
+    Purpose, //
+};
+use crate::prelude::*;
+
+/// Tasks that wait whose need is tried against the endpoints, when those before them don't fit: callers' needs
+/// differ little, so a longer look seldom finds one that does.
+const LOOK_AHEAD: usize = 24;
+
+/// The share of its estimate that a task takes at the least: estimates are off by up to four tenths.
+const LEAST_SHARE: f64 = 0.6;
+
+impl Owner {
+    /// Does what is due: places what waits, looks where something runs, gives up what has lapsed.
+    pub fn work(&mut self, now: Time, out: &mut Effects) {
+        self.lapse(now, out);
+        let racks: Vec<RackId> = self.racks.keys().copied().collect();
+        for rack in racks {
+            self.place(rack, now, out);
+        }
+        self.look(now, out);
+    }
+
+    pub(super) fn lapse(&mut self, now: Time, out: &mut Effects) {
+        let ids: Vec<Endpoint> = self
+            .endpoints
+            .iter()
+            .filter(|(_, s)| s.standing == Standing::Silent && !s.posts.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let events = match self.endpoints.get_mut(&id) {
+                Some(state) => state.lapse(now),
+                None => continue,
+            };
+            self.act(&id, events, now, out);
+        }
+    }
+
+    pub(super) fn look(&mut self, now: Time, out: &mut Effects) {
+        let due = |(id, state): (&Endpoint, &State)| (state.next_look() <= now).then(|| id.clone());
+        let ids: Vec<Endpoint> = self.endpoints.iter().filter_map(due).collect();
+        for id in ids {
+            let call = self.next_call();
+            let Some(state) = self.endpoints.get_mut(&id) else {
+                continue;
+            };
+            let fresh = state.standing == Standing::Silent;
+            if let Some((order, wait)) = state.look(call, now) {
+                self.send(call, &id, order, Purpose::Look, wait, fresh, out);
+            }
+        }
+    }
+
+    /// Starts tasks that wait on a rack, as far as there is room.
+    pub(super) fn place(&mut self, id: RackId, now: Time, out: &mut Effects) {
+        let Some(rack) = self.racks.get_mut(&id) else {
+            return;
+        };
+        if rack.queue.is_empty() {
+            return;
+        }
+        rack.queue.demote(now);
+        let waiting: Vec<Waiting> = rack.queue.iter().collect();
+        let mut misfits: Vec<(Room, Option<String>)> = Vec::new();
+        let mut hopeless = Vec::new();
+        for waiting in waiting {
+            let Some(load) = self.loads.get(&waiting.parcel) else {
+                continue;
+            };
+            let least = Span((load.parcel.estimate.0 as f64 * LEAST_SHARE) as u64);
+            if now + least > load.until {
+                hopeless.push(waiting.parcel);
+                continue;
+            }
+            let kind = (load.parcel.need, load.parcel.label.clone());
+            let task = load.task(waiting.index);
+            let absent = !self.present.contains(&load.entry.name);
+            if absent || self.busy.contains_key(&task) {
+                continue;
+            }
+            let room = match misfits.contains(&kind) {
+                true => None,
+                false => self.pick(id, load, now),
+            };
+            if let Some(endpoint) = room {
+                self.start(id, &endpoint, waiting, task, now, out);
+            } else if now + least > load.useful && !load.started {
+                hopeless.push(waiting.parcel);
+            } else if misfits.len() >= LOOK_AHEAD {
+                break;
+            } else if !misfits.contains(&kind) {
+                misfits.push(kind);
+            }
+        }
+        hopeless.dedup();
+        for handle in hopeless {
+            if let Some(load) = self.loads.get(&handle) {
+                let record = Record::new("parcel_hopeless").job(load.parcel.job);
+                let record = record.with("left_ms", load.until.since(now));
+                out.log(record.with("estimate_ms", load.parcel.estimate));
+            }
+            self.finish(handle, Outcome::Hopeless, out);
+        }
+    }
+
+    /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks.
+    pub(super) fn pick(&self, rack: RackId, load: &Load, now: Time) -> Option<Endpoint> {
+        let parcel = &load.parcel;
+        let fits = |state: &&State| {
+            let labelled = parcel
+                .label
+                .as_ref()
+                .is_none_or(|label| state.listing.labels.contains(label));
+            let of_step =
+                |(task, _): &(&TaskId, &Post)| task.job == parcel.job && task.step == parcel.step;
+            let spread = parcel
+                .per_endpoint
+                .is_none_or(|most| state.posts.iter().filter(of_step).count() < most as usize);
+            state.takes(now) && state.free.fits(&parcel.need) && labelled && spread
+        };
+        let rack = self.racks.get(&rack)?;
+        let states = rack
+            .endpoints
+            .iter()
+            .filter_map(|id| self.endpoints.get(id));
+        let best = states.filter(fits).min_by_key(|state| state.free.cpu)?;
+        Some(best.listing.id.clone())
+    }
+
+    pub(super) fn start(
+        &mut self,
+        rack: RackId,
+        id: &Endpoint,
+        waiting: Waiting,
+        task: TaskId,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(load) = self.loads.get_mut(&waiting.parcel) else {
+            return;
+        };
+        let Some(progress) = load.tasks.get_mut(&waiting.index) else {
+            return;
+        };
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let run = progress.next;
+        progress.next = run.next();
+        load.started = true;
+        let post = Post::new(waiting.parcel, run, load.parcel.need, now);
+        let Some(order) = state.start(task, post, load.parcel.spec.clone(), now) else {
+            return;
+        };
+        self.busy.insert(task, id.clone());
+        if let Some(rack) = self.racks.get_mut(&rack) {
+            rack.queue.remove(waiting);
+            rack.changed = true;
+        }
+        let record = Record::routine("task_started").job(task.job);
+        let record = record.with("task", task.to_string()).with("run", run.0);
+        out.log(record.with("endpoint", id.as_str()));
+        let purpose = Purpose::Start(task, run);
+        self.call(id, order, purpose, false, out);
+    }
+}
--- /dev/null
+++ b/src/dispatch/owner/room.rs
@@ -0,0 +1,150 @@
+//! The room that racks have, and tasks that they give to each other.
+
+use std::collections::BTreeMap;
+
+use super::{
+    super::{
+        endpoint::Standing,
+        id::RackId,
+        message::{
+            Letter,
+            Outcome,
+            Vacancy, //
+        },
+        queue::{
+            Handle,
+            Waiting, //
+        },
+        task::Room, //
+    },
+    Effects,
+    Owner,
+    Rack, //
+};
+use crate::prelude::*;
+
+/// An endpoint has room to ask for tasks of others with when at least one part in this many of it is free.
+const SPACE: u64 = 4;
+
+impl Owner {
+    /// Tells whether the room of some rack has changed since it was told.
+    pub fn changed(&self, now: Time) -> bool {
+        let mut racks = self.racks.values();
+        racks.any(|rack| rack.changed || rack.open != self.open(rack, now))
+    }
+
+    /// Counts the endpoints of a rack that take tasks.
+    pub(super) fn open(&self, rack: &Rack, now: Time) -> usize {
+        let states = rack
+            .endpoints
+            .iter()
+            .filter_map(|id| self.endpoints.get(id));
+        states.filter(|state| state.takes(now)).count()
+    }
+
+    /// Tells the room of racks where it has changed, or of all.
+    pub fn rooms(&mut self, all: bool, now: Time) -> Vec<Vacancy> {
+        let mut rooms = Vec::new();
+        for (id, rack) in &self.racks {
+            let open = self.open(rack, now);
+            if !all && !rack.changed && open == rack.open {
+                continue;
+            }
+            let states = rack
+                .endpoints
+                .iter()
+                .filter_map(|id| self.endpoints.get(id));
+            let takes = states.filter(|state| state.takes(now));
+            let movable = |w: &Waiting| self.loads.get(&w.parcel).is_some_and(|l| !l.parcel.tied);
+            rooms.push(Vacancy {
+                rack: *id,
+                free: takes.map(|state| state.free).collect(),
+                waiting: rack.queue.len() as u32,
+                movable: rack.queue.iter().filter(movable).count() as u32,
+                backlog: rack.queue.work(),
+            });
+        }
+        for vacancy in &rooms {
+            if let Some(rack) = self.racks.get_mut(&vacancy.rack) {
+                rack.changed = false;
+                rack.open = vacancy.free.len();
+            }
+        }
+        rooms
+    }
+
+    /// Returns the racks where nothing waits, with the room of the endpoints that have some.
+    pub fn spacious(&self, now: Time) -> Vec<(RackId, Vec<Room>)> {
+        let idle = self.racks.iter().filter(|(_, rack)| rack.queue.is_empty());
+        let mut found = Vec::new();
+        for (id, rack) in idle {
+            let states = rack
+                .endpoints
+                .iter()
+                .filter_map(|id| self.endpoints.get(id));
+            let open =
+                states.filter(|s| s.takes(now) && s.free.cpu * SPACE >= s.listing.capacity.cpu);
+            let rooms: Vec<Room> = open.map(|state| state.free).collect();
+            if !rooms.is_empty() {
+                found.push((*id, rooms));
+            }
+        }
+        found
+    }
+
+    /// Gives tasks that wait on a rack to another one that has room and nothing waiting.
+    pub fn spare(&mut self, from: RackId, to: RackId, mut rooms: Vec<Room>, out: &mut Effects) {
+        let Some(rack) = self.racks.get_mut(&from) else {
+            return;
+        };
+        let mut given: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
+        let waiting: Vec<Waiting> = rack.queue.iter().collect();
+        for waiting in waiting {
+            let Some(load) = self.loads.get_mut(&waiting.parcel) else {
+                continue;
+            };
+            let task = load.task(waiting.index);
+            if load.parcel.tied || self.busy.contains_key(&task) {
+                continue;
+            }
+            let need = load.parcel.need;
+            let Some(room) = rooms.iter_mut().find(|room| room.fits(&need)) else {
+                continue;
+            };
+            room.take(&need);
+            rack.queue.remove(waiting);
+            rack.changed = true;
+            load.tasks.remove(&waiting.index);
+            load.parcel.tasks.retain(|index| *index != waiting.index);
+            given.entry(waiting.parcel).or_default().push(waiting.index);
+        }
+        for (handle, tasks) in given {
+            let Some(load) = self.loads.get(&handle) else {
+                continue;
+            };
+            let letter = Letter::Returned {
+                serial: load.parcel.serial,
+                tasks,
+                started: load.started,
+                hint: Some(to),
+            };
+            out.tell(&load.entry, letter);
+            let (over, none) = (load.tasks.is_empty(), load.parcel.tasks.is_empty());
+            if none {
+                self.remove_load(handle);
+            } else if over {
+                // What was kept of it had ended before, and its end is told with the last of it.
+                self.finish(handle, Outcome::Done, out);
+            }
+        }
+    }
+
+    /// Counts parcels of an entry's jobs in which no task has started.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let waiting = self.racks.values().map(|rack| rack.queue.len()).sum();
+        let runs = self.endpoints.values().map(|s| s.posts.len()).sum();
+        let open = self.endpoints.values();
+        let open = open.filter(|s| s.standing == Standing::Open).count();
+        (waiting, runs, open)
+    }
+}
--- /dev/null
+++ b/src/dispatch/ownership.rs
@@ -0,0 +1,225 @@
+//! Which racks the instance claims, gives up, hands over and takes over.
+
+use std::collections::HashMap;
+
+use super::{
+    id::{
+        fnv,
+        Epoch,
+        RackId,
+        Token, //
+    },
+    member::{
+        deal,
+        Candidate,
+        Member,
+        SETTLE, //
+    },
+    message::{
+        Claim,
+        Contact,
+        Handover,
+        Letter, //
+    },
+    owner::{
+        Effects,
+        Verdict, //
+    },
+    Dispatcher, //
+};
+use crate::prelude::*;
+
+/// How long an instance that was fenced off a rack leaves it alone while nobody is heard to own it: the two sides of
+/// a cut between instances must not take racks from each other by turns.
+const FENCED: Span = Span::seconds(3);
+
+/// How far the epoch leaps when a token was too low: clocks of two lives may disagree by some seconds, which are as many
+/// epochs.
+const LEAP: u64 = 16;
+
+/// A rack whose owner has fallen silent, or has fenced this instance off.
+#[derive(Debug, Clone)]
+pub(super) struct Former {
+    /// Who owned it, as far as is known.
+    pub(super) owner: Option<Instance>,
+    /// The highest token known there.
+    token: Token,
+    since: Time,
+    /// Whether the token was too low already.
+    fenced: bool,
+}
+
+impl Dispatcher {
+    /// Decides who owns what: gives up what another owns with a higher token, claims what nobody owns.
+    pub(super) fn deal(&mut self, now: Time, out: &mut Effects) {
+        let owners = self.members.owners();
+        let lost: Vec<RackId> = self
+            .owner
+            .racks()
+            .filter(|(rack, token)| owners.get(rack).is_some_and(|(_, other)| other > token))
+            .map(|(rack, _)| rack)
+            .collect();
+        for rack in lost {
+            self.owner.yield_rack(rack, "another owns it", out);
+        }
+        for (rack, token) in self.owner.take_fenced() {
+            self.epoch = Epoch(self.epoch.0 + LEAP);
+            let former = Former {
+                owner: None,
+                token,
+                since: now,
+                fenced: true,
+            };
+            self.former.insert(rack, former);
+        }
+        self.former.retain(|rack, _| !owners.contains_key(rack));
+        if self.draining() {
+            self.hand_over(now, out);
+        } else if now.since(self.began) >= SETTLE {
+            self.claim(&owners, now, out);
+        }
+        self.update_owners(&owners);
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        owners: &HashMap<RackId, (Instance, Token)>,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let racks = self.entry.racks();
+        let free = |rack: &RackId| !owners.contains_key(rack) && !self.owner.owns(*rack);
+        let orphans: Vec<(RackId, String)> =
+            racks.into_iter().filter(|(rack, _)| free(rack)).collect();
+        if orphans.is_empty() {
+            return;
+        }
+        let own = &self.identity.contact.name;
+        let mut candidates = self.candidates();
+        candidates.push(Candidate {
+            name: own.clone(),
+            centre: self.identity.centre.clone(),
+            share: self.identity.share,
+            racks: self.owner.racks().count(),
+        });
+        let mine: Vec<RackId> = deal(&orphans, &mut candidates)
+            .into_iter()
+            .filter(|(_, owner)| owner == own)
+            .map(|(rack, _)| rack)
+            .collect();
+        let mine: Vec<RackId> = mine
+            .into_iter()
+            .filter(|rack| self.is_free(*rack, now, out))
+            .collect();
+        if mine.is_empty() {
+            return;
+        }
+        let token = self.next_token();
+        for rack in mine {
+            self.owner.claim(rack, token, out);
+        }
+        self.owner.list(&self.roster.endpoints, now, out);
+        // The others must not place tasks by what the former owner said.
+        self.beat = Time::default();
+    }
+
+    /// Tells whether a rack that nobody is heard to own can be claimed.
+    pub(super) fn is_free(&mut self, rack: RackId, now: Time, out: &mut Effects) -> bool {
+        let Some(former) = self.former.get(&rack).cloned() else {
+            return true;
+        };
+        let free = match former.fenced {
+            true => now.since(former.since) >= FENCED,
+            false => {
+                let endpoints = &self.roster.endpoints;
+                let verdict = self.owner.probe(rack, former.token, endpoints, now, out);
+                verdict == Verdict::Free
+            }
+        };
+        if free {
+            self.former.remove(&rack);
+        }
+        free
+    }
+
+    /// Takes note of racks whose owner isn't heard any more.
+    pub(super) fn remember(&mut self, owner: &Instance, claims: &[Claim], now: Time) {
+        for claim in claims {
+            let former = Former {
+                owner: Some(owner.clone()),
+                token: claim.token,
+                since: now,
+                fenced: false,
+            };
+            self.former.insert(claim.rack, former);
+        }
+    }
+
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        let members = self.members.takers();
+        let candidate = |m: &Member| {
+            let beat = m.beat.as_ref()?;
+            Some(Candidate {
+                name: m.contact.name.clone(),
+                centre: m.centre.clone(),
+                share: beat.share,
+                racks: beat.racks.len(),
+            })
+        };
+        members.filter_map(candidate).collect()
+    }
+
+    pub(super) fn next_token(&mut self) -> Token {
+        self.epoch = Epoch(self.epoch.max(self.members.epoch()).0 + 1);
+        let name = self.identity.contact.name.as_str().as_bytes();
+        Token::new(self.epoch, fnv(self.identity.incarnation, name))
+    }
+
+    pub(super) fn update_owners(&mut self, owners: &HashMap<RackId, (Instance, Token)>) {
+        let mut contacts: HashMap<RackId, Contact> = HashMap::new();
+        for (rack, (name, _)) in owners {
+            if let Some(member) = self.members.get(name) {
+                contacts.insert(*rack, member.contact.clone());
+            }
+        }
+        for (rack, _) in self.owner.racks() {
+            contacts.insert(rack, self.identity.contact.clone());
+        }
+        self.entry.own(&contacts);
+    }
+
+    /// Gives all racks to members that stay.
+    pub(super) fn hand_over(&mut self, now: Time, out: &mut Effects) {
+        let racks: Vec<RackId> = self.owner.racks().map(|(rack, _)| rack).collect();
+        if racks.is_empty() {
+            return;
+        }
+        let centres: HashMap<RackId, String> = self.entry.racks().into_iter().collect();
+        let with_centre = |rack: &RackId| (*rack, centres.get(rack).cloned().unwrap_or_default());
+        let racks: Vec<(RackId, String)> = racks.iter().map(with_centre).collect();
+        for (rack, name) in deal(&racks, &mut self.candidates()) {
+            let Some(member) = self.members.get(&name) else {
+                continue;
+            };
+            let to = member.contact.clone();
+            if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
+                let token = handover.token;
+                self.ceded.push((Claim { rack, token }, now));
+                out.letters.push((to, Letter::Handover(Box::new(handover))));
+            }
+        }
+        self.beat = Time::default();
+    }
+
+    pub(super) fn take_over(&mut self, handover: Handover, now: Time, out: &mut Effects) {
+        self.epoch = self.epoch.max(handover.token.epoch());
+        let token = self.next_token();
+        self.owner
+            .take_over(handover, token, &self.roster.endpoints, now, out);
+        self.update_owners(&self.members.owners());
+        self.beat = Time::default();
+        if self.draining() {
+            self.hand_over(now, out);
+        }
+    }
+}
