--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -205,7 +205,11 @@
     let mut out = Effects::default();
     bench.owner.work(START + Span::millis(130), &mut out);
     let look = out.outputs.iter().find_map(|output| match output {
-        Output::Call { call, order, .. } if matches!(order, Order::Look { .. }) => Some(*call),
+        Output::Call {
+            call,
+            order: Order::Look { .. },
+            ..
+        } => Some(*call),
         _ => None,
     });
     let ended = poplarknot::dispatch::message::Ended {
