--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -127,6 +127,8 @@
     epoch: Epoch,
     /// Racks that were handed over, with the time of that.
     ceded: Vec<(Claim, Time)>,
+    /// When it gave a rack away last, or saw no need to.
+    rebalanced: Time,
     began: Time,
     stepped: Time,
     beat: Time,
@@ -154,6 +156,7 @@
             former: HashMap::new(),
             epoch: identity_epoch,
             ceded: Vec::new(),
+            rebalanced: now,
             began: now,
             stepped: Time::default(),
             beat: Time::default(),
@@ -524,6 +527,7 @@
     fn tick(&mut self, now: Time, out: &mut Effects) {
         self.ceded.retain(|(_, at)| now.since(*at) < CEDED);
         self.deal(now, out);
+        self.rebalance(now, out);
         self.entry.work(&self.identity.centre, now, out);
         if now.since(self.audit) >= AUDITS {
             self.audit = now;
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -56,8 +56,8 @@
     offset: Option<i64>,
     /// Whether it counts as alive.
     pub live: bool,
-    /// Since when it is known, or gone.
-    since: Time,
+    /// Since when it is alive, or gone, or known.
+    pub since: Time,
     /// What it said last.
     pub beat: Option<Beat>,
     /// Since when it has an older configuration, and an older list of endpoints.
@@ -169,7 +169,10 @@
         }
         member.heard = Some(heard);
         member.beat = Some(beat);
-        member.live |= now.since(heard) <= SILENCE;
+        if !member.live && now.since(heard) <= SILENCE {
+            member.live = true;
+            member.since = now;
+        }
     }
 
     /// Tells whether a member has had an older configuration, and an older list of endpoints, for longer than the
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -33,6 +33,14 @@
 /// a cut between instances must not take racks from each other by turns.
 const FENCED: Span = Span::seconds(3);
 
+/// Between racks that an instance gives away to even the burden out. Each move costs a claim at every endpoint of the
+/// rack, so they follow each other slowly.
+const REBALANCE: Span = Span::millis(1_000);
+
+/// How long a member must have been heard before it gets a rack that has an owner: one that comes and goes would
+/// take racks along each time.
+const STEADY: Span = Span::seconds(2);
+
 /// How far the epoch leaps when a token was too low: clocks of two lives may disagree by some seconds, which are as many
 /// epochs.
 const LEAP: u64 = 16;
@@ -188,6 +196,54 @@
         self.entry.own(&contacts);
     }
 
+    /// Gives a rack away that another member should have: one in its own data centre, or one with less to do.
+    ///
+    /// Racks of an instance that was restarted stay with those that took them over. Without a way back, a data
+    /// centre whose only instance had been restarted owned none of its racks, and when it was cut off they could be
+    /// used by neither side.
+    pub(super) fn rebalance(&mut self, now: Time, out: &mut Effects) {
+        if self.draining() || now.since(self.rebalanced) < REBALANCE {
+            return;
+        }
+        self.rebalanced = now;
+        let steady = |c: &Candidate| {
+            let member = self.members.get(&c.name);
+            member.is_some_and(|m| m.live && now.since(m.since) >= STEADY)
+        };
+        let candidates: Vec<Candidate> = self.candidates().into_iter().filter(steady).collect();
+        let centres: HashMap<RackId, String> = self.entry.racks().into_iter().collect();
+        let own: Vec<RackId> = self.owner.racks().map(|(rack, _)| rack).collect();
+        let burden = |racks: usize, share: u32| racks as u64 * 1_000_000 / u64::from(share.max(1));
+        let mine = burden(own.len(), self.identity.share);
+        let home = &self.identity.centre;
+        for rack in own {
+            let Some(centre) = centres.get(&rack) else {
+                continue;
+            };
+            let near = candidates.iter().filter(|c| c.centre == *centre);
+            let Some(next) = near.min_by_key(|c| burden(c.racks + 1, c.share)) else {
+                continue;
+            };
+            if centre != home || burden(next.racks + 1, next.share) < mine {
+                let next = next.name.clone();
+                return self.give(rack, &next, now, out);
+            }
+        }
+    }
+
+    fn give(&mut self, rack: RackId, to: &Instance, now: Time, out: &mut Effects) {
+        let Some(member) = self.members.get(to) else {
+            return;
+        };
+        let to = member.contact.clone();
+        if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
+            let token = handover.token;
+            self.ceded.push((Claim { rack, token }, now));
+            out.letters.push((to, Letter::Handover(Box::new(handover))));
+        }
+        self.beat = Time::default();
+    }
+
     /// Gives all racks to members that stay.
     pub(super) fn hand_over(&mut self, now: Time, out: &mut Effects) {
         let racks: Vec<RackId> = self.owner.racks().map(|(rack, _)| rack).collect();
@@ -198,17 +254,8 @@
         let with_centre = |rack: &RackId| (*rack, centres.get(rack).cloned().unwrap_or_default());
         let racks: Vec<(RackId, String)> = racks.iter().map(with_centre).collect();
         for (rack, name) in deal(&racks, &mut self.candidates()) {
-            let Some(member) = self.members.get(&name) else {
-                continue;
-            };
-            let to = member.contact.clone();
-            if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
-                let token = handover.token;
-                self.ceded.push((Claim { rack, token }, now));
-                out.letters.push((to, Letter::Handover(Box::new(handover))));
-            }
+            self.give(rack, &name, now, out);
         }
-        self.beat = Time::default();
     }
 
     pub(super) fn take_over(&mut self, handover: Handover, now: Time, out: &mut Effects) {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -162,6 +162,25 @@
     }
 }
 
+/// The only instance of a data centre is restarted, and another takes its rack over. When it has been back for a while it
+/// gets the rack again, with all that runs there: otherwise, cut off with its data centre, it would own nothing.
+#[test]
+fn racks_return_home() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 3, 2, CALM);
+        world.load(60, Span::millis(150));
+        world.kill_at(Span::millis(500), 1, Span::seconds(1));
+        world.run(Span::millis(2_500));
+        assert_eq!(world.racks_of(1), 0);
+        let stopped = world.stopped;
+        world.run(Span::seconds(5));
+        assert_eq!(world.racks_of(1), 1);
+        assert_eq!(world.stopped, stopped, "seed {seed}");
+        world.run(Span::seconds(8));
+        world.settle();
+    }
+}
+
 /// All instances lose power at once and start again, knowing nothing. Endpoints remember the highest token of the lives
 /// before; the new claims must be above it, or each is refused and the service stays away for seconds.
 #[test]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -722,6 +722,11 @@
         self.at(after, Event::Drain(i));
     }
 
+    pub(crate) fn racks_of(&self, i: usize) -> usize {
+        let dispatcher = self.hosts[i].dispatcher.as_ref();
+        dispatcher.map_or(0, |dispatcher| dispatcher.standing().racks)
+    }
+
     pub(crate) fn count(&self, answer: impl Fn(&Answer) -> bool) -> usize {
         let answers = self.jobs.values().filter_map(|seen| seen.answer.as_ref());
         answers.filter(|a| answer(a)).count()
