--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -153,7 +153,7 @@
         self.jobs.contains_key(&job)
     }
 
-    /// Counts the jobs of a service's queue of which nothing has started.
+    /// Counts the jobs of which nothing has started.
     pub fn pending(&self) -> usize {
         let pending = |job: &&Job| !job.started;
         self.jobs.values().filter(pending).count()
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Counts parcels of an entry's jobs in which no task has started.
+    /// Counts the tasks that wait, the runs, and the endpoints that take tasks.
     pub fn counts(&self) -> (usize, usize, usize) {
         let waiting = self.racks.values().map(|rack| rack.queue.len()).sum();
         let runs = self.endpoints.values().map(|s| s.posts.len()).sum();
--- a/src/dispatch/telling.rs
+++ b/src/dispatch/telling.rs
@@ -27,7 +27,7 @@
 const REFRESH: Span = Span::millis(500);
 
 /// Peers that are told of room every [`ROOMS`]; with more of them the interval grows, so that an instance sends 400
-/// pulses a second at the most, for about a hundredth of a core.
+/// pulses a second at the most.
 const AUDIENCE: u64 = 8;
 
 /// Racks in one pulse, so that it fits in one packet.
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -32,6 +32,9 @@
     Server, //
 };
 
+/// What an endpoint's clock shows at its start, in milliseconds.
+const CLOCK: u64 = 5_000;
+
 /// A run, as it was.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Past {
@@ -129,28 +132,29 @@
 }
 
 impl State {
-    fn pass(&mut self, clock: u64) {
+    /// Ends what has ended since the last call: at its own time, or when its lease passed before that.
+    fn pass(&mut self, begun: Instant) {
         let now = Instant::now();
-        let lapsed = clock >= self.lease;
-        let over: Vec<String> = self
+        let lapse = begun + Duration::from_millis(self.lease.saturating_sub(CLOCK));
+        let over: Vec<(String, Instant)> = self
             .running
             .iter()
-            .filter(|(_, run)| run.ends <= now || lapsed)
-            .map(|(task, _)| task.clone())
+            .map(|(task, run)| (task.clone(), run.ends.min(lapse)))
+            .filter(|(_, end)| *end <= now)
             .collect();
-        for task in over {
-            let done = self.running[&task].ends <= now;
-            self.end(&task, if done { "done" } else { "lapsed" });
+        for (task, end) in over {
+            let done = self.running[&task].ends <= lapse;
+            self.end(&task, if done { "done" } else { "lapsed" }, end);
         }
     }
 
-    fn end(&mut self, task: &str, how: &'static str) {
+    fn end(&mut self, task: &str, how: &'static str, at: Instant) {
         let Some(run) = self.running.remove(task) else {
             return;
         };
         self.serial += 1;
         let past = &mut self.history[run.place];
-        (past.until, past.how) = (Some(Instant::now()), how);
+        (past.until, past.how) = (Some(at), how);
         self.bar(task, run.run);
         let row = (self.serial, task.to_owned(), run.run, how);
         self.finished.push(row);
@@ -217,7 +221,7 @@
     name: &str,
     request: Request,
 ) -> Response {
-    let clock = || 5_000 + begun.elapsed().as_millis() as u64;
+    let clock = || CLOCK + begun.elapsed().as_millis() as u64;
     let body: Value = serde_json::from_slice(&request.body).ok()?;
     let expected = request.header("x-poplarknot-expected-instance");
     if expected.is_some_and(|expected| expected != name) {
@@ -225,7 +229,7 @@
     }
     let response = {
         let mut state = state.lock().unwrap();
-        state.pass(clock());
+        state.pass(begun);
         let token = body["fencing_token"].as_u64().unwrap_or(0);
         if token < state.token {
             return answer(409, &json!({"clock_ms": clock(), "reason": "fence"}));
@@ -243,7 +247,7 @@
                     .get(task)
                     .is_some_and(|known| known.run <= run)
                 {
-                    state.end(task, "stopped");
+                    state.end(task, "stopped", Instant::now());
                     ended.notify_waiters();
                 }
                 state.bar(task, run);
@@ -267,7 +271,16 @@
     };
     match response {
         Some(response) => response,
-        None => hold(state, ended, &clock, body["wait_ms"].as_u64().unwrap_or(0)).await,
+        None => {
+            hold(
+                state,
+                ended,
+                begun,
+                &clock,
+                body["wait_ms"].as_u64().unwrap_or(0),
+            )
+            .await
+        }
     }
 }
 
@@ -275,6 +288,7 @@
 async fn hold(
     state: &Mutex<State>,
     ended: &Notify,
+    begun: Instant,
     clock: &impl Fn() -> u64,
     wait: u64,
 ) -> Response {
@@ -283,7 +297,7 @@
         let notified = ended.notified();
         let next = {
             let mut state = state.lock().unwrap();
-            state.pass(clock());
+            state.pass(begun);
             if !state.finished.is_empty() || Instant::now() >= until {
                 return answer(200, &state.lists(clock()));
             }
