--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -36,10 +36,10 @@
         Answer,
         Claim,
         Contact,
+        Heartbeat,
         Input,
-        Letter,
+        Message,
         Output,
-        Pulse,
         Record,
         Roster,
         Sender,
@@ -55,7 +55,7 @@
 };
 use crate::prelude::*;
 
-/// Between audits of parcels that have been out for long.
+/// Between audits of batches that have been out for long.
 const AUDITS: Span = Span::millis(250);
 
 /// A pause between two steps after which an instance takes all that it holds as lapsed: it ticks every few
@@ -70,11 +70,11 @@
 /// When a caller that a leaving instance refuses may come back: at once, anywhere else.
 const LEAVING: Span = Span::millis(500);
 
-/// How long a draining instance goes on naming racks that it has handed over: its pulses overtake the letter with what
+/// How long a draining instance goes on naming racks that it has handed over: its heartbeats overtake the message with what
 /// runs there, and the next owner would claim the rack as nobody's and stop it.
 const CEDED: Span = Span::millis(700);
 
-/// Bits of an incarnation, a time in milliseconds, that number the parcels of one life.
+/// Bits of an incarnation, a time in milliseconds, that number the batches of one life.
 const SERIAL_BITS: u32 = 22;
 
 /// Who the instance is.
@@ -131,7 +131,7 @@
     rebalanced: Time,
     began: Time,
     stepped: Time,
-    beat: Time,
+    told: Time,
     rooms: Time,
     refresh: Time,
     audit: Time,
@@ -159,7 +159,7 @@
             rebalanced: now,
             began: now,
             stepped: Time::default(),
-            beat: Time::default(),
+            told: Time::default(),
             rooms: Time::default(),
             refresh: Time::default(),
             audit: Time::default(),
@@ -228,9 +228,9 @@
             self.awake(now, &mut out);
         }
         match input {
-            // What pulses say goes before who is silent: they may have waited while the process stood still.
-            Input::Pulsed(pulses) => {
-                self.pulsed(pulses, now, &mut out);
+            // What heartbeats say goes before who is silent: they may have waited while the process stood still.
+            Input::Heartbeats(heartbeats) => {
+                self.take_heartbeats(heartbeats, now, &mut out);
                 self.expire(now, &mut out);
             }
             input => {
@@ -242,24 +242,24 @@
         out.outputs
     }
 
-    /// Does what is due, and delivers letters of this instance to itself until there are none left.
+    /// Does what is due, and delivers messages of this instance to itself until there are none left.
     fn settle(&mut self, now: Time, out: &mut Effects) {
         loop {
-            let letters = std::mem::take(&mut out.letters);
-            if letters.is_empty() {
+            let messages = std::mem::take(&mut out.messages);
+            if messages.is_empty() {
                 self.owner.work(now, out);
-                if out.letters.is_empty() {
+                if out.messages.is_empty() {
                     return;
                 }
             }
             self.update_owners(&self.members.owners());
-            for (to, letter) in letters {
+            for (to, message) in messages {
                 if to.name == self.identity.contact.name {
                     let own = self.identity.contact.clone();
-                    self.letter(&own, letter, now, out);
+                    self.message(&own, message, now, out);
                 } else if let Some(member) = self.members.get(&to.name) {
                     let to = member.contact.clone();
-                    out.outputs.push(Output::Send(to, letter));
+                    out.outputs.push(Output::Send(to, message));
                 }
             }
         }
@@ -277,7 +277,7 @@
             Input::Abandoned(ticket) => self.entry.abandon(ticket, now, out),
             Input::Cancelled(job) => {
                 if !self.entry.cancel(job, now, out) {
-                    self.tell_all(Letter::CancelJob(job), out);
+                    self.tell_all(Message::CancelJob(job), out);
                 }
             }
             Input::Configured(configuration) => self.configure(*configuration, "store", out),
@@ -287,19 +287,19 @@
                     self.find(&contact, now, out);
                 }
             }
-            Input::Received { from, letters } => {
+            Input::Received { from, messages } => {
                 if self.meet(&from, now, out) {
-                    for letter in letters {
-                        self.letter(&from.contact, letter, now, out);
+                    for message in messages {
+                        self.message(&from.contact, message, now, out);
                     }
                 }
             }
-            Input::Pulsed(pulses) => self.pulsed(pulses, now, out),
+            Input::Heartbeats(heartbeats) => self.take_heartbeats(heartbeats, now, out),
             Input::Called { call, sent, reply } => self.owner.called(call, sent, reply, now, out),
             Input::Drain => {
                 self.draining.get_or_insert(now);
                 out.outputs.push(Output::Log(Record::new("draining")));
-                self.beat = Time::default();
+                self.told = Time::default();
                 self.tick(now, out);
             }
             Input::Tick => self.tick(now, out),
@@ -363,24 +363,31 @@
         if self.members.find(contact, now) {
             let record = Record::new("member_found").with("member", contact.name.as_str());
             out.outputs.push(Output::Log(record));
-            let pulse = self.own_pulse(Vec::new(), now);
-            let pulse = Rc::new(pulse);
-            out.outputs.push(Output::Pulse(contact.clone(), pulse));
+            let heartbeat = self.own_heartbeat(Vec::new(), now);
+            let heartbeat = Rc::new(heartbeat);
+            out.outputs
+                .push(Output::Heartbeat(contact.clone(), heartbeat));
         }
     }
 
-    fn pulsed(&mut self, pulses: Vec<(Sender, Pulse)>, now: Time, out: &mut Effects) {
-        for (from, pulse) in pulses {
+    fn take_heartbeats(
+        &mut self,
+        heartbeats: Vec<(Sender, Heartbeat)>,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        for (from, heartbeat) in heartbeats {
             if !self.meet(&from, now, out) {
                 continue;
             }
             let name = &from.contact.name;
             let known = self.members.get(name);
             let lived = known.is_some_and(|m| m.live);
-            let beat = known.and_then(|m| m.beat.as_ref());
-            let moved = beat.is_none_or(|beat| beat.racks != pulse.beat.racks);
-            self.epoch = self.epoch.max(pulse.beat.epoch);
-            self.members.pulse(name, pulse.beat, pulse.sent, now);
+            let status = known.and_then(|m| m.status.as_ref());
+            let moved = status.is_none_or(|status| status.racks != heartbeat.status.racks);
+            self.epoch = self.epoch.max(heartbeat.status.epoch);
+            self.members
+                .heartbeat(name, heartbeat.status, heartbeat.sent, now);
             let lives = self.members.get(name).is_some_and(|m| m.live);
             if moved || !lived {
                 // Room counts only from a rack's owner.
@@ -388,7 +395,7 @@
             }
             if lives {
                 self.owner.hear(name);
-                self.entry.rooms(name, pulse.rooms);
+                self.entry.rooms(name, heartbeat.rooms);
                 self.help(&from.contact, now, out);
             }
             if lives && !lived {
@@ -408,7 +415,7 @@
             .map(|m| (m.live, m.incarnation, m.session));
         match self.members.receive(from, self.identity.incarnation, now) {
             Reception::Stale => {
-                let record = Record::new("letters_stale").with("member", name.as_str());
+                let record = Record::new("messages_stale").with("member", name.as_str());
                 out.outputs.push(Output::Log(record));
                 return false;
             }
@@ -438,16 +445,16 @@
         true
     }
 
-    fn letter(&mut self, from: &Contact, letter: Letter, now: Time, out: &mut Effects) {
-        match letter {
-            Letter::Members(contacts) => {
+    fn message(&mut self, from: &Contact, message: Message, now: Time, out: &mut Effects) {
+        match message {
+            Message::Members(contacts) => {
                 for contact in contacts {
                     self.find(&contact, now, out);
                 }
             }
-            Letter::Parcel(parcel) => self.owner.accept(from, *parcel, now, out),
-            Letter::Cancel(serial) => self.owner.cancel(from, serial, out),
-            Letter::Report {
+            Message::Batch(batch) => self.owner.accept(from, *batch, now, out),
+            Message::Cancel(serial) => self.owner.cancel(from, serial, out),
+            Message::Report {
                 serial,
                 outcome,
                 started,
@@ -456,7 +463,7 @@
                 self.entry
                     .report(serial, outcome, started, centre, now, out);
             }
-            Letter::Returned {
+            Message::Returned {
                 serial,
                 tasks,
                 started,
@@ -465,24 +472,24 @@
                 self.entry.returned(serial, tasks, started, hint, now);
                 self.entry.work(&self.identity.centre, now, out);
             }
-            Letter::Audit(serials) => self.owner.audit(from, serials, out),
-            Letter::Unknown(serials) => self.entry.unknown(&from.name, &serials, now, out),
-            Letter::Want {
+            Message::Audit(serials) => self.owner.audit(from, serials, out),
+            Message::Unknown(serials) => self.entry.unknown(&from.name, &serials, now, out),
+            Message::Want {
                 from: rack,
                 to,
                 rooms,
             } => self.owner.spare(rack, to, rooms, out),
-            Letter::Handover(handover) => self.take_over(*handover, now, out),
-            Letter::Moved { serial, to } => self.entry.moved(serial, to, now),
-            Letter::Configuration(configuration) => {
+            Message::Handover(handover) => self.take_over(*handover, now, out),
+            Message::Moved { serial, to } => self.entry.moved(serial, to, now),
+            Message::Configuration(configuration) => {
                 self.configure(*configuration, from.name.as_str(), out);
             }
-            Letter::Roster(roster) => {
+            Message::Roster(roster) => {
                 if roster.version > self.roster.version || !self.listed {
                     self.list(*roster, now, out);
                 }
             }
-            Letter::CancelJob(job) => {
+            Message::CancelJob(job) => {
                 self.entry.cancel(job, now, out);
             }
         }
@@ -517,7 +524,7 @@
                 incarnation: member.incarnation,
                 session: member.session,
             });
-            let claims = member.beat.map_or_else(Vec::new, |beat| beat.racks);
+            let claims = member.status.map_or_else(Vec::new, |status| status.racks);
             self.remember(&name, &claims, now);
             self.owner.abandon(&name, out);
             self.entry.lost(&name, now, out);
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -112,9 +112,9 @@
 
 /// A run on the endpoint.
 #[derive(Debug, Clone)]
-pub struct Post {
-    /// Its parcel.
-    pub parcel: Handle,
+pub struct Execution {
+    /// Its batch.
+    pub batch: Handle,
     /// The run.
     pub run: Run,
     /// What it takes.
@@ -173,7 +173,7 @@
     /// How far it can be used.
     pub standing: Standing,
     /// What runs there.
-    pub posts: HashMap<TaskId, Post>,
+    pub executions: HashMap<TaskId, Execution>,
     /// What is free.
     pub free: Room,
     /// Until when it gets no task, and why that is.
@@ -184,7 +184,7 @@
     penalty: Span,
     /// Whether it is tried with one task.
     probation: bool,
-    strangers: HashSet<(Name, Run)>,
+    unknown: HashSet<(Name, Run)>,
     reading: Option<Reading>,
     /// When every lease that it may have been given has passed.
     lapse: Time,
@@ -206,12 +206,12 @@
             delisted: false,
             token,
             standing: Standing::Claimed,
-            posts: HashMap::new(),
+            executions: HashMap::new(),
             rest: Time::default(),
             failures: (0, 0),
             penalty: REST.0,
             probation: false,
-            strangers: HashSet::new(),
+            unknown: HashSet::new(),
             reading: None,
             lapse: now + LEASE + Span::millis(50),
             seen: 0,
@@ -230,28 +230,34 @@
             && !self.delisted
             && self.reading.is_some()
             && now >= self.rest
-            && (!self.probation || self.posts.is_empty())
+            && (!self.probation || self.executions.is_empty())
     }
 
     /// Takes over a run of the former owner.
-    pub fn adopt(&mut self, task: TaskId, parcel: Handle, run: Run, need: Room, now: Time) {
-        let mut post = Post::new(parcel, run, need, now);
-        post.phase = Phase::Running;
+    pub fn adopt(&mut self, task: TaskId, batch: Handle, run: Run, need: Room, now: Time) {
+        let mut execution = Execution::new(batch, run, need, now);
+        execution.phase = Phase::Running;
         // Its start may still be on its way. Not listed by the first looks, it counts as running until its
         // lease would have passed.
-        post.answered = Some(now + START_LEASE);
-        self.add(task, post);
+        execution.answered = Some(now + START_LEASE);
+        self.add(task, execution);
     }
 
-    fn add(&mut self, task: TaskId, post: Post) {
-        self.free.take(&post.need);
-        self.posts.insert(task, post);
+    fn add(&mut self, task: TaskId, execution: Execution) {
+        self.free.take(&execution.need);
+        self.executions.insert(task, execution);
     }
 
     /// Starts a run.
-    pub fn start(&mut self, task: TaskId, post: Post, spec: String, now: Time) -> Option<Order> {
-        let run = post.run;
-        self.add(task, post);
+    pub fn start(
+        &mut self,
+        task: TaskId,
+        execution: Execution,
+        spec: String,
+        now: Time,
+    ) -> Option<Order> {
+        let run = execution.run;
+        self.add(task, execution);
         self.start_again(task, run, spec, now)
     }
 
@@ -275,18 +281,18 @@
 
     /// Begins the stop of a run.
     pub fn stop(&mut self, task: TaskId, fate: Fate) -> Option<Order> {
-        let post = self.posts.get_mut(&task)?;
-        if post.phase == Phase::Stopping {
+        let execution = self.executions.get_mut(&task)?;
+        if execution.phase == Phase::Stopping {
             if fate == Fate::Drop {
-                post.fate = fate;
+                execution.fate = fate;
             }
             return None;
         }
-        post.phase = Phase::Stopping;
-        post.fate = fate;
-        post.tries = 0;
-        post.answered = None;
-        let run = post.run;
+        execution.phase = Phase::Stopping;
+        execution.fate = fate;
+        execution.tries = 0;
+        execution.answered = None;
+        let run = execution.run;
         Some(self.stop_again(Name::Known(task), run))
     }
 
@@ -315,7 +321,7 @@
         if self.look.is_some() || now < self.next_look {
             return None;
         }
-        let quiet = self.posts.is_empty() && self.standing == Standing::Open;
+        let quiet = self.executions.is_empty() && self.standing == Standing::Open;
         let told = self.told >= self.seen;
         let fresh = self
             .reading
@@ -323,11 +329,13 @@
         if quiet && told && fresh && !self.unsure {
             return None;
         }
-        let stuck = |post: &Post| post.phase == Phase::Stopping && post.answered.is_none();
+        let stuck = |execution: &Execution| {
+            execution.phase == Phase::Stopping && execution.answered.is_none()
+        };
         let extend = self.standing == Standing::Open
             && !quiet
-            && self.strangers.is_empty()
-            && !self.posts.values().any(stuck);
+            && self.unknown.is_empty()
+            && !self.executions.values().any(stuck);
         let lease = match extend {
             true => self.lease(LEASE, now),
             false => None,
@@ -376,7 +384,7 @@
         self.answered
     }
 
-    /// Takes note of what runs there and what has ended; returns what to act on, and strangers to stop.
+    /// Takes note of what runs there and what has ended; returns what to act on, and unknown to stop.
     pub fn looked(
         &mut self,
         call: CallId,
@@ -396,21 +404,21 @@
             }
         }
         let mut listed = HashSet::with_capacity(running.len());
-        let mut strangers = HashSet::new();
+        let mut unknown = HashSet::new();
         for entry in running {
             match &entry.task {
                 Name::Known(task) if self.knows(task, entry.run) => {
                     listed.insert(*task);
                 }
                 _ => {
-                    strangers.insert((entry.task, entry.run));
+                    unknown.insert((entry.task, entry.run));
                 }
             }
         }
         self.vanish(&listed, sent, &mut events);
-        let order: Vec<_> = strangers.iter().cloned().collect();
-        self.strangers = strangers;
-        let clear = self.strangers.is_empty();
+        let order: Vec<_> = unknown.iter().cloned().collect();
+        self.unknown = unknown;
+        let clear = self.unknown.is_empty();
         self.standing = match clear {
             true => Standing::Open,
             false => Standing::Claimed,
@@ -423,7 +431,9 @@
     }
 
     fn knows(&self, task: &TaskId, run: Run) -> bool {
-        self.posts.get(task).is_some_and(|post| post.run == run)
+        self.executions
+            .get(task)
+            .is_some_and(|execution| execution.run == run)
     }
 
     fn end(&mut self, end: &Ended, events: &mut Vec<Event>, now: Time) {
@@ -433,7 +443,7 @@
         if !self.knows(task, end.run) {
             return;
         }
-        let Some(post) = self.remove(task) else {
+        let Some(execution) = self.remove(task) else {
             return;
         };
         match end.end {
@@ -441,21 +451,21 @@
             End::Failed => self.failed(task.job.0, now),
             _ => {}
         }
-        events.push(match (end.end, post.fate) {
+        events.push(match (end.end, execution.fate) {
             (_, Fate::Drop) => Event::Cleared(*task),
-            (End::Done, _) => Event::Done(*task, post.parcel),
-            (End::Failed, _) => Event::Failed(*task, post.parcel),
-            _ => Event::Gone(*task, post.parcel, post.run.next()),
+            (End::Done, _) => Event::Done(*task, execution.batch),
+            (End::Failed, _) => Event::Failed(*task, execution.batch),
+            _ => Event::Gone(*task, execution.batch, execution.run.next()),
         });
     }
 
     /// Finds runs that were there before the look left and that it doesn't list.
     fn vanish(&mut self, listed: &HashSet<TaskId>, sent: Time, events: &mut Vec<Event>) {
-        let gone = |(task, post): (&TaskId, &Post)| {
-            let settled = post.answered.is_some_and(|at| at < sent);
+        let gone = |(task, execution): (&TaskId, &Execution)| {
+            let settled = execution.answered.is_some_and(|at| at < sent);
             (settled && !listed.contains(task)).then_some(*task)
         };
-        let gone: Vec<TaskId> = self.posts.iter().filter_map(gone).collect();
+        let gone: Vec<TaskId> = self.executions.iter().filter_map(gone).collect();
         for task in gone {
             self.lose(task, events);
         }
@@ -463,39 +473,39 @@
 
     /// Takes a run out that is gone without a result.
     pub fn lose(&mut self, task: TaskId, events: &mut Vec<Event>) {
-        if let Some(post) = self.remove(&task) {
-            events.push(match post.fate {
+        if let Some(execution) = self.remove(&task) {
+            events.push(match execution.fate {
                 Fate::Drop => Event::Cleared(task),
-                Fate::Again => Event::Gone(task, post.parcel, post.run.next()),
+                Fate::Again => Event::Gone(task, execution.batch, execution.run.next()),
             });
         }
     }
 
-    fn remove(&mut self, task: &TaskId) -> Option<Post> {
-        let post = self.posts.remove(task)?;
+    fn remove(&mut self, task: &TaskId) -> Option<Execution> {
+        let execution = self.executions.remove(task)?;
         let mut free = self.listing.capacity;
-        for post in self.posts.values() {
-            free.take(&post.need);
+        for execution in self.executions.values() {
+            free.take(&execution.need);
         }
         self.free = free;
-        Some(post)
+        Some(execution)
     }
 
     /// Takes note that a start was carried out.
     pub fn started(&mut self, task: &TaskId, run: Run, now: Time) {
-        if let Some(post) = self.posts.get_mut(task) {
-            if post.run == run && post.phase == Phase::Starting {
-                post.phase = Phase::Running;
-                post.answered = Some(now);
+        if let Some(execution) = self.executions.get_mut(task) {
+            if execution.run == run && execution.phase == Phase::Starting {
+                execution.phase = Phase::Running;
+                execution.answered = Some(now);
             }
         }
     }
 
     /// Takes note that a stop was carried out: the run is barred, and not listed from now on.
     pub fn stopped(&mut self, task: &TaskId, run: Run, now: Time) {
-        if let Some(post) = self.posts.get_mut(task) {
-            if post.run == run && post.phase == Phase::Stopping {
-                post.answered = Some(now);
+        if let Some(execution) = self.executions.get_mut(task) {
+            if execution.run == run && execution.phase == Phase::Stopping {
+                execution.answered = Some(now);
                 self.next_look = now;
             }
         }
@@ -542,7 +552,7 @@
 
     /// Takes all runs out as gone.
     pub fn lose_all(&mut self, events: &mut Vec<Event>) {
-        let tasks: Vec<TaskId> = self.posts.keys().copied().collect();
+        let tasks: Vec<TaskId> = self.executions.keys().copied().collect();
         for task in tasks {
             self.lose(task, events);
         }
@@ -586,27 +596,27 @@
 
     /// Decides what a refused start means.
     pub fn refused(&mut self, task: TaskId, run: Run, refusal: Refusal, now: Time) -> Refused {
-        let Some(post) = self.posts.get_mut(&task) else {
+        let Some(execution) = self.executions.get_mut(&task) else {
             return Refused::Nothing;
         };
-        if post.run != run || post.phase != Phase::Starting {
+        if execution.run != run || execution.phase != Phase::Starting {
             return Refused::Nothing;
         }
         if refusal == Refusal::Fenced {
             return Refused::Fenced;
         }
-        if post.doubt && refusal == Refusal::Old {
+        if execution.doubt && refusal == Refusal::Old {
             // The earlier copy of this start was carried out, and its run may have ended: the next look tells.
-            post.phase = Phase::Running;
-            post.answered = Some(now);
+            execution.phase = Phase::Running;
+            execution.answered = Some(now);
             self.next_look = now;
             return Refused::Nothing;
         }
-        if post.doubt {
+        if execution.doubt {
             // The earlier copy may still arrive; only a stop bars it.
             return Refused::Stop;
         }
-        let parcel = post.parcel;
+        let batch = execution.batch;
         let next = match refusal {
             Refusal::Old => run.beyond(),
             _ => run,
@@ -618,7 +628,7 @@
             _ => {}
         }
         self.next_look = now;
-        Refused::Again(parcel, next)
+        Refused::Again(batch, next)
     }
 }
 
@@ -635,11 +645,11 @@
     Fenced,
 }
 
-impl Post {
+impl Execution {
     /// Makes a run whose start is about to leave.
-    pub fn new(parcel: Handle, run: Run, need: Room, now: Time) -> Self {
+    pub fn new(batch: Handle, run: Run, need: Room, now: Time) -> Self {
         Self {
-            parcel,
+            batch,
             run,
             need,
             phase: Phase::Starting,
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -1,4 +1,4 @@
-//! The entry's duty: it takes jobs in, gives their tasks out as parcels, and answers.
+//! The entry's duty: it takes jobs in, gives their tasks out as batches, and answers.
 
 mod rack;
 
@@ -22,12 +22,12 @@
     },
     message::{
         Answer,
+        Batch,
         Contact,
-        Letter,
         Listing,
+        Message,
         Outcome,
         Output,
-        Parcel,
         Record,
         Ticket,
         Vacancy, //
@@ -38,7 +38,7 @@
 };
 use crate::prelude::*;
 
-/// How long after an instance was given up, or was found without a parcel, it may still have runs of it. It starts
+/// How long after an instance was given up, or was found without a batch, it may still have runs of it. It starts
 /// nothing once it hasn't heard the entry for 600 ms, and stops what it has, or its last leases pass a second
 /// later; the rest is for the endpoints' clocks.
 const DOUBT: Span = Span::millis(1_700);
@@ -46,7 +46,7 @@
 /// How long tasks that an owner sent back wait for its heartbeat, which tells what it owns.
 const ELSEWHERE: Span = Span::millis(10);
 
-/// After which a parcel that hasn't ended is asked for again: a letter may have been lost with a session.
+/// After which a batch that hasn't ended is asked for again: a message may have been lost with a session.
 const AUDIT: Span = Span::millis(700);
 
 /// When callers that are refused for want of room may come back, at the least and at the most. What waits ahead
@@ -80,7 +80,7 @@
     /// Until when its callers wait.
     until: Time,
     steps: Vec<Progress>,
-    parcels: HashMap<u64, Sent>,
+    batches: HashMap<u64, Sent>,
     /// Tasks that no owner has, with the earliest time at which they may be placed.
     loose: Vec<Loose>,
     /// Whether some start may have left.
@@ -94,7 +94,7 @@
 /// How far a step has come.
 #[derive(Debug, Clone)]
 struct Progress {
-    /// The tasks that are not done. A mere count would take a task that two parcels report for two tasks, and the
+    /// The tasks that are not done. A mere count would take a task that two batches report for two tasks, and the
     /// caller would be told complete while one has not ended.
     left: BTreeSet<u32>,
     placed: bool,
@@ -109,7 +109,7 @@
     hint: Option<RackId>,
 }
 
-/// A parcel that an owner has.
+/// A batch that an owner has.
 #[derive(Debug)]
 struct Sent {
     owner: Instance,
@@ -130,7 +130,7 @@
 }
 
 impl Entry {
-    /// Starts the numbers of parcels at `serial`, which must be above those of any former life.
+    /// Starts the numbers of batches at `serial`, which must be above those of any former life.
     pub fn new(serial: u64) -> Self {
         Self {
             serial,
@@ -291,7 +291,7 @@
             until: now + limit,
             steps: steps.collect(),
             submission: Rc::new(submission),
-            parcels: HashMap::new(),
+            batches: HashMap::new(),
             loose: Vec::new(),
             started: false,
             ending: false,
@@ -419,7 +419,7 @@
         let wanted = &job.submission.steps[step as usize];
         let rest = job.submission.chain().0.saturating_sub(wanted.estimate.0);
         let latest = Time(job.due.0.saturating_sub(rest + wanted.estimate.0));
-        let parcel = Parcel {
+        let batch = Batch {
             serial,
             rack: to,
             job: id,
@@ -436,9 +436,9 @@
             useful: job.useful.since(now),
             left: job.until.since(now),
         };
-        let record = Record::routine("parcel_sent").job(id);
+        let record = Record::routine("batch_sent").job(id);
         let record = record
-            .with("parcel", serial)
+            .with("batch", serial)
             .with("owner", owner.name.as_str());
         let record = record.with("rack", rack.name.as_str());
         out.outputs
@@ -449,12 +449,12 @@
             tasks,
             at: now,
         };
-        job.parcels.insert(serial, sent);
+        job.batches.insert(serial, sent);
         self.by_serial.insert(serial, id);
-        out.letters.push((owner, Letter::Parcel(Box::new(parcel))));
+        out.messages.push((owner, Message::Batch(Box::new(batch))));
     }
 
-    /// Takes note of how a parcel ended.
+    /// Takes note of how a batch ended.
     pub fn report(
         &mut self,
         serial: u64,
@@ -470,7 +470,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let Some(sent) = job.parcels.remove(&serial) else {
+        let Some(sent) = job.batches.remove(&serial) else {
             return;
         };
         job.started |= started || outcome == Outcome::Done;
@@ -510,11 +510,11 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let Some(sent) = job.parcels.get_mut(&serial) else {
+        let Some(sent) = job.batches.get_mut(&serial) else {
             return;
         };
         job.started |= started;
-        // Only what the parcel still has: a task must not be placed twice.
+        // Only what the batch still has: a task must not be placed twice.
         let (tasks, kept): (Vec<u32>, Vec<u32>) =
             sent.tasks.iter().partition(|task| tasks.contains(task));
         sent.tasks = kept;
@@ -523,7 +523,7 @@
         }
         let step = sent.step;
         if sent.tasks.is_empty() {
-            job.parcels.remove(&serial);
+            job.batches.remove(&serial);
             self.by_serial.remove(&serial);
         }
         // Without a hint the owner has lost the rack, and runs may be left that its next owner stops. A rack whose
@@ -541,22 +541,22 @@
         });
     }
 
-    /// Takes note that a parcel has another owner.
+    /// Takes note that a batch has another owner.
     pub fn moved(&mut self, serial: u64, to: Instance, now: Time) {
         let job = self.by_serial.get(&serial).copied();
         let job = job.and_then(|id| self.jobs.get_mut(&id));
-        if let Some(sent) = job.and_then(|job| job.parcels.get_mut(&serial)) {
+        if let Some(sent) = job.and_then(|job| job.batches.get_mut(&serial)) {
             sent.owner = to;
             sent.at = now;
         }
     }
 
-    /// Takes the parcels back that an instance lost with its life or with the session.
+    /// Takes the batches back that an instance lost with its life or with the session.
     pub fn lost(&mut self, owner: &Instance, now: Time, out: &mut Effects) {
         self.take_back(|_, sent| sent.owner == *owner, now + DOUBT, now, out);
     }
 
-    /// Takes parcels back that their owner doesn't know.
+    /// Takes batches back that their owner doesn't know.
     pub fn unknown(&mut self, from: &Instance, serials: &[u64], now: Time, out: &mut Effects) {
         let unknown = |serial: u64, sent: &Sent| {
             sent.owner == *from && now.since(sent.at) > AUDIT && serials.contains(&serial)
@@ -564,7 +564,7 @@
         self.take_back(unknown, now + DOUBT, now, out);
     }
 
-    /// Takes all parcels back, after this process stood still.
+    /// Takes all batches back, after this process stood still.
     pub fn void(&mut self, now: Time, out: &mut Effects) {
         self.take_back(|_, _| true, now + DOUBT, now, out);
     }
@@ -579,17 +579,17 @@
         let mut touched = Vec::new();
         for (id, job) in &mut self.jobs {
             let lost: Vec<u64> = job
-                .parcels
+                .batches
                 .iter()
                 .filter(|(serial, sent)| which(**serial, sent))
                 .map(|(serial, _)| *serial)
                 .collect();
             for serial in lost {
                 self.by_serial.remove(&serial);
-                let Some(sent) = job.parcels.remove(&serial) else {
+                let Some(sent) = job.batches.remove(&serial) else {
                     continue;
                 };
-                let record = Record::new("parcel_lost").job(*id).with("parcel", serial);
+                let record = Record::new("batch_lost").job(*id).with("batch", serial);
                 let record = record.with("owner", sent.owner.as_str());
                 out.outputs.push(Output::Log(record));
                 job.started = true;
@@ -625,10 +625,10 @@
             let record = Record::new("job_given_up").job(id).with("reason", why);
             let record = record.with("age_ms", now.since(job.arrived));
             out.outputs.push(Output::Log(record));
-            let mut serials: Vec<u64> = job.parcels.keys().copied().collect();
+            let mut serials: Vec<u64> = job.batches.keys().copied().collect();
             serials.sort_unstable();
             for serial in serials {
-                self.cancel_parcel(id, serial, out);
+                self.cancel_batch(id, serial, out);
             }
         }
         let Some(job) = self.jobs.get(&id) else {
@@ -639,20 +639,20 @@
             self.answer(id, Answer::Failed, now, out);
         } else if started {
             self.answer(id, GIVEN_UP, now, out);
-        } else if job.parcels.is_empty() {
+        } else if job.batches.is_empty() {
             self.answer(id, Answer::Refused { again: AGAIN.0 }, now, out);
         }
     }
 
-    fn cancel_parcel(&mut self, id: JobId, serial: u64, out: &mut Effects) {
-        let sent = self.jobs.get(&id).and_then(|job| job.parcels.get(&serial));
+    fn cancel_batch(&mut self, id: JobId, serial: u64, out: &mut Effects) {
+        let sent = self.jobs.get(&id).and_then(|job| job.batches.get(&serial));
         let owner = sent.map(|sent| sent.owner.clone());
         if let Some(owner) = owner {
             let contact = Contact {
                 name: owner,
                 address: String::new(),
             };
-            out.letters.push((contact, Letter::Cancel(serial)));
+            out.messages.push((contact, Message::Cancel(serial)));
         }
     }
 
@@ -660,7 +660,7 @@
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
-        for serial in job.parcels.keys() {
+        for serial in job.batches.keys() {
             self.by_serial.remove(serial);
         }
         let record = Record::routine("job_answered").job(id);
@@ -692,7 +692,7 @@
 
     fn forget(&mut self, id: JobId) {
         if let Some(job) = self.jobs.remove(&id) {
-            for serial in job.parcels.keys() {
+            for serial in job.batches.keys() {
                 self.by_serial.remove(serial);
             }
         }
@@ -751,11 +751,11 @@
         }
     }
 
-    /// Asks owners for parcels that have been out for long.
+    /// Asks owners for batches that have been out for long.
     pub fn audit(&self, now: Time, out: &mut Effects) {
         let mut asked: BTreeMap<Instance, Vec<u64>> = BTreeMap::new();
         for job in self.jobs.values() {
-            for (serial, sent) in &job.parcels {
+            for (serial, sent) in &job.batches {
                 if now.since(sent.at) > AUDIT {
                     asked.entry(sent.owner.clone()).or_default().push(*serial);
                 }
@@ -766,7 +766,7 @@
                 name,
                 address: String::new(),
             };
-            out.letters.push((contact, Letter::Audit(serials)));
+            out.messages.push((contact, Message::Audit(serials)));
         }
     }
 }
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -12,9 +12,9 @@
         Token, //
     },
     message::{
-        Beat,
         Contact,
         Sender, //
+        Status,
     },
 };
 use crate::prelude::*;
@@ -49,7 +49,7 @@
     pub incarnation: u64,
     /// The session with it.
     pub session: u32,
-    /// When its last pulse left, on this instance's clock; never, if it only was listed.
+    /// When its last heartbeat left, on this instance's clock; never, if it only was listed.
     pub heard: Option<Time>,
     /// The least that its clock was seen behind this one, in microseconds: the difference of the clocks and the
     /// shortest time on the way.
@@ -59,12 +59,12 @@
     /// Since when it is alive, or gone, or known.
     pub since: Time,
     /// What it said last.
-    pub beat: Option<Beat>,
+    pub status: Option<Status>,
     /// Since when it has an older configuration, and an older list of endpoints.
     lags: (Option<Time>, Option<Time>),
 }
 
-/// What became of letters that arrived.
+/// What became of messages that arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reception {
     /// They count.
@@ -101,16 +101,16 @@
             offset: None,
             live: false,
             since: now,
-            beat: None,
+            status: None,
             lags: (None, None),
         };
         self.known.insert(contact.name.clone(), member);
         true
     }
 
-    /// Judges letters by the life and session that they are from.
+    /// Judges messages by the life and session that they are from.
     ///
-    /// A frozen sender's letters may leave long after their time. They carry a session that the receiver gave
+    /// A frozen sender's messages may leave long after their time. They carry a session that the receiver gave
     /// up, so they start nothing.
     pub fn receive(&mut self, from: &Sender, own: u64, now: Time) -> Reception {
         self.find(&from.contact, now);
@@ -138,7 +138,7 @@
         member.contact = from.contact.clone();
         member.centre.clone_from(&from.centre);
         if reborn {
-            member.beat = None;
+            member.status = None;
             member.offset = None;
             member.heard = None;
             member.live = false;
@@ -149,11 +149,11 @@
         }
     }
 
-    /// Takes note of a pulse that left at `sent` on its sender's clock.
+    /// Takes note of a heartbeat that left at `sent` on its sender's clock.
     ///
-    /// Either side may be so slow that pulses lie in its buffers. A pulse counts from when it left: otherwise a
+    /// Either side may be so slow that heartbeats lie in its buffers. A heartbeat counts from when it left: otherwise a
     /// slow owner would start tasks for an entry that gave it up long ago and has placed them elsewhere.
-    pub fn pulse(&mut self, name: &Instance, beat: Beat, sent: Time, now: Time) {
+    pub fn heartbeat(&mut self, name: &Instance, status: Status, sent: Time, now: Time) {
         let Some(member) = self.known.get_mut(name) else {
             return;
         };
@@ -168,7 +168,7 @@
             return;
         }
         member.heard = Some(heard);
-        member.beat = Some(beat);
+        member.status = Some(status);
         if !member.live && now.since(heard) <= SILENCE {
             member.live = true;
             member.since = now;
@@ -188,7 +188,7 @@
         let Some(member) = self.known.get_mut(name) else {
             return (false, false);
         };
-        let Some(beat) = &member.beat else {
+        let Some(status) = &member.status else {
             return (false, false);
         };
         let lag = |since: &mut Option<Time>, behind: bool, patience: Span| {
@@ -203,7 +203,7 @@
             }
             over
         };
-        let (old, lists) = (beat.configuration < configuration, beat.roster < roster);
+        let (old, lists) = (status.configuration < configuration, status.roster < roster);
         (
             lag(&mut member.lags.0, old, patience.0),
             lag(&mut member.lags.1, lists, patience.1),
@@ -220,7 +220,7 @@
                 member.session += 1;
                 member.since = now;
                 lost.push(member.clone());
-                member.beat = None;
+                member.status = None;
             }
         }
         self.known
@@ -253,15 +253,15 @@
 
     /// Returns the highest epoch that any member told.
     pub fn epoch(&self) -> Epoch {
-        let told = self.known.values().filter_map(|m| m.beat.as_ref());
-        told.map(|beat| beat.epoch).max().unwrap_or_default()
+        let told = self.known.values().filter_map(|m| m.status.as_ref());
+        told.map(|status| status.epoch).max().unwrap_or_default()
     }
 
     /// Returns the owner of each rack that a live member says it owns, the higher token first.
     pub fn owners(&self) -> HashMap<RackId, (Instance, Token)> {
         let mut owners: HashMap<RackId, (Instance, Token)> = HashMap::new();
         for member in self.live() {
-            for claim in member.beat.iter().flat_map(|beat| &beat.racks) {
+            for claim in member.status.iter().flat_map(|status| &status.racks) {
                 let known = owners.get(&claim.rack);
                 if known.is_none_or(|(_, token)| *token < claim.token) {
                     let name = member.contact.name.clone();
@@ -274,7 +274,7 @@
 
     /// Returns the live members that may take racks: those that have been heard whole, and stay.
     pub fn takers(&self) -> impl Iterator<Item = &Member> {
-        let stays = |m: &&Member| m.beat.as_ref().is_some_and(|beat| !beat.draining);
+        let stays = |m: &&Member| m.status.as_ref().is_some_and(|status| !status.draining);
         self.live().filter(stays)
     }
 }
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -104,15 +104,15 @@
     Listed(Roster),
     /// Members were found in the store.
     Found(Vec<Contact>),
-    /// A peer's letters of one session arrived.
+    /// A peer's messages of one session arrived.
     Received {
         /// The peer.
         from: Sender,
         /// What it says.
-        letters: Vec<Letter>,
+        messages: Vec<Message>,
     },
-    /// Pulses of peers arrived, in this order.
-    Pulsed(Vec<(Sender, Pulse)>),
+    /// Heartbeats of peers arrived, in this order.
+    Heartbeats(Vec<(Sender, Heartbeat)>),
     /// A call to an endpoint has ended.
     Called {
         /// The call.
@@ -128,7 +128,7 @@
     Tick,
 }
 
-/// Who sent letters, and in which session.
+/// Who sent messages, and in which session.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Sender {
     /// Its name and address.
@@ -163,10 +163,10 @@
         /// Whether a connection must be new: the last one may have gone silent.
         fresh: bool,
     },
-    /// Send a letter to a peer, after all before it.
-    Send(Contact, Letter),
-    /// Send a pulse to a peer, which may be lost.
-    Pulse(Contact, Rc<Pulse>),
+    /// Send a message to a peer, after all before it.
+    Send(Contact, Message),
+    /// Send a heartbeat to a peer, which may be lost.
+    Heartbeat(Contact, Rc<Heartbeat>),
     /// Forget what has not left for a peer, and begin a session with it.
     Session {
         /// The peer.
@@ -344,38 +344,38 @@
     Other,
 }
 
-/// What instances tell each other. Letters of one session arrive in order, each once.
+/// What instances tell each other. Messages of one session arrive in order, each once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Letter {
+pub enum Message {
     /// Members that the sender hears.
     Members(Vec<Contact>),
     /// Run these tasks.
-    Parcel(Box<Parcel>),
-    /// Drop a parcel.
+    Batch(Box<Batch>),
+    /// Drop a batch.
     Cancel(u64),
-    /// A parcel has ended.
+    /// A batch has ended.
     Report {
-        /// The parcel, by its entry's number.
+        /// The batch, by its entry's number.
         serial: u64,
         /// How.
         outcome: Outcome,
         /// Whether a start of it ever left.
         started: bool,
     },
-    /// Tasks of a parcel that are not run here: place them again.
+    /// Tasks of a batch that are not run here: place them again.
     Returned {
-        /// The parcel.
+        /// The batch.
         serial: u64,
         /// The tasks.
         tasks: Vec<u32>,
-        /// Whether a start of the parcel ever left.
+        /// Whether a start of the batch ever left.
         started: bool,
         /// Who has room for them now.
         hint: Option<RackId>,
     },
-    /// Which of these parcels does the receiver hold?
+    /// Which of these batches does the receiver hold?
     Audit(Vec<u64>),
-    /// The receiver's parcels that the sender doesn't hold.
+    /// The receiver's batches that the sender doesn't hold.
     Unknown(Vec<u64>),
     /// The sender has room and nothing waits there: it asks for tasks of the receiver's rack.
     Want {
@@ -388,9 +388,9 @@
     },
     /// A rack changes its owner.
     Handover(Box<Handover>),
-    /// A parcel of the receiver has moved.
+    /// A batch of the receiver has moved.
     Moved {
-        /// The parcel.
+        /// The batch.
         serial: u64,
         /// Its new owner.
         to: Instance,
@@ -405,21 +405,21 @@
 
 /// What a member tells all others again and again: it lives, and how much room its racks have.
 ///
-/// A pulse that is lost is replaced by the next one, so it goes as a datagram: as a call of its own, over a
+/// A heartbeat that is lost is replaced by the next one, so it goes as a datagram: as a call of its own, over a
 /// connection to each of 36 peers, it took more than half of a processor share of 0.12 cores.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Pulse {
+pub struct Heartbeat {
     /// When it left, on its sender's clock: one that lay in a buffer is no sign of life.
     pub sent: Time,
     /// The member's standing.
-    pub beat: Beat,
+    pub status: Status,
     /// The room of racks where it has changed.
     pub rooms: Vec<Vacancy>,
 }
 
-/// A member's heartbeat.
+/// What a member says of itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Status {
     /// The highest epoch that it has heard of.
     pub epoch: Epoch,
     /// The version of its configuration.
@@ -460,8 +460,8 @@
 
 /// Tasks of one step that one owner is to run.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Parcel {
-    /// Counts the parcels of its entry.
+pub struct Batch {
+    /// Counts the batches of its entry.
     pub serial: u64,
     /// The rack that is to run them.
     pub rack: RackId,
@@ -493,7 +493,7 @@
     pub left: Span,
 }
 
-/// How a parcel ended.
+/// How a batch ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Every task is done.
@@ -513,19 +513,19 @@
     pub rack: RackId,
     /// The highest token that was used there.
     pub token: Token,
-    /// Its parcels.
-    pub parcels: Vec<Held>,
+    /// Its batches.
+    pub batches: Vec<Held>,
     /// What runs on its endpoints.
-    pub runs: Vec<Posted>,
+    pub runs: Vec<Transferred>,
 }
 
-/// A parcel at its owner, as it is handed over.
+/// A batch at its owner, as it is handed over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Held {
     /// The entry that it is from.
     pub entry: Contact,
-    /// The parcel, with the tasks that are not done.
-    pub parcel: Parcel,
+    /// The batch, with the tasks that are not done.
+    pub batch: Batch,
     /// The next run of each of its tasks.
     pub next: Vec<Run>,
     /// How often each of its tasks failed.
@@ -536,14 +536,14 @@
 
 /// A run as it is handed over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Posted {
+pub struct Transferred {
     /// The endpoint.
     pub endpoint: Endpoint,
     /// The task.
     pub task: TaskId,
     /// The run.
     pub run: Run,
-    /// Its parcel, by the entry and its number.
+    /// Its batch, by the entry and its number.
     pub entry: Instance,
     /// See above.
     pub serial: u64,
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -26,16 +26,16 @@
         Token, //
     },
     message::{
+        Batch,
         CallId,
         Contact,
         Held,
-        Letter,
         Listing,
+        Message,
         Name,
         Order,
         Outcome,
         Output,
-        Parcel,
         Record, //
     },
     patience::Patience,
@@ -59,11 +59,11 @@
     open: usize,
 }
 
-/// A parcel that this instance runs.
+/// A batch that this instance runs.
 #[derive(Debug)]
 struct Load {
     entry: Contact,
-    parcel: Parcel,
+    batch: Batch,
     /// When a task must start to be on time.
     due: Time,
     /// When an answer is of little use.
@@ -90,7 +90,7 @@
     Probe(RackId),
 }
 
-/// The racks that an instance owns, and the parcels that it runs there.
+/// The racks that an instance owns, and the batches that it runs there.
 #[derive(Debug, Default)]
 pub struct Owner {
     racks: BTreeMap<RackId, Rack>,
@@ -116,7 +116,7 @@
     /// For the outside.
     pub outputs: Vec<Output>,
     /// For entries, by name; its own instance's among them.
-    pub letters: Vec<(Contact, Letter)>,
+    pub messages: Vec<(Contact, Message)>,
 }
 
 impl Effects {
@@ -124,8 +124,8 @@
         self.outputs.push(Output::Log(record));
     }
 
-    fn tell(&mut self, to: &Contact, letter: Letter) {
-        self.letters.push((to.clone(), letter));
+    fn tell(&mut self, to: &Contact, message: Message) {
+        self.messages.push((to.clone(), message));
     }
 }
 
@@ -166,7 +166,7 @@
         self.racks.entry(rack).or_insert(fresh).token = token;
     }
 
-    /// Gives a rack up that another owner has fenced off; its parcels go back to their entries.
+    /// Gives a rack up that another owner has fenced off; its batches go back to their entries.
     pub fn yield_rack(&mut self, rack: RackId, why: &str, out: &mut Effects) {
         let Some(state) = self.racks.remove(&rack) else {
             return;
@@ -184,14 +184,14 @@
 
     fn forget(&mut self, id: &Endpoint) {
         if let Some(state) = self.endpoints.remove(id) {
-            for task in state.posts.keys() {
+            for task in state.executions.keys() {
                 self.busy.remove(task);
             }
         }
     }
 
     fn loads_of(&self, rack: RackId) -> Vec<Handle> {
-        let of = |(handle, load): (&Handle, &Load)| (load.parcel.rack == rack).then_some(*handle);
+        let of = |(handle, load): (&Handle, &Load)| (load.batch.rack == rack).then_some(*handle);
         let mut handles: Vec<Handle> = self.loads.iter().filter_map(of).collect();
         handles.sort_unstable();
         handles
@@ -201,18 +201,18 @@
         let Some(load) = self.remove_load(handle) else {
             return;
         };
-        let letter = Letter::Returned {
-            serial: load.parcel.serial,
+        let message = Message::Returned {
+            serial: load.batch.serial,
             tasks: load.tasks.keys().copied().collect(),
             started: load.started,
             hint: None,
         };
-        out.tell(&load.entry, letter);
+        out.tell(&load.entry, message);
     }
 
     fn remove_load(&mut self, handle: Handle) -> Option<Load> {
         let load = self.loads.remove(&handle)?;
-        let key = (load.entry.name.clone(), load.parcel.serial);
+        let key = (load.entry.name.clone(), load.batch.serial);
         if self.by_entry.get(&key) == Some(&handle) {
             self.by_entry.remove(&key);
         }
@@ -221,11 +221,11 @@
     }
 
     fn unqueue(&mut self, handle: Handle, load: &Load) {
-        if let Some(rack) = self.racks.get_mut(&load.parcel.rack) {
+        if let Some(rack) = self.racks.get_mut(&load.batch.rack) {
             for index in load.tasks.keys() {
-                let parcel = handle;
+                let batch = handle;
                 rack.queue.remove(Waiting {
-                    parcel,
+                    batch,
                     index: *index,
                 });
             }
@@ -265,7 +265,7 @@
             self.endpoints.insert(listing.id.clone(), state);
             rack.endpoints.push(listing.id.clone());
         }
-        let idle = |state: &State| state.delisted && state.posts.is_empty();
+        let idle = |state: &State| state.delisted && state.executions.is_empty();
         let gone: Vec<Endpoint> = self
             .endpoints
             .iter()
@@ -290,48 +290,48 @@
         }
     }
 
-    /// Takes a parcel in.
-    pub fn accept(&mut self, entry: &Contact, parcel: Parcel, now: Time, out: &mut Effects) {
-        let key = (entry.name.clone(), parcel.serial);
+    /// Takes a batch in.
+    pub fn accept(&mut self, entry: &Contact, batch: Batch, now: Time, out: &mut Effects) {
+        let key = (entry.name.clone(), batch.serial);
         if self.by_entry.contains_key(&key) {
             return;
         }
-        if !self.racks.contains_key(&parcel.rack) {
-            let letter = Letter::Returned {
-                serial: parcel.serial,
-                tasks: parcel.tasks,
+        if !self.racks.contains_key(&batch.rack) {
+            let message = Message::Returned {
+                serial: batch.serial,
+                tasks: batch.tasks,
                 started: false,
                 hint: None,
             };
-            out.tell(entry, letter);
+            out.tell(entry, message);
             return;
         }
         let progress = Progress {
             next: Run::FIRST,
             failures: 0,
         };
-        let tasks = parcel.tasks.iter().map(|i| (*i, progress)).collect();
-        self.load(entry, parcel, tasks, false, now);
+        let tasks = batch.tasks.iter().map(|i| (*i, progress)).collect();
+        self.load(entry, batch, tasks, false, now);
     }
 
     fn load(
         &mut self,
         entry: &Contact,
-        parcel: Parcel,
+        batch: Batch,
         tasks: BTreeMap<u32, Progress>,
         started: bool,
         now: Time,
     ) -> Handle {
         self.handles += 1;
         let handle = Handle(self.handles);
-        let key = (entry.name.clone(), parcel.serial);
+        let key = (entry.name.clone(), batch.serial);
         self.by_entry.insert(key, handle);
         let load = Load {
             entry: entry.clone(),
-            due: parcel.slack.map_or(now, |slack| now + slack),
-            useful: now + parcel.useful,
-            until: now + parcel.left,
-            parcel,
+            due: batch.slack.map_or(now, |slack| now + slack),
+            useful: now + batch.useful,
+            until: now + batch.left,
+            batch,
             tasks,
             started,
         };
@@ -342,26 +342,26 @@
         handle
     }
 
-    fn enqueue(&mut self, parcel: Handle, load: &Load, index: u32, now: Time) {
-        if let Some(rack) = self.racks.get_mut(&load.parcel.rack) {
-            let waiting = Waiting { parcel, index };
-            let work = load.parcel.need.cpu * load.parcel.estimate.as_millis() / 1_000;
+    fn enqueue(&mut self, batch: Handle, load: &Load, index: u32, now: Time) {
+        if let Some(rack) = self.racks.get_mut(&load.batch.rack) {
+            let waiting = Waiting { batch, index };
+            let work = load.batch.need.cpu * load.batch.estimate.as_millis() / 1_000;
             rack.queue.push(waiting, load.due, now, work);
             rack.changed = true;
         }
     }
 
-    /// Drops a parcel as its entry asked, and tells whether a start of it ever left.
+    /// Drops a batch as its entry asked, and tells whether a start of it ever left.
     pub fn cancel(&mut self, entry: &Contact, serial: u64, out: &mut Effects) {
         let key = (entry.name.clone(), serial);
         let handle = self.by_entry.get(&key).copied();
         let started = handle.is_some_and(|handle| self.drop_load(handle, out));
-        let letter = Letter::Report {
+        let message = Message::Report {
             serial,
             outcome: Outcome::Dropped,
             started,
         };
-        out.tell(entry, letter);
+        out.tell(entry, message);
     }
 
     /// Takes note that an entry is heard.
@@ -378,14 +378,14 @@
         let mut handles: Vec<Handle> = self.loads.iter().filter_map(of).collect();
         handles.sort_unstable();
         for handle in handles {
-            let job = self.loads[&handle].parcel.job;
-            let record = Record::new("parcel_abandoned").job(job);
+            let job = self.loads[&handle].batch.job;
+            let record = Record::new("batch_abandoned").job(job);
             out.log(record.with("entry", entry.as_str()));
             self.drop_load(handle, out);
         }
     }
 
-    /// Drops a parcel's tasks and stops its runs; returns whether a start ever left.
+    /// Drops a batch's tasks and stops its runs; returns whether a start ever left.
     fn drop_load(&mut self, handle: Handle, out: &mut Effects) -> bool {
         let Some(load) = self.remove_load(handle) else {
             return false;
@@ -405,9 +405,9 @@
             return;
         };
         if state
-            .posts
+            .executions
             .get(&task)
-            .is_none_or(|post| post.parcel != handle)
+            .is_none_or(|execution| execution.batch != handle)
         {
             return;
         }
@@ -465,21 +465,21 @@
 
     fn finish(&mut self, handle: Handle, outcome: Outcome, out: &mut Effects) {
         let told = self.loads.get(&handle).map(|load| {
-            let serial = load.parcel.serial;
+            let serial = load.batch.serial;
             (load.entry.clone(), serial)
         });
         let started = self.drop_load(handle, out);
         if let Some((entry, serial)) = told {
-            let letter = Letter::Report {
+            let message = Message::Report {
                 serial,
                 outcome,
                 started,
             };
-            out.tell(&entry, letter);
+            out.tell(&entry, message);
         }
     }
 
-    /// Answers which parcels of an entry are not here.
+    /// Answers which batches of an entry are not here.
     pub fn audit(&self, entry: &Contact, serials: Vec<u64>, out: &mut Effects) {
         let unknown = |serial: &u64| {
             let key = (entry.name.clone(), *serial);
@@ -487,7 +487,7 @@
         };
         let unknown: Vec<u64> = serials.into_iter().filter(unknown).collect();
         if !unknown.is_empty() {
-            out.tell(entry, Letter::Unknown(unknown));
+            out.tell(entry, Message::Unknown(unknown));
         }
     }
 }
@@ -495,24 +495,24 @@
 impl Load {
     fn task(&self, index: u32) -> TaskId {
         TaskId {
-            job: self.parcel.job,
-            step: self.parcel.step,
+            job: self.batch.job,
+            step: self.batch.step,
             index,
         }
     }
 
     fn held(self, now: Time) -> Held {
-        let mut parcel = self.parcel;
-        parcel.slack = (self.due > now).then(|| self.due.since(now));
-        parcel.useful = self.useful.since(now);
-        parcel.left = self.until.since(now);
-        parcel.tasks = self.tasks.keys().copied().collect();
+        let mut batch = self.batch;
+        batch.slack = (self.due > now).then(|| self.due.since(now));
+        batch.useful = self.useful.since(now);
+        batch.left = self.until.since(now);
+        batch.tasks = self.tasks.keys().copied().collect();
         Held {
             entry: self.entry,
             next: self.tasks.values().map(|p| p.next).collect(),
             failures: self.tasks.values().map(|p| p.failures).collect(),
             started: self.started,
-            parcel,
+            batch,
         }
     }
 }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -56,9 +56,9 @@
         state.answered(*clock, sent, now);
         let events = match (purpose, reply) {
             (Purpose::Look, Reply::Looked { running, ended, .. }) => {
-                let (events, strangers) = state.looked(call, sent, running, ended, now);
-                for (task, run) in strangers {
-                    self.stop_stranger(&id, task, run, out);
+                let (events, unknown) = state.looked(call, sent, running, ended, now);
+                for (task, run) in unknown {
+                    self.stop_unknown(&id, task, run, out);
                 }
                 events
             }
@@ -85,7 +85,7 @@
         self.act(&id, events, now, out);
     }
 
-    pub(super) fn stop_stranger(&mut self, id: &Endpoint, task: Name, run: Run, out: &mut Effects) {
+    pub(super) fn stop_unknown(&mut self, id: &Endpoint, task: Name, run: Run, out: &mut Effects) {
         let Some(state) = self.endpoints.get(id) else {
             return;
         };
@@ -93,7 +93,7 @@
             Name::Known(task) => task.to_string(),
             Name::Foreign(name) => name.clone(),
         };
-        let record = Record::new("stranger_stopped").with("endpoint", id.as_str());
+        let record = Record::new("unknown_run_stopped").with("endpoint", id.as_str());
         out.log(record.with("task", name).with("run", run.0));
         let order = state.stop_again(task.clone(), run);
         self.call(id, order, Purpose::Stop(task, run), false, out);
@@ -117,7 +117,7 @@
         match state.refused(task, run, refusal, now) {
             Refused::Nothing => {}
             Refused::Stop => {
-                let handle = state.posts.get(&task).map(|post| post.parcel);
+                let handle = state.executions.get(&task).map(|execution| execution.batch);
                 if let Some(handle) = handle {
                     self.stop(task, handle, Fate::Again, out);
                 }
@@ -164,19 +164,19 @@
             }
             Purpose::Start(task, run) => self.start_unanswered(id, task, run, reply, now, out),
             Purpose::Stop(Name::Known(task), run) => {
-                let Some(post) = state.posts.get_mut(&task) else {
+                let Some(execution) = state.executions.get_mut(&task) else {
                     return;
                 };
-                if post.run != run {
+                if execution.run != run {
                     return;
                 }
                 // A stop must arrive: it is sent again until the endpoint answers or its leases have passed.
-                post.tries = post.tries.saturating_add(1);
+                execution.tries = execution.tries.saturating_add(1);
                 let order = state.stop_again(Name::Known(task), run);
                 let purpose = Purpose::Stop(Name::Known(task), run);
                 self.call(id, order, purpose, true, out);
             }
-            // The next look shows a stranger that is still there.
+            // The next look shows an unknown run that is still there.
             Purpose::Stop(Name::Foreign(_), _) | Purpose::Probe(_) => {}
         }
     }
@@ -193,16 +193,16 @@
         let Some(state) = self.endpoints.get_mut(id) else {
             return;
         };
-        let Some(post) = state.posts.get_mut(&task) else {
+        let Some(execution) = state.executions.get_mut(&task) else {
             return;
         };
-        if post.run != run || post.phase != Phase::Starting {
+        if execution.run != run || execution.phase != Phase::Starting {
             return;
         }
         let nothing_done = matches!(reply, Reply::Unwell | Reply::Unsent);
-        post.doubt |= !nothing_done;
-        post.tries += 1;
-        let (handle, doubt, tries) = (post.parcel, post.doubt, post.tries);
+        execution.doubt |= !nothing_done;
+        execution.tries += 1;
+        let (handle, doubt, tries) = (execution.batch, execution.doubt, execution.tries);
         let record = Record::new("start_unanswered").job(task.job);
         let record = record
             .with("endpoint", id.as_str())
@@ -214,7 +214,7 @@
             state.lose(task, &mut events);
             return self.act(id, events, now, out);
         }
-        let spec = self.loads.get(&handle).map(|load| load.parcel.spec.clone());
+        let spec = self.loads.get(&handle).map(|load| load.batch.spec.clone());
         if tries <= START_TRIES {
             if let Some(order) = spec.and_then(|s| state.start_again(task, run, s, now)) {
                 let purpose = Purpose::Start(task, run);
@@ -301,7 +301,7 @@
             return;
         };
         progress.failures += 1;
-        if progress.failures >= load.parcel.attempts {
+        if progress.failures >= load.batch.attempts {
             return self.finish(handle, Outcome::Failed, out);
         }
         let next = progress.next;
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -10,10 +10,10 @@
         message::{
             Contact,
             Handover,
-            Letter,
             Listing,
-            Posted,
+            Message,
             Record, //
+            Transferred,
         },
         queue::Waiting, //
     },
@@ -39,33 +39,33 @@
             let Some(state) = self.endpoints.get(id) else {
                 continue;
             };
-            for (task, post) in &state.posts {
-                // A run that is being stopped is a stranger to the next owner, who stops it too.
-                let Some(load) = self.loads.get(&post.parcel) else {
+            for (task, execution) in &state.executions {
+                // A run that is being stopped is an unknown run to the next owner, who stops it too.
+                let Some(load) = self.loads.get(&execution.batch) else {
                     continue;
                 };
-                if post.phase != Phase::Stopping {
-                    runs.push(Posted {
+                if execution.phase != Phase::Stopping {
+                    runs.push(Transferred {
                         endpoint: id.clone(),
                         task: *task,
-                        run: post.run,
+                        run: execution.run,
                         entry: load.entry.name.clone(),
-                        serial: load.parcel.serial,
+                        serial: load.batch.serial,
                     });
                 }
             }
         }
-        let mut parcels = Vec::new();
+        let mut batches = Vec::new();
         for handle in self.loads_of(rack) {
             let Some(load) = self.remove_load(handle) else {
                 continue;
             };
-            let letter = Letter::Moved {
-                serial: load.parcel.serial,
+            let message = Message::Moved {
+                serial: load.batch.serial,
                 to: to.name.clone(),
             };
-            out.tell(&load.entry, letter);
-            parcels.push(load);
+            out.tell(&load.entry, message);
+            batches.push(load);
         }
         self.racks.remove(&rack);
         for id in &ids {
@@ -76,7 +76,7 @@
         Some(Handover {
             rack,
             token,
-            parcels: parcels.into_iter().map(|load| load.held(now)).collect(),
+            batches: batches.into_iter().map(|load| load.held(now)).collect(),
             runs,
         })
     }
@@ -92,14 +92,14 @@
     ) {
         self.claim(handover.rack, token, out);
         self.list(listings, now, out);
-        for held in handover.parcels {
+        for held in handover.batches {
             let numbers = held.next.iter().zip(&held.failures);
             let progress = numbers.map(|(next, failures)| Progress {
                 next: *next,
                 failures: *failures,
             });
-            let tasks = held.parcel.tasks.iter().copied().zip(progress).collect();
-            self.load(&held.entry, held.parcel, tasks, held.started, now);
+            let tasks = held.batch.tasks.iter().copied().zip(progress).collect();
+            self.load(&held.entry, held.batch, tasks, held.started, now);
         }
         for run in handover.runs {
             let key = (run.entry, run.serial);
@@ -109,14 +109,14 @@
             let Some(load) = self.loads.get(&handle) else {
                 continue;
             };
-            let need = load.parcel.need;
+            let need = load.batch.need;
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
                 state.adopt(run.task, handle, run.run, need, now);
                 self.busy.insert(run.task, run.endpoint.clone());
             }
             if let Some(rack) = self.racks.get_mut(&handover.rack) {
                 rack.queue.remove(Waiting {
-                    parcel: handle,
+                    batch: handle,
                     index: run.task.index,
                 });
             }
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -3,7 +3,7 @@
 use super::{
     super::{
         endpoint::{
-            Post,
+            Execution,
             Standing,
             State, //
         },
@@ -47,7 +47,7 @@
         let ids: Vec<Endpoint> = self
             .endpoints
             .iter()
-            .filter(|(_, s)| s.standing == Standing::Silent && !s.posts.is_empty())
+            .filter(|(_, s)| s.standing == Standing::Silent && !s.executions.is_empty())
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
@@ -87,15 +87,15 @@
         let mut misfits: Vec<(Room, Option<String>)> = Vec::new();
         let mut hopeless = Vec::new();
         for waiting in waiting {
-            let Some(load) = self.loads.get(&waiting.parcel) else {
+            let Some(load) = self.loads.get(&waiting.batch) else {
                 continue;
             };
-            let least = Span((load.parcel.estimate.0 as f64 * LEAST_SHARE) as u64);
+            let least = Span((load.batch.estimate.0 as f64 * LEAST_SHARE) as u64);
             if now + least > load.until {
-                hopeless.push(waiting.parcel);
+                hopeless.push(waiting.batch);
                 continue;
             }
-            let kind = (load.parcel.need, load.parcel.label.clone());
+            let kind = (load.batch.need, load.batch.label.clone());
             let task = load.task(waiting.index);
             let absent = !self.present.contains(&load.entry.name);
             if absent || self.busy.contains_key(&task) {
@@ -108,7 +108,7 @@
             if let Some(endpoint) = room {
                 self.start(id, &endpoint, waiting, task, now, out);
             } else if now + least > load.useful && !load.started {
-                hopeless.push(waiting.parcel);
+                hopeless.push(waiting.batch);
             } else if misfits.len() >= LOOK_AHEAD {
                 break;
             } else if !misfits.contains(&kind) {
@@ -118,9 +118,9 @@
         hopeless.dedup();
         for handle in hopeless {
             if let Some(load) = self.loads.get(&handle) {
-                let record = Record::new("parcel_hopeless").job(load.parcel.job);
+                let record = Record::new("batch_hopeless").job(load.batch.job);
                 let record = record.with("left_ms", load.until.since(now));
-                out.log(record.with("estimate_ms", load.parcel.estimate));
+                out.log(record.with("estimate_ms", load.batch.estimate));
             }
             self.finish(handle, Outcome::Hopeless, out);
         }
@@ -128,18 +128,19 @@
 
     /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks.
     pub(super) fn pick(&self, rack: RackId, load: &Load, now: Time) -> Option<Endpoint> {
-        let parcel = &load.parcel;
+        let batch = &load.batch;
         let fits = |state: &&State| {
-            let labelled = parcel
+            let labelled = batch
                 .label
                 .as_ref()
                 .is_none_or(|label| state.listing.labels.contains(label));
-            let of_step =
-                |(task, _): &(&TaskId, &Post)| task.job == parcel.job && task.step == parcel.step;
-            let spread = parcel
+            let of_step = |(task, _): &(&TaskId, &Execution)| {
+                task.job == batch.job && task.step == batch.step
+            };
+            let spread = batch
                 .per_endpoint
-                .is_none_or(|most| state.posts.iter().filter(of_step).count() < most as usize);
-            state.takes(now) && state.free.fits(&parcel.need) && labelled && spread
+                .is_none_or(|most| state.executions.iter().filter(of_step).count() < most as usize);
+            state.takes(now) && state.free.fits(&batch.need) && labelled && spread
         };
         let rack = self.racks.get(&rack)?;
         let states = rack
@@ -159,7 +160,7 @@
         now: Time,
         out: &mut Effects,
     ) {
-        let Some(load) = self.loads.get_mut(&waiting.parcel) else {
+        let Some(load) = self.loads.get_mut(&waiting.batch) else {
             return;
         };
         let Some(progress) = load.tasks.get_mut(&waiting.index) else {
@@ -171,8 +172,8 @@
         let run = progress.next;
         progress.next = run.next();
         load.started = true;
-        let post = Post::new(waiting.parcel, run, load.parcel.need, now);
-        let Some(order) = state.start(task, post, load.parcel.spec.clone(), now) else {
+        let execution = Execution::new(waiting.batch, run, load.batch.need, now);
+        let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
         };
         self.busy.insert(task, id.clone());
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -7,7 +7,7 @@
         endpoint::Standing,
         id::RackId,
         message::{
-            Letter,
+            Message,
             Outcome,
             Vacancy, //
         },
@@ -55,7 +55,7 @@
                 .iter()
                 .filter_map(|id| self.endpoints.get(id));
             let takes = states.filter(|state| state.takes(now));
-            let movable = |w: &Waiting| self.loads.get(&w.parcel).is_some_and(|l| !l.parcel.tied);
+            let movable = |w: &Waiting| self.loads.get(&w.batch).is_some_and(|l| !l.batch.tied);
             rooms.push(Vacancy {
                 rack: *id,
                 free: takes.map(|state| state.free).collect(),
@@ -100,14 +100,14 @@
         let mut given: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
         for waiting in waiting {
-            let Some(load) = self.loads.get_mut(&waiting.parcel) else {
+            let Some(load) = self.loads.get_mut(&waiting.batch) else {
                 continue;
             };
             let task = load.task(waiting.index);
-            if load.parcel.tied || self.busy.contains_key(&task) {
+            if load.batch.tied || self.busy.contains_key(&task) {
                 continue;
             }
-            let need = load.parcel.need;
+            let need = load.batch.need;
             let Some(room) = rooms.iter_mut().find(|room| room.fits(&need)) else {
                 continue;
             };
@@ -115,21 +115,21 @@
             rack.queue.remove(waiting);
             rack.changed = true;
             load.tasks.remove(&waiting.index);
-            load.parcel.tasks.retain(|index| *index != waiting.index);
-            given.entry(waiting.parcel).or_default().push(waiting.index);
+            load.batch.tasks.retain(|index| *index != waiting.index);
+            given.entry(waiting.batch).or_default().push(waiting.index);
         }
         for (handle, tasks) in given {
             let Some(load) = self.loads.get(&handle) else {
                 continue;
             };
-            let letter = Letter::Returned {
-                serial: load.parcel.serial,
+            let message = Message::Returned {
+                serial: load.batch.serial,
                 tasks,
                 started: load.started,
                 hint: Some(to),
             };
-            out.tell(&load.entry, letter);
-            let (over, none) = (load.tasks.is_empty(), load.parcel.tasks.is_empty());
+            out.tell(&load.entry, message);
+            let (over, none) = (load.tasks.is_empty(), load.batch.tasks.is_empty());
             if none {
                 self.remove_load(handle);
             } else if over {
@@ -142,7 +142,7 @@
     /// Counts the tasks that wait, the runs, and the endpoints that take tasks.
     pub fn counts(&self) -> (usize, usize, usize) {
         let waiting = self.racks.values().map(|rack| rack.queue.len()).sum();
-        let runs = self.endpoints.values().map(|s| s.posts.len()).sum();
+        let runs = self.endpoints.values().map(|s| s.executions.len()).sum();
         let open = self.endpoints.values();
         let open = open.filter(|s| s.standing == Standing::Open).count();
         (waiting, runs, open)
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -19,7 +19,7 @@
         Claim,
         Contact,
         Handover,
-        Letter, //
+        Message, //
     },
     owner::{
         Effects,
@@ -128,7 +128,7 @@
         }
         self.owner.list(&self.roster.endpoints, now, out);
         // The others must not place tasks by what the former owner said.
-        self.beat = Time::default();
+        self.told = Time::default();
     }
 
     /// Tells whether a rack that nobody is heard to own can be claimed.
@@ -166,12 +166,12 @@
     pub(super) fn candidates(&self) -> Vec<Candidate> {
         let members = self.members.takers();
         let candidate = |m: &Member| {
-            let beat = m.beat.as_ref()?;
+            let status = m.status.as_ref()?;
             Some(Candidate {
                 name: m.contact.name.clone(),
                 centre: m.centre.clone(),
-                share: beat.share,
-                racks: beat.racks.len(),
+                share: status.share,
+                racks: status.racks.len(),
             })
         };
         members.filter_map(candidate).collect()
@@ -239,9 +239,10 @@
         if let Some(handover) = self.owner.hand_over(rack, &to, now, out) {
             let token = handover.token;
             self.ceded.push((Claim { rack, token }, now));
-            out.letters.push((to, Letter::Handover(Box::new(handover))));
+            out.messages
+                .push((to, Message::Handover(Box::new(handover))));
         }
-        self.beat = Time::default();
+        self.told = Time::default();
     }
 
     /// Gives all racks to members that stay.
@@ -264,7 +265,7 @@
         self.owner
             .take_over(handover, token, &self.roster.endpoints, now, out);
         self.update_owners(&self.members.owners());
-        self.beat = Time::default();
+        self.told = Time::default();
         if self.draining() {
             self.hand_over(now, out);
         }
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -7,7 +7,7 @@
 
 use crate::prelude::*;
 
-/// A parcel at its owner.
+/// A batch at its owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Handle(pub u64);
 
@@ -17,15 +17,15 @@
     late: bool,
     /// When it must start to be on time; of late ones, when it would have had to.
     due: Time,
-    parcel: Handle,
+    batch: Handle,
     index: u32,
 }
 
 /// A task that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting {
-    /// Its parcel.
-    pub parcel: Handle,
+    /// Its batch.
+    pub batch: Handle,
     /// Its place in its step.
     pub index: u32,
 }
@@ -48,18 +48,18 @@
         let place = Place {
             late: due <= now,
             due,
-            parcel: waiting.parcel,
+            batch: waiting.batch,
             index: waiting.index,
         };
         self.remove(waiting);
         self.work += work;
-        self.by_task.insert((waiting.parcel, waiting.index), place);
+        self.by_task.insert((waiting.batch, waiting.index), place);
         self.places.insert(place, work);
     }
 
     /// Takes a task out; returns whether it waited.
     pub fn remove(&mut self, waiting: Waiting) -> bool {
-        let Some(place) = self.by_task.remove(&(waiting.parcel, waiting.index)) else {
+        let Some(place) = self.by_task.remove(&(waiting.batch, waiting.index)) else {
             return false;
         };
         let work = self.places.remove(&place).unwrap_or(0);
@@ -80,14 +80,14 @@
                 ..place
             };
             self.places.insert(late, work);
-            self.by_task.insert((late.parcel, late.index), late);
+            self.by_task.insert((late.batch, late.index), late);
         }
     }
 
     /// Returns the tasks in their order.
     pub fn iter(&self) -> impl DoubleEndedIterator<Item = Waiting> + '_ {
         self.places.keys().map(|place| Waiting {
-            parcel: place.parcel,
+            batch: place.batch,
             index: place.index,
         })
     }
--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -26,7 +26,7 @@
 /// task for two seconds after each outage. So an entry that vanishes in an outage, or shortly after one, is
 /// kept until its endpoint has had the time to come back.
 #[derive(Debug, Default)]
-pub struct Book {
+pub struct Cache {
     entries: BTreeMap<Endpoint, Entry>,
     version: u64,
     /// When the store failed last.
@@ -34,7 +34,7 @@
     dirty: bool,
 }
 
-impl Book {
+impl Cache {
     /// Takes note that the store failed.
     pub fn fail(&mut self, now: Time) {
         self.failed = Some(now);
--- a/src/dispatch/telling.rs
+++ b/src/dispatch/telling.rs
@@ -5,13 +5,13 @@
 use super::{
     member::HEARTBEAT,
     message::{
-        Beat,
         Claim,
         Contact,
-        Letter,
+        Heartbeat,
+        Message,
         Output,
-        Pulse,
         Record,
+        Status,
         Vacancy, //
     },
     owner::Effects,
@@ -19,18 +19,18 @@
 };
 use crate::prelude::*;
 
-/// Between pulses about room: three times shorter than the shortest tasks, so that most of what ends is
+/// Between heartbeats about room: three times shorter than the shortest tasks, so that most of what ends is
 /// known before the next job is placed; a tenth of the interval would cost ten times the messages.
 const ROOMS: Span = Span::millis(20);
 
-/// Between pulses that tell the room of all racks: one that told a change may have been lost.
+/// Between heartbeats that tell the room of all racks: one that told a change may have been lost.
 const REFRESH: Span = Span::millis(500);
 
 /// Peers that are told of room every [`ROOMS`]; with more of them the interval grows, so that an instance sends 400
-/// pulses a second at the most.
+/// heartbeats a second at the most.
 const AUDIENCE: u64 = 8;
 
-/// Racks in one pulse, so that it fits in one packet.
+/// Racks in one heartbeat, so that it fits in one packet.
 const RACKS: usize = 6;
 
 /// How long a peer may have an older configuration, or list of endpoints, before it gets this instance's: most
@@ -49,12 +49,12 @@
         let (lacks_configuration, lacks_roster) =
             self.members.behind(&to.name, own, roster, BEHIND, now);
         if let Some(own) = self.configuration.as_ref().filter(|_| lacks_configuration) {
-            let letter = Letter::Configuration(Box::new(own.clone()));
-            out.letters.push((to.clone(), letter));
+            let message = Message::Configuration(Box::new(own.clone()));
+            out.messages.push((to.clone(), message));
         }
         if lacks_roster {
-            let letter = Letter::Roster(Box::new(self.roster.clone()));
-            out.letters.push((to.clone(), letter));
+            let message = Message::Roster(Box::new(self.roster.clone()));
+            out.messages.push((to.clone(), message));
         }
     }
 
@@ -63,15 +63,15 @@
         let record = Record::new("member_heard").with("member", to.name.as_str());
         out.outputs.push(Output::Log(record));
         let members = self.members.live().map(|m| m.contact.clone()).collect();
-        out.letters.push((to.clone(), Letter::Members(members)));
+        out.messages.push((to.clone(), Message::Members(members)));
         let rooms = self.owner.rooms(true, now);
         let own = self.identity.contact.name.clone();
         self.entry.rooms(&own, rooms.clone());
-        self.pulse(Some(to), rooms, now, out);
+        self.heartbeat(Some(to), rooms, now, out);
     }
 
-    /// Sends pulses with `rooms` to one member or to all.
-    pub(super) fn pulse(
+    /// Sends heartbeats with `rooms` to one member or to all.
+    pub(super) fn heartbeat(
         &mut self,
         to: Option<&Contact>,
         rooms: Vec<Vacancy>,
@@ -83,30 +83,30 @@
             parts.push(Vec::new());
         }
         for part in parts {
-            let pulse = Rc::new(self.own_pulse(part, now));
+            let heartbeat = Rc::new(self.own_heartbeat(part, now));
             if let Some(to) = to {
-                out.outputs.push(Output::Pulse(to.clone(), pulse));
+                out.outputs.push(Output::Heartbeat(to.clone(), heartbeat));
                 continue;
             }
             for member in self.members.all() {
                 let to = member.contact.clone();
-                out.outputs.push(Output::Pulse(to, pulse.clone()));
+                out.outputs.push(Output::Heartbeat(to, heartbeat.clone()));
             }
         }
     }
 
-    pub(super) fn own_pulse(&self, rooms: Vec<Vacancy>, now: Time) -> Pulse {
-        Pulse {
+    pub(super) fn own_heartbeat(&self, rooms: Vec<Vacancy>, now: Time) -> Heartbeat {
+        Heartbeat {
             sent: now,
-            beat: self.own_beat(),
+            status: self.own_status(),
             rooms,
         }
     }
 
-    pub(super) fn own_beat(&self) -> Beat {
+    pub(super) fn own_status(&self) -> Status {
         let claim = |(rack, token)| Claim { rack, token };
         let ceded = self.ceded.iter().map(|(claim, _)| *claim);
-        Beat {
+        Status {
             epoch: self.epoch,
             configuration: self.configuration.as_ref().map_or(0, |c| c.version),
             roster: match self.listed {
@@ -119,9 +119,9 @@
         }
     }
 
-    pub(super) fn tell_all(&self, letter: Letter, out: &mut Effects) {
+    pub(super) fn tell_all(&self, message: Message, out: &mut Effects) {
         for member in self.members.live() {
-            out.letters.push((member.contact.clone(), letter.clone()));
+            out.messages.push((member.contact.clone(), message.clone()));
         }
     }
 
@@ -129,7 +129,7 @@
     pub(super) fn tell(&mut self, now: Time, out: &mut Effects) {
         let peers = self.members.live().count() as u64;
         let interval = Span(ROOMS.0 * peers.max(AUDIENCE) / AUDIENCE);
-        let due = now.since(self.beat) >= HEARTBEAT;
+        let due = now.since(self.told) >= HEARTBEAT;
         let changed = now.since(self.rooms) >= interval && self.owner.changed(now);
         if !due && !changed {
             return;
@@ -139,10 +139,10 @@
             self.refresh = now;
         }
         let rooms = self.owner.rooms(all, now);
-        (self.beat, self.rooms) = (now, now);
+        (self.told, self.rooms) = (now, now);
         let own = self.identity.contact.name.clone();
         self.entry.rooms(&own, rooms.clone());
-        self.pulse(None, rooms, now, out);
+        self.heartbeat(None, rooms, now, out);
         self.want(now, out);
     }
 
@@ -156,8 +156,8 @@
                 continue;
             };
             self.entry.asked(from, rooms.len() as u32);
-            out.letters
-                .push((contact, Letter::Want { from, to, rooms }));
+            out.messages
+                .push((contact, Message::Want { from, to, rooms }));
         }
     }
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -4,10 +4,10 @@
 pub mod feeds;
 pub mod front;
 pub mod gauges;
+pub mod heartbeats;
 pub mod hub;
 pub mod journal;
 pub mod peers;
-pub mod pulses;
 
 use std::{
     net::SocketAddr,
@@ -35,13 +35,13 @@
 
 use self::{
     calls::Calls,
+    heartbeats::Heartbeats,
     hub::{
         now,
         Hub, //
     },
     journal::Journal,
     peers::Peers,
-    pulses::Pulses,
 };
 use crate::{
     clock::wall,
@@ -103,17 +103,17 @@
         share: site.share,
         epoch: Epoch(wall() / 1_000),
     };
-    let pulses = UdpSocket::bind(site.peers).await;
-    let pulses = pulses.map_err(|source| Error::Listen {
-        what: "pulses",
+    let heartbeats = UdpSocket::bind(site.peers).await;
+    let heartbeats = heartbeats.map_err(|source| Error::Listen {
+        what: "heartbeats",
         address: contact.address.clone(),
         source,
     })?;
     let journal = Journal::open(site.name.clone())?;
     let dispatcher = Dispatcher::new(identity.clone(), now());
     let peers_out = Peers::new(identity);
-    let pulses = Pulses::new(pulses);
-    let hub = Hub::new(dispatcher, journal, Calls::new(), peers_out, pulses);
+    let heartbeats = Heartbeats::new(heartbeats);
+    let hub = Hub::new(dispatcher, journal, Calls::new(), peers_out, heartbeats);
     let record = Record::new("started").with("centre", site.centre.as_str());
     hub.log(&record.with("peers", contact.address.as_str()));
     spawn_local(front::serve(hub.clone(), callers, site.sockets));
@@ -126,7 +126,7 @@
         Err(error) => hub.log(&Record::new("metrics_unserved").with("error", error.to_string())),
     }
     spawn_local(peers::serve(hub.clone(), peers));
-    spawn_local(pulses::serve(hub.clone()));
+    spawn_local(heartbeats::serve(hub.clone()));
     let store = site.store.clone();
     spawn_local(feeds::configuration(hub.clone(), store.clone()));
     spawn_local(feeds::endpoints(hub.clone(), store.clone()));
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -31,7 +31,7 @@
             Listing,
             Record, //
         },
-        roster::Book, //
+        roster::Cache, //
     },
     http::{
         self,
@@ -221,7 +221,7 @@
 /// Follows the endpoints.
 pub async fn endpoints(hub: Rc<Hub>, address: String) {
     let mut client = Client::new(&hub, &address);
-    let book = RefCell::new(Book::default());
+    let cache = RefCell::new(Cache::default());
     let mut version = None;
     let mut read_once = false;
     loop {
@@ -235,14 +235,14 @@
         };
         match read {
             Ok((rows, at)) => {
-                take_endpoints(&client, &book, rows, version.is_none());
+                take_endpoints(&client, &cache, rows, version.is_none());
                 version = Some(at);
                 read_once = true;
             }
             Err(Failure::Status(status)) if store::lacks_history(status) => version = None,
-            Err(_) => book.borrow_mut().fail(now()),
+            Err(_) => cache.borrow_mut().fail(now()),
         }
-        let roster = book.borrow_mut().take(now());
+        let roster = cache.borrow_mut().take(now());
         if let Some(roster) = roster.filter(|_| read_once) {
             hub.feed(Input::Listed(roster));
         }
@@ -250,24 +250,24 @@
     }
 }
 
-fn take_endpoints(client: &Client, book: &RefCell<Book>, rows: Vec<Row>, whole: bool) {
+fn take_endpoints(client: &Client, cache: &RefCell<Cache>, rows: Vec<Row>, whole: bool) {
     let mut listings: Vec<(Listing, u64)> = Vec::new();
-    let mut book = book.borrow_mut();
+    let mut cache = cache.borrow_mut();
     for row in rows {
         let Some(value) = row.value else {
             if let Ok(id) = row.key.parse::<Endpoint>() {
-                book.remove(&id, row.version, now());
+                cache.remove(&id, row.version, now());
             }
             continue;
         };
         match record::endpoint(&row.key, &value) {
             Ok(listing) if whole => listings.push((listing, row.version)),
-            Ok(listing) => book.set(listing, row.version),
+            Ok(listing) => cache.set(listing, row.version),
             Err(fault) => client.malformed(record::ENDPOINTS, &row.key, &fault),
         }
     }
     if whole {
-        book.replace(listings, now());
+        cache.replace(listings, now());
     }
 }
 
--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -54,7 +54,7 @@
     calls: Family<Called, Counter>,
     starts: Histogram,
     connections: Counter,
-    letters: Counter,
+    messages: Counter,
     store: Family<Kind, Counter>,
     events: Family<Kind, Counter>,
     standing: Family<Kind, Gauge>,
@@ -74,7 +74,7 @@
             calls: Family::default(),
             starts: histogram(),
             connections: Counter::default(),
-            letters: Counter::default(),
+            messages: Counter::default(),
             store: Family::default(),
             events: Family::default(),
             standing: Family::default(),
@@ -98,7 +98,7 @@
             "Connections opened to endpoints",
             gauges.connections.clone(),
         );
-        r.register("letters", "Letters to peers", gauges.letters.clone());
+        r.register("messages", "Messages to peers", gauges.messages.clone());
         r.register("store_calls", "Calls to the store", gauges.store.clone());
         r.register("events", "Lines of the log by event", gauges.events.clone());
         r.register("standing", "What it has and does", gauges.standing.clone());
@@ -150,9 +150,9 @@
         self.connections.inc();
     }
 
-    /// Counts letters to a peer.
-    pub fn letters(&self, count: usize) {
-        self.letters.inc_by(count as u64);
+    /// Counts messages to a peer.
+    pub fn messages(&self, count: usize) {
+        self.messages.inc_by(count as u64);
     }
 
     /// Counts a call to the store by how it ended.
--- a/src/instance/pulses.rs
+++ b/src/instance/heartbeats.rs
@@ -1,4 +1,4 @@
-//! Pulses between instances: datagrams, each replaced by the next.
+//! Heartbeats between instances: datagrams, each replaced by the next.
 
 use std::{
     net::SocketAddr,
@@ -14,8 +14,8 @@
 use super::hub::Hub;
 use crate::dispatch::message::{
     Contact,
+    Heartbeat,
     Input,
-    Pulse,
     Record,
     Sender, //
 };
@@ -30,61 +30,61 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram<P> {
     sender: Sender,
-    pulse: P,
+    heartbeat: P,
 }
 
-/// The socket of the pulses.
+/// The socket of the heartbeats.
 #[derive(Debug)]
-pub struct Pulses {
+pub struct Heartbeats {
     socket: UdpSocket,
 }
 
-impl Pulses {
+impl Heartbeats {
     /// Takes a socket.
     pub fn new(socket: UdpSocket) -> Self {
         Self { socket }
     }
 
-    /// Sends a pulse; one that finds no room in the socket is lost, and the next one says more.
-    pub fn send(&self, sender: Sender, to: &Contact, pulse: &Pulse) {
+    /// Sends a heartbeat; one that finds no room in the socket is lost, and the next one says more.
+    pub fn send(&self, sender: Sender, to: &Contact, heartbeat: &Heartbeat) {
         let Ok(address) = to.address.parse::<SocketAddr>() else {
             return;
         };
-        let datagram = Datagram { sender, pulse };
+        let datagram = Datagram { sender, heartbeat };
         if let Ok(bytes) = postcard::to_stdvec(&datagram) {
             self.socket.try_send_to(&bytes, address).ok();
         }
     }
 
     /// Reads the datagrams that have come, at least one.
-    async fn receive(&self, hub: &Hub, buffer: &mut [u8]) -> Vec<(Sender, Pulse)> {
-        let mut pulses = Vec::new();
+    async fn receive(&self, hub: &Hub, buffer: &mut [u8]) -> Vec<(Sender, Heartbeat)> {
+        let mut heartbeats = Vec::new();
         if self.socket.readable().await.is_err() {
-            return pulses;
+            return heartbeats;
         }
-        while pulses.len() < BATCH {
+        while heartbeats.len() < BATCH {
             let Ok((length, from)) = self.socket.try_recv_from(buffer) else {
                 break;
             };
-            match postcard::from_bytes::<Datagram<Pulse>>(&buffer[..length]) {
-                Ok(datagram) => pulses.push((datagram.sender, datagram.pulse)),
+            match postcard::from_bytes::<Datagram<Heartbeat>>(&buffer[..length]) {
+                Ok(datagram) => heartbeats.push((datagram.sender, datagram.heartbeat)),
                 Err(error) => {
-                    let record = Record::new("pulse_malformed").with("from", from.to_string());
+                    let record = Record::new("heartbeat_malformed").with("from", from.to_string());
                     hub.log(&record.with("error", error.to_string()));
                 }
             }
         }
-        pulses
+        heartbeats
     }
 }
 
-/// Reads pulses for good.
+/// Reads heartbeats for good.
 pub async fn serve(hub: Rc<Hub>) {
     let mut buffer = vec![0; LONGEST];
     loop {
-        let pulses = hub.pulses.receive(&hub, &mut buffer).await;
-        if !pulses.is_empty() {
-            hub.feed(Input::Pulsed(pulses));
+        let heartbeats = hub.heartbeats.receive(&hub, &mut buffer).await;
+        if !heartbeats.is_empty() {
+            hub.feed(Input::Heartbeats(heartbeats));
         }
     }
 }
--- a/src/instance/hub.rs
+++ b/src/instance/hub.rs
@@ -21,9 +21,9 @@
 use super::{
     calls::Calls,
     gauges::Gauges,
+    heartbeats::Heartbeats, //
     journal::Journal,
     peers::Peers,
-    pulses::Pulses, //
 };
 use crate::{
     dispatch::{
@@ -49,10 +49,10 @@
     pub gauges: Gauges,
     /// Calls to endpoints.
     pub calls: Calls,
-    /// Letters to peers.
+    /// Messages to peers.
     pub peers: Peers,
-    /// Pulses to peers.
-    pub pulses: Pulses,
+    /// Heartbeats to peers.
+    pub heartbeats: Heartbeats,
     /// Rings when no jobs are taken any more.
     pub closing: Notify,
     /// Rings when all is answered after a drain.
@@ -78,7 +78,7 @@
         journal: Journal,
         calls: Calls,
         peers: Peers,
-        pulses: Pulses,
+        heartbeats: Heartbeats,
     ) -> Rc<Self> {
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
@@ -88,7 +88,7 @@
             gauges: Gauges::new(),
             calls,
             peers,
-            pulses,
+            heartbeats,
             closing: Notify::new(),
             drained: Notify::new(),
         })
@@ -111,10 +111,10 @@
                 }
             }
             Output::Call { .. } => self.calls.begin(self, output),
-            Output::Send(to, letter) => self.peers.send(self, &to, letter),
-            Output::Pulse(to, pulse) => {
+            Output::Send(to, message) => self.peers.send(self, &to, message),
+            Output::Heartbeat(to, heartbeat) => {
                 let sender = self.peers.sender(&to.name);
-                self.pulses.send(sender, &to, &pulse);
+                self.heartbeats.send(sender, &to, &heartbeat);
             }
             Output::Session {
                 to,
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -1,4 +1,4 @@
-//! Letters between instances over capnp-rpc: in order, each once, in sessions.
+//! Messages between instances over capnp-rpc: in order, each once, in sessions.
 
 use std::{
     cell::RefCell,
@@ -43,7 +43,7 @@
         message::{
             Contact,
             Input,
-            Letter,
+            Message,
             Record,
             Sender, //
         },
@@ -63,21 +63,21 @@
 /// Between attempts to reach a peer.
 const AGAIN: Duration = Duration::from_millis(60);
 
-/// Letters that wait for one peer; with a session given up they are dropped.
+/// Messages that wait for one peer; with a session given up they are dropped.
 const WAITING: usize = 20_000;
 
-/// Letters in one envelope.
-const LETTERS: usize = 256;
+/// Messages in one envelope.
+const MESSAGES: usize = 256;
 
-/// What travels: letters with their sender and their place in the session.
+/// What travels: messages with their sender and their place in the session.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
     /// Who sends them.
     pub sender: Sender,
     /// Counts the envelopes of a session, from one.
     pub serial: u64,
-    /// The letters.
-    pub letters: Vec<Letter>,
+    /// The messages.
+    pub messages: Vec<Message>,
 }
 
 /// The outgoing side towards one peer.
@@ -88,7 +88,7 @@
     /// Counts the sessions as this side began them, so that a delivery knows when its own has ended.
     epoch: u64,
     serial: u64,
-    letters: VecDeque<Letter>,
+    messages: VecDeque<Message>,
     wake: Rc<Notify>,
     task: Option<JoinHandle<()>>,
 }
@@ -101,7 +101,7 @@
     serial: u64,
 }
 
-/// Letters to peers and from them.
+/// Messages to peers and from them.
 pub struct Peers {
     identity: Identity,
     lines: RefCell<HashMap<Instance, Line>>,
@@ -118,8 +118,8 @@
         }
     }
 
-    /// Lets a letter leave after all before it.
-    pub fn send(&self, hub: &Rc<Hub>, to: &Contact, letter: Letter) {
+    /// Lets a message leave after all before it.
+    pub fn send(&self, hub: &Rc<Hub>, to: &Contact, message: Message) {
         let mut lines = self.lines.borrow_mut();
         let line = lines
             .entry(to.name.clone())
@@ -127,7 +127,7 @@
         if !to.address.is_empty() {
             line.address.clone_from(&to.address);
         }
-        line.push(letter);
+        line.push(message);
         if line.task.is_none() {
             let (hub, name) = (hub.clone(), to.name.clone());
             line.task = Some(spawn_local(async move { deliver(hub, name).await }));
@@ -146,7 +146,7 @@
         line.session = session;
         line.epoch += 1;
         line.serial = 0;
-        line.letters.clear();
+        line.messages.clear();
     }
 
     /// Names this instance to a peer, in the session with it.
@@ -167,15 +167,15 @@
         let sender = self.sender(name);
         let mut lines = self.lines.borrow_mut();
         let line = lines.get_mut(name)?;
-        if line.letters.is_empty() {
+        if line.messages.is_empty() {
             return None;
         }
-        let count = line.letters.len().min(LETTERS);
+        let count = line.messages.len().min(MESSAGES);
         line.serial += 1;
         let envelope = Envelope {
             sender,
             serial: line.serial,
-            letters: line.letters.drain(..count).collect(),
+            messages: line.messages.drain(..count).collect(),
         };
         Some((envelope, line.address.clone(), line.epoch))
     }
@@ -218,20 +218,20 @@
             session: 0,
             epoch: 0,
             serial: 0,
-            letters: VecDeque::new(),
+            messages: VecDeque::new(),
             wake: Rc::new(Notify::new()),
             task: None,
         }
     }
 
-    fn push(&mut self, letter: Letter) {
-        if self.letters.len() < WAITING {
-            self.letters.push_back(letter);
+    fn push(&mut self, message: Message) {
+        if self.messages.len() < WAITING {
+            self.messages.push_back(message);
         }
     }
 }
 
-/// Delivers a peer's letters, one envelope after the other, each until it is acknowledged.
+/// Delivers a peer's messages, one envelope after the other, each until it is acknowledged.
 async fn deliver(hub: Rc<Hub>, name: Instance) {
     let mut link: Option<(String, mailbox::Client)> = None;
     let Some(wake) = hub.peers.wake(&name) else {
@@ -242,11 +242,11 @@
             wake.notified().await;
             continue;
         };
-        hub.gauges.letters(envelope.letters.len());
+        hub.gauges.messages(envelope.messages.len());
         let bytes = match postcard::to_stdvec(&envelope) {
             Ok(bytes) => bytes,
             Err(error) => {
-                let record = Record::new("letters_unwritten").with("error", error.to_string());
+                let record = Record::new("messages_unwritten").with("error", error.to_string());
                 hub.log(&record);
                 continue;
             }
@@ -267,11 +267,11 @@
             match timeout(DELIVERY, request.send().promise).await {
                 Ok(Ok(_)) => break,
                 Ok(Err(error)) => {
-                    let record = Record::new("letters_broken").with("member", name.as_str());
+                    let record = Record::new("messages_broken").with("member", name.as_str());
                     hub.log(&record.with("error", error.extra));
                 }
                 Err(_) => {
-                    let record = Record::new("letters_unanswered").with("member", name.as_str());
+                    let record = Record::new("messages_unanswered").with("member", name.as_str());
                     hub.log(&record);
                 }
             }
@@ -334,14 +334,14 @@
     ) -> Result<(), capnp::Error> {
         let bytes = params.get()?.get_envelope()?;
         let envelope: Envelope = postcard::from_bytes(bytes).map_err(|error| {
-            let record = Record::new("letters_malformed").with("error", error.to_string());
+            let record = Record::new("messages_malformed").with("error", error.to_string());
             self.hub.log(&record);
             capnp::Error::failed(error.to_string())
         })?;
         if !self.hub.peers.repeated(&envelope) {
             self.hub.feed(Input::Received {
                 from: envelope.sender,
-                letters: envelope.letters,
+                messages: envelope.messages,
             });
         }
         Ok(())
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -23,7 +23,7 @@
 
 const CALM: Faults = Faults {
     late: 0.0,
-    lost_pulses: 0.0,
+    lost_heartbeats: 0.0,
     failures: 0.0,
 };
 
@@ -214,13 +214,13 @@
 }
 
 /// Everything at once, at random moments, over many seeds: deaths, freezes, cuts, silence, crashes, drains, late orders,
-/// lost pulses and failing runs. What must hold does.
+/// lost heartbeats and failing runs. What must hold does.
 #[test]
 fn faults_together() {
     fn holds(seed: u64, kinds: Vec<u8>) -> bool {
         let faults = Faults {
             late: 0.03,
-            lost_pulses: 0.05,
+            lost_heartbeats: 0.05,
             failures: 0.02,
         };
         let mut world = World::new(seed, 4, 3, faults);
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -21,12 +21,12 @@
             Answer,
             CallId,
             Contact,
+            Heartbeat,
             Input,
-            Letter,
             Listing,
+            Message,
             Order,
             Output,
-            Pulse,
             Reply,
             Roster,
             Sender,
@@ -65,8 +65,8 @@
 pub(crate) struct Faults {
     /// The share of orders that get no answer and are carried out 2 to 6 s later.
     pub late: f64,
-    /// The share of pulses that are lost.
-    pub lost_pulses: f64,
+    /// The share of heartbeats that are lost.
+    pub lost_heartbeats: f64,
     /// The share of runs that fail.
     pub failures: f64,
 }
@@ -74,7 +74,7 @@
 #[derive(Debug)]
 enum Event {
     Tick(usize, u64),
-    Deliver(usize, u64, Box<Message>),
+    Deliver(usize, u64, Box<Delivery>),
     Order(usize, usize, u64, CallId, Time, Box<Order>, bool),
     Reply(usize, u64, CallId, Time, Box<Reply>),
     Submit(usize, JobId, u32, u64, Span),
@@ -89,9 +89,9 @@
 }
 
 #[derive(Debug)]
-enum Message {
-    Letter(Sender, Letter),
-    Pulse(Sender, Pulse),
+enum Delivery {
+    Message(Sender, Message),
+    Heartbeat(Sender, Heartbeat),
 }
 
 /// An instance and what its runtime would keep.
@@ -321,31 +321,31 @@
                 patience,
                 ..
             } => self.call(i, call, &endpoint, order, patience),
-            Output::Send(to, letter) => {
+            Output::Send(to, message) => {
                 let Some(to_index) = self.index(&to.name) else {
                     return;
                 };
                 let sender = self.sender(i, &to.name);
-                // Letters of one pair arrive in order; a pulse may overtake them.
+                // Messages of one pair arrive in order; a heartbeat may overtake them.
                 let earliest = self.now + Span(WAY + self.random.random_range(0..8_000));
                 let fifo = self.hosts[i].fifo.entry(to_index).or_default();
                 *fifo = earliest.max(*fifo);
                 let delay = fifo.since(self.now);
                 let epoch = self.hosts[i].lines.get(&to.name).map_or(0, |l| l.2);
-                let message = Box::new(Message::Letter(sender, letter));
-                self.post(i, to_index, epoch, delay, message);
+                let delivery = Box::new(Delivery::Message(sender, message));
+                self.post(i, to_index, epoch, delay, delivery);
             }
-            Output::Pulse(to, pulse) => {
+            Output::Heartbeat(to, heartbeat) => {
                 let Some(to_index) = self.index(&to.name) else {
                     return;
                 };
-                if self.random.random_bool(self.faults.lost_pulses) {
+                if self.random.random_bool(self.faults.lost_heartbeats) {
                     return;
                 }
                 let sender = self.sender(i, &to.name);
                 let delay = Span(WAY + self.random.random_range(0..400));
-                let message = Box::new(Message::Pulse(sender, (*pulse).clone()));
-                self.post(i, to_index, 0, delay, message);
+                let delivery = Box::new(Delivery::Heartbeat(sender, (*heartbeat).clone()));
+                self.post(i, to_index, 0, delay, delivery);
             }
             Output::Session {
                 to,
@@ -372,13 +372,13 @@
         }
     }
 
-    fn post(&mut self, i: usize, to: usize, _epoch: u64, delay: Span, message: Box<Message>) {
+    fn post(&mut self, i: usize, to: usize, _epoch: u64, delay: Span, delivery: Box<Delivery>) {
         let apart = self.cut.contains(&i) != self.cut.contains(&to);
         if apart {
             return;
         }
         let life = self.hosts[to].life;
-        self.at(delay, Event::Deliver(to, life, message));
+        self.at(delay, Event::Deliver(to, life, delivery));
     }
 
     fn call(&mut self, i: usize, call: CallId, id: &Endpoint, order: Order, patience: Span) {
@@ -425,20 +425,22 @@
                 self.feed(i, Input::Tick);
                 self.at(TICK, Event::Tick(i, life));
             }
-            Event::Deliver(i, life, message) => {
+            Event::Deliver(i, life, delivery) => {
                 if self.hosts[i].life != life {
                     return;
                 }
                 if self.frozen(i) {
                     let rest = Span(self.hosts[i].frozen.since(self.now).0 + 1);
-                    return self.at(rest, Event::Deliver(i, life, message));
+                    return self.at(rest, Event::Deliver(i, life, delivery));
                 }
-                let input = match *message {
-                    Message::Letter(from, letter) => Input::Received {
+                let input = match *delivery {
+                    Delivery::Message(from, message) => Input::Received {
                         from,
-                        letters: vec![letter],
+                        messages: vec![message],
                     },
-                    Message::Pulse(from, pulse) => Input::Pulsed(vec![(from, pulse)]),
+                    Delivery::Heartbeat(from, heartbeat) => {
+                        Input::Heartbeats(vec![(from, heartbeat)])
+                    }
                 };
                 self.feed(i, input);
             }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -8,12 +8,12 @@
         id::JobId,
         message::{
             Answer,
+            Batch,
             Contact,
-            Letter,
             Listing,
+            Message,
             Outcome,
             Output,
-            Parcel,
             Ticket,
             Vacancy, //
         },
@@ -65,7 +65,7 @@
     (entry, owner)
 }
 
-fn submit(entry: &mut Entry, tasks: u32) -> Vec<Parcel> {
+fn submit(entry: &mut Entry, tasks: u32) -> Vec<Batch> {
     let step = Step {
         count: tasks,
         need: Room {
@@ -93,15 +93,15 @@
     };
     let mut out = Effects::default();
     entry.submit(Ticket(1), submission, &route, None, "a", NOW, &mut out);
-    parcels(&out)
+    batches(&out)
 }
 
-fn parcels(out: &Effects) -> Vec<Parcel> {
-    let parcel = |(_, letter): &(Contact, Letter)| match letter {
-        Letter::Parcel(parcel) => Some((**parcel).clone()),
+fn batches(out: &Effects) -> Vec<Batch> {
+    let batch = |(_, message): &(Contact, Message)| match message {
+        Message::Batch(batch) => Some((**batch).clone()),
         _ => None,
     };
-    out.letters.iter().filter_map(parcel).collect()
+    out.messages.iter().filter_map(batch).collect()
 }
 
 fn answers(out: &Effects) -> Vec<Answer> {
@@ -112,7 +112,7 @@
     out.outputs.iter().filter_map(answer).collect()
 }
 
-/// An owner sends a task back twice, and both parcels that follow from it are told done, or so it seems. The other task of
+/// An owner sends a task back twice, and both batches that follow from it are told done, or so it seems. The other task of
 /// the job has not ended: its caller must not be told complete.
 #[test]
 fn task_told_done_twice_is_one_task() {
@@ -124,7 +124,7 @@
         entry.returned(first.serial, vec![1], false, None, NOW);
     }
     entry.work("a", later, &mut out);
-    let again = parcels(&out);
+    let again = batches(&out);
     assert_eq!(again.len(), 1, "the task is placed once");
     entry.report(again[0].serial, Outcome::Done, true, "a", later, &mut out);
     entry.report(again[0].serial, Outcome::Done, true, "a", later, &mut out);
@@ -133,7 +133,7 @@
     assert_eq!(answers(&out), [Answer::Completed]);
 }
 
-/// An owner gives a parcel up before any start. Its caller is told that nothing was run, once every owner has said so.
+/// An owner gives a batch up before any start. Its caller is told that nothing was run, once every owner has said so.
 #[test]
 fn hopeless_job_is_refused_when_nothing_started() {
     let (mut entry, _) = entry();
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -15,16 +15,16 @@
             Token, //
         },
         message::{
+            Batch,
             CallId,
             Contact,
             Input,
-            Letter,
             Listing,
+            Message,
             Name,
             Order,
             Outcome,
             Output,
-            Parcel,
             Reply,
             Roster,
             Running, //
@@ -66,8 +66,8 @@
     }
 }
 
-fn parcel(serial: u64, tasks: Vec<u32>) -> Parcel {
-    Parcel {
+fn batch(serial: u64, tasks: Vec<u32>) -> Batch {
+    Batch {
         serial,
         rack: listing(1).rack_id(),
         job: JobId(serial),
@@ -145,7 +145,7 @@
 /// A new owner finds a run on an endpoint that it doesn't know, left by a dead one. It must not extend the run's lease,
 /// nor start anything there, until the run is gone: its caller comes again elsewhere soon.
 #[test]
-fn strangers_are_cleared_first() {
+fn unknown_runs_are_cleared_first() {
     let mut state = State::claim(listing(4), Token(5), START);
     let (order, _) = state.look(CallId(1), START).unwrap();
     assert!(matches!(order, Order::Look { lease: None, .. }));
@@ -154,14 +154,14 @@
         step: 0,
         index: 0,
     };
-    let stranger = Running {
+    let unknown_run = Running {
         task: Name::Known(task),
         run: Run(1),
     };
     let now = START + Span::millis(1);
     state.answered(7, START, now);
-    let (_, strangers) = state.looked(CallId(1), START, vec![stranger], Vec::new(), now);
-    assert_eq!(strangers.len(), 1);
+    let (_, unknown) = state.looked(CallId(1), START, vec![unknown_run], Vec::new(), now);
+    assert_eq!(unknown.len(), 1);
     assert!(!state.takes(now));
     let later = now + Span::millis(60);
     let (order, _) = state.look(CallId(2), later).unwrap();
@@ -171,7 +171,7 @@
     assert!(state.takes(later));
 }
 
-/// A parcel comes from an entry that the owner doesn't hear: the letter may have lain in a buffer while the entry gave the
+/// A batch comes from an entry that the owner doesn't hear: the message may have lain in a buffer while the entry gave the
 /// owner up and placed its tasks elsewhere. Nothing starts until the entry is heard.
 #[test]
 fn unheard_entries_get_no_start() {
@@ -180,22 +180,22 @@
     let mut out = Effects::default();
     bench
         .owner
-        .accept(&entry, parcel(1, vec![0, 1]), START, &mut out);
+        .accept(&entry, batch(1, vec![0, 1]), START, &mut out);
     assert_eq!(starts(&bench.work(START)), 0);
     bench.owner.hear(&entry.name);
     assert_eq!(starts(&bench.work(START)), 2);
 }
 
-/// Of a parcel one task has ended, and the other, which waits, is given to a rack that has room. The entry must be
-/// told that what was kept is done: otherwise its caller waits until the parcel is missed.
+/// Of a batch one task has ended, and the other, which waits, is given to a rack that has room. The entry must be
+/// told that what was kept is done: otherwise its caller waits until the batch is missed.
 #[test]
-fn kept_part_of_a_parcel_is_told() {
+fn kept_part_of_a_batch_is_told() {
     let mut bench = Bench::new(1);
     let own = contact("own");
     let mut out = Effects::default();
     bench
         .owner
-        .accept(&own, parcel(1, vec![0, 1]), START, &mut out);
+        .accept(&own, batch(1, vec![0, 1]), START, &mut out);
     assert_eq!(starts(&bench.work(START)), 1);
     let task = TaskId {
         job: JobId(1),
@@ -233,15 +233,15 @@
         gpu: 0,
     };
     bench.owner.spare(bench.rack, to, vec![room], &mut out);
-    let returned = |l: &Letter| matches!(l, Letter::Returned { tasks, .. } if tasks == &[1]);
-    assert!(out.letters.iter().any(|(_, letter)| returned(letter)));
-    let done = |l: &Letter| {
-        let Letter::Report { outcome, .. } = l else {
+    let returned = |l: &Message| matches!(l, Message::Returned { tasks, .. } if tasks == &[1]);
+    assert!(out.messages.iter().any(|(_, message)| returned(message)));
+    let done = |l: &Message| {
+        let Message::Report { outcome, .. } = l else {
             return false;
         };
         *outcome == Outcome::Done
     };
-    assert!(out.letters.iter().any(|(_, letter)| done(letter)));
+    assert!(out.messages.iter().any(|(_, message)| done(message)));
 }
 
 /// An instance stands still for three seconds. Before it does anything else it takes its racks as lost: others own them
