Answer every caller of an instance that ends; harm links in the soak

The soak's new faults showed two ways in which a leaving instance cut callers off. A connection that it had just accepted was closed before its request came: it keeps connections for 200 ms now, and ends 400 ms after it takes no jobs any more at the earliest.

The soak puts proxies between instances, endpoints and store, keeps half of the callers' connections open, lets callers go early, plays all seeds before it fails, keeps logs of failed ones, and has a large size.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -71,6 +71,11 @@
 /// came later could not end before the process is killed.
 const LINGER: Span = Span::millis(2_500);
 
+/// How long an instance that takes no jobs any more still answers what comes on open connections, and how long one of
+/// these must have been idle before it is closed. A connection that had just been accepted was closed before
+/// its request came, and the caller saw it break; requests follow their connection within milliseconds.
+pub const PARTING: Span = Span::millis(200);
+
 /// When a caller that a leaving instance refuses may come back: at once, anywhere else.
 const LEAVING: Span = Span::millis(500);
 
@@ -202,6 +207,12 @@
             .is_some_and(|since| now.since(since) >= LINGER)
     }
 
+    /// Tells whether all that came before it took no jobs any more is answered, and what came since had time to be told.
+    fn over(&self, now: Time) -> bool {
+        let told = |since| now.since(since) >= LINGER + PARTING + PARTING;
+        self.draining.is_some_and(told) && self.entry.is_empty() && self.owner.idle()
+    }
+
     /// Tells whether it hears no peer.
     pub fn alone(&self) -> bool {
         self.members.live().next().is_none()
@@ -314,6 +325,7 @@
                 self.told = Time::default();
                 self.tick(now, out);
             }
+            Input::Closing => self.entry.close(now, out),
             Input::Tick => self.tick(now, out),
         }
     }
@@ -558,7 +570,7 @@
             self.shut = true;
             out.outputs.push(Output::Closed);
         }
-        if self.closed(now) && self.entry.is_empty() && self.owner.idle() {
+        if self.over(now) {
             out.outputs.push(Output::Drained);
         }
     }
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -718,6 +718,15 @@
         true
     }
 
+    /// Gives all jobs up and answers their callers, when the process can't wait for their ends any longer.
+    pub fn close(&mut self, now: Time, out: &mut Effects) {
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids {
+            self.end(id, "its instance ends", now, out);
+            self.answer(id, GIVEN_UP, now, out);
+        }
+    }
+
     /// Does what is due: places loose tasks, gives up jobs whose time has passed.
     pub fn work(&mut self, centre: &str, now: Time, out: &mut Effects) {
         let mut over = Vec::new();
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -122,6 +122,8 @@
     },
     /// The instance is to end, once all is answered.
     Drain,
+    /// The process ends in a moment, whatever is still in progress.
+    Closing,
     /// Time has passed.
     Tick,
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -199,7 +199,11 @@
     let last = Span(grace.0.saturating_sub(MARGIN.0)).duration();
     tokio::select! {
         () = hub.drained.notified() => {}
-        () = sleep(last) => hub.log(&Record::new("drain_unfinished")),
+        () = sleep(last) => {
+            // Callers that were left without an answer would not know whether to come again.
+            hub.log(&Record::new("drain_unfinished"));
+            hub.feed(Input::Closing);
+        }
     }
     hub.log(&Record::new("ended").with("after_ms", now().since(begun)));
     hub.flush();
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -65,7 +65,8 @@
         route::{
             Limits,
             Route, //
-        }, //
+        },
+        PARTING, //
     },
     platform::ingress,
     prelude::*,
@@ -186,11 +187,11 @@
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         loop {
-            if guest.idle.get().is_some() && self.hub.look(|d| d.closed(now())) {
-                // Nothing that came on it now would be taken; its caller finds another instance sooner this way.
-                connection.as_mut().graceful_shutdown();
-            }
-            let idle = self.limits().idle;
+            // On a leaving instance nothing that came would be taken; its caller finds another one sooner this way.
+            let idle = match self.hub.look(|d| d.closed(now())) {
+                true => PARTING,
+                false => self.limits().idle,
+            };
             let rest = match guest.idle.get() {
                 Some(since) => (since + idle).since(now()),
                 None => idle,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -9,7 +9,18 @@
 mod world;
 
 use poplarknot::{
-    dispatch::message::Answer,
+    dispatch::{
+        id::Epoch,
+        message::{
+            Answer,
+            Contact,
+            Input,
+            Output, //
+        },
+        Dispatcher,
+        Identity,
+        PARTING, //
+    },
     prelude::*, //
 };
 use quickcheck::{
@@ -247,3 +258,40 @@
         .rng(Gen::from_size_and_seed(20, 17))
         .quickcheck(holds as fn(u64, Vec<u8>) -> bool);
 }
+
+/// A caller connects just before an instance that was asked to end stops taking connections, and its request comes just
+/// after. The instance has nothing else to do; if it ended at once the caller would see its connection break. It
+/// goes on answering for a while, and says that the job was not run.
+#[test]
+fn leaving_instance_answers_the_last_connections() {
+    let identity = Identity {
+        contact: Contact {
+            name: "instance".parse().unwrap(),
+            address: "instance:1".to_owned(),
+        },
+        centre: "a".to_owned(),
+        incarnation: 1,
+        share: 250,
+        epoch: Epoch(1),
+    };
+    let begun = Time(1_000_000);
+    let mut dispatcher = Dispatcher::new(identity, begun);
+    dispatcher.step(begun, Input::Drain);
+    let mut closed = None;
+    let mut drained = None;
+    for tick in 1..600 {
+        let now = begun + Span::millis(tick * 10);
+        for output in dispatcher.step(now, Input::Tick) {
+            match output {
+                Output::Closed => closed = Some(now),
+                Output::Drained => drained = drained.or(Some(now)),
+                _ => {}
+            }
+        }
+    }
+    let (closed, drained) = (closed.unwrap(), drained.unwrap());
+    assert!(
+        drained >= closed + PARTING + PARTING,
+        "idle connections are closed before it"
+    );
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -152,3 +152,17 @@
     entry.report(first.serial, Outcome::Hopeless, true, "a", NOW, &mut out);
     assert!(matches!(answers(&out)[..], [Answer::GivenUp { .. }]));
 }
+
+/// A caller's job has not ended when its instance must go: an outage of the endpoints took the time of the drain. The
+/// caller is told that its job was given up; left without an answer, it would have to guess.
+#[test]
+fn callers_are_answered_when_the_process_ends() {
+    let (mut entry, _) = entry();
+    submit(&mut entry, 2);
+    let mut out = Effects::default();
+    entry.close(NOW, &mut out);
+    assert!(matches!(answers(&out)[..], [Answer::GivenUp { .. }]));
+    assert!(entry.is_empty());
+    let cancels = |(_, message): &(Contact, Message)| matches!(message, Message::Cancel(_));
+    assert!(out.messages.iter().any(cancels), "its owner stops it");
+}
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -44,6 +44,7 @@
         Client,
         Response, //
     },
+    proxy::Proxy,
     until,
     Result,
     PATIENCE, //
@@ -168,11 +169,25 @@
 
     /// Hands a job of equal tasks in and waits for its answer.
     pub(crate) async fn submit(&self, id: u64, tasks: u32, estimate: u64) -> Result<Response> {
+        let mut client = Client::connect(self.front()).await?;
+        self.submit_over(&mut client, id, tasks, estimate).await
+    }
+
+    /// Hands a job in over a connection that may have been used before.
+    pub(crate) async fn submit_over(
+        &self,
+        client: &mut Client,
+        id: u64,
+        tasks: u32,
+        estimate: u64,
+    ) -> Result<Response> {
         let body = json!({
             "spec": "cell", "best_effort": true,
             "steps": [{"count": tasks, "cpu": 1000, "mem_mb": 64, "estimated_ms": estimate}],
         });
-        self.post(&format!("{PREFIX}{id:016x}"), &body).await
+        let headers = [("host", HOST), ("x-poplarknot-deadline-ms", "8000")];
+        let path = format!("{PREFIX}{id:016x}");
+        client.post(&path, &headers, &body).await
     }
 
     pub(crate) async fn post(&self, path: &str, body: &Value) -> Result<Response> {
@@ -210,14 +225,45 @@
     pub(crate) store: Store,
     pub(crate) runners: Vec<Runner>,
     pub(crate) nodes: Vec<Node>,
+    /// In front of each endpoint, and of the store for each instance.
+    pub(crate) proxies: Proxies,
+}
+
+/// Proxies between the instances and what they call; none where nothing is to be harmed there.
+#[derive(Default)]
+pub(crate) struct Proxies {
+    pub(crate) endpoints: Vec<Proxy>,
+    pub(crate) stores: Vec<Proxy>,
 }
 
 impl Fleet {
+    /// Starts a fleet.
     pub(crate) async fn start(
         program: &Path,
         nodes: usize,
         runners: usize,
         takes: Duration,
+    ) -> Result<Self> {
+        Self::assemble(program, nodes, runners, takes, false).await
+    }
+
+    #[allow(dead_code)] // Only the soak asks.
+    /// Starts a fleet with proxies between the instances and what they call.
+    pub(crate) async fn behind_proxies(
+        program: &Path,
+        nodes: usize,
+        runners: usize,
+        takes: Duration,
+    ) -> Result<Self> {
+        Self::assemble(program, nodes, runners, takes, true).await
+    }
+
+    async fn assemble(
+        program: &Path,
+        nodes: usize,
+        runners: usize,
+        takes: Duration,
+        proxied: bool,
     ) -> Result<Self> {
         let store = Store::start()?;
         configure(&store, 7, 4_000);
@@ -226,16 +272,27 @@
             store,
             runners: Vec::new(),
             nodes: Vec::new(),
+            proxies: Proxies::default(),
         };
         for i in 0..runners {
             let (id, rack) = (format!("i-{i}"), format!("r{}", i % 2));
-            let runner = Runner::start(&id, centre(i), &rack, 4, takes)?;
+            let mut runner = Runner::start(&id, centre(i), &rack, 4, takes)?;
+            if proxied {
+                let proxy = Proxy::start(runner.address())?;
+                runner = runner.behind(&proxy);
+                fleet.proxies.endpoints.push(proxy);
+            }
             runner.enlist(&fleet.store);
             fleet.runners.push(runner);
         }
         for i in 0..nodes {
             let name = format!("instance-{i}");
-            let store = fleet.store.address();
+            let mut store = fleet.store.address();
+            if proxied {
+                let proxy = Proxy::start(store.parse()?)?;
+                store = proxy.address().to_string();
+                fleet.proxies.stores.push(proxy);
+            }
             let node = Node::start(program, &name, centre(i), &store).await?;
             fleet.nodes.push(node);
         }
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -5,6 +5,7 @@
         BTreeMap,
         HashMap, //
     },
+    net::SocketAddr,
     sync::{
         Arc,
         Mutex, //
@@ -25,11 +26,14 @@
 };
 
 use super::store::Store;
-use crate::support::server::{
-    json as answer,
-    Request,
-    Response,
-    Server, //
+use crate::support::{
+    proxy::Proxy,
+    server::{
+        json as answer,
+        Request,
+        Response,
+        Server, //
+    }, //
 };
 
 /// What an endpoint's clock shows at its start, in milliseconds.
@@ -73,7 +77,7 @@
     pub(crate) id: String,
     state: Arc<Mutex<State>>,
     row: Value,
-    _server: Server,
+    server: Server,
 }
 
 impl Runner {
@@ -107,10 +111,20 @@
             id: id.to_owned(),
             state,
             row,
-            _server: server,
+            server: server,
         })
     }
 
+    /// Lets instances reach it through a proxy.
+    pub(crate) fn behind(mut self, proxy: &Proxy) -> Self {
+        self.row["address"] = json!(proxy.address().to_string());
+        self
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
     pub(crate) fn enlist(&self, store: &Store) {
         store.set("servers", &self.id, &self.row);
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,6 +1,9 @@
 //! A randomized soak: real instances as processes on stand-ins of the platform, with faults from outside in series that
 //! overlap, and callers that come again after a broken connection.
 //!
+//! Instances reach endpoints and the store through proxies that delay, reset, swallow one way and silence. Half of the
+//! callers keep their connections open until these end, and some go before their answer.
+//!
 //! While it runs it checks what callers and endpoints see: no task runs twice at a time; "completed" means that every task
 //! was done; "not run" means that none was; and an instance that was only asked to end cuts nobody off. One seed is one
 //! order of faults. `SOAK_SEEDS=FROM-TO cargo test --test soak` plays others than the kept ones.
@@ -32,6 +35,10 @@
     Fleet,
     Node, //
 };
+use futures::stream::{
+    FuturesUnordered,
+    StreamExt as _, //
+};
 use nix::sys::signal::Signal;
 use rand::{
     rngs::SmallRng,
@@ -40,11 +47,19 @@
 };
 use store::Mood;
 use support::{
-    client::Response,
+    client::{
+        Client,
+        Response, //
+    },
+    proxy::{
+        Direction,
+        Mode, //
+    },
     Result, //
 };
 use tokio::time::{
     sleep,
+    timeout,
     Instant, //
 };
 
@@ -55,7 +70,13 @@
 ];
 const NODES: usize = 4;
 const RUNNERS: usize = 6;
-const CALLERS: usize = 6;
+const CALLERS: u64 = 6;
+/// `SOAK_SIZE=large` plays with so many instances, endpoints and callers.
+const LARGE: (usize, usize, u64) = (24, 60, 48);
+/// Tells the random numbers of the links from those of the processes.
+const LINKS: u64 = 0x5eed;
+/// One caller in so many goes before its answer.
+const LEAVES: u32 = 12;
 const TASKS: u32 = 3;
 /// How long faults come.
 const SPAN: Duration = Duration::from_secs(8);
@@ -69,6 +90,16 @@
     node: Mutex<Arc<Node>>,
     /// When it was killed or paused last.
     hurt: Mutex<Option<Instant>>,
+    /// What its former processes logged.
+    log: Mutex<String>,
+}
+
+impl Slot {
+    /// Tells whether a connection that breaks may be the effect of a kill or a pause.
+    fn harmed(&self) -> bool {
+        let hurt = *self.hurt.lock().unwrap();
+        hurt.is_some_and(|at| at.elapsed() < SHADOW)
+    }
 }
 
 #[derive(Default)]
@@ -77,11 +108,20 @@
     /// Jobs of which every answer said that nothing was run.
     refused: HashMap<u64, bool>,
     faults: Vec<String>,
+    /// Jobs whose kept connection ended without an answer, with the instance: no harm if nothing of it had begun.
+    ended: Vec<(u64, String)>,
     answered: usize,
 }
 
 type Slots = Arc<Vec<Slot>>;
 
+fn size() -> (usize, usize, u64) {
+    match std::env::var("SOAK_SIZE").as_deref() {
+        Ok("large") => LARGE,
+        _ => (NODES, RUNNERS, CALLERS),
+    }
+}
+
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_poplarknot"))
 }
@@ -96,11 +136,16 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_faults() -> Result {
+    let mut faults = Vec::new();
     for seed in seeds() {
         println!("seed {seed}");
-        let faults = soak(seed).await?;
-        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+        let found = soak(seed).await?;
+        let named = found
+            .into_iter()
+            .map(|fault| format!("seed {seed}: {fault}"));
+        faults.extend(named);
     }
+    assert!(faults.is_empty(), "{faults:#?}");
     Ok(())
 }
 
@@ -108,30 +153,54 @@
 async fn soak(seed: u64) -> Result<Vec<String>> {
     let mut random = SmallRng::seed_from_u64(seed);
     let takes = Duration::from_millis([60, 200, 700][random.random_range(0..3)]);
-    let mut fleet = Fleet::start(program(), NODES, RUNNERS, takes).await?;
+    let (instances, endpoints, callers) = size();
+    let mut fleet = Fleet::behind_proxies(program(), instances, endpoints, takes).await?;
     let nodes = std::mem::take(&mut fleet.nodes);
     let slot = |node| Slot {
         node: Mutex::new(Arc::new(node)),
         hurt: Mutex::default(),
+        log: Mutex::default(),
     };
     let slots: Slots = Arc::new(nodes.into_iter().map(slot).collect());
     let ledger: Arc<Mutex<Ledger>> = Arc::default();
     let end = Instant::now() + SPAN;
-    let callers: Vec<_> = (0..CALLERS as u64)
+    let callers: Vec<_> = (0..callers)
         .map(|caller| {
             let random = SmallRng::seed_from_u64(seed * 1_000 + caller);
             let call = call(caller, random, slots.clone(), ledger.clone(), takes, end);
             tokio::spawn(call)
         })
         .collect();
-    harm(&mut random, &fleet, &slots, end).await?;
+    let links = SmallRng::seed_from_u64(seed ^ LINKS);
+    let (hurt, _) = tokio::join!(
+        harm(&mut random, &fleet, &slots, end),
+        harm_links(links, &fleet, end),
+    );
+    hurt?;
     for caller in callers {
         caller.await?;
     }
     // Callers that broke off may have left runs, which are stopped or lapse.
     sleep(Duration::from_millis(1_500)).await;
     fleet.judge();
-    Ok(settle(&fleet, &ledger))
+    let faults = settle(&fleet, &ledger);
+    if !faults.is_empty() {
+        keep_logs(seed, &slots)?;
+    }
+    Ok(faults)
+}
+
+/// Writes the logs of all instances to files that outlive the test.
+fn keep_logs(seed: u64, slots: &Slots) -> Result {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    std::fs::create_dir_all(&folder)?;
+    for slot in slots.iter() {
+        let node = slot.node.lock().unwrap();
+        let log = slot.log.lock().unwrap().clone() + &node.log();
+        std::fs::write(folder.join(&node.name), log)?;
+    }
+    println!("  logs are in {}", folder.display());
+    Ok(())
 }
 
 /// Checks answers against what endpoints ran.
@@ -158,6 +227,13 @@
             faults.push(format!("{id:016x} was told not run, and ran"));
         }
     }
+    for (id, name) in &ledger.ended {
+        if begun.contains(&format!("{id:016x}")) {
+            faults.push(format!(
+                "{id:016x} was cut off by {name} after it had begun"
+            ));
+        }
+    }
     println!(
         "  {} answers, {} complete",
         ledger.answered,
@@ -179,14 +255,45 @@
     end: Instant,
 ) {
     let mut job = 0;
+    let keeps = caller % 2 == 1;
+    let mut kept: HashMap<String, Client> = HashMap::new();
     while Instant::now() < end {
         job += 1;
         let id = caller << 32 | job;
-        for _ in 0..3 {
+        for attempt in 0..3 {
             let slot = &slots[random.random_range(0..slots.len())];
             let node = slot.node.lock().unwrap().clone();
-            let answer = node.submit(id, TASKS, takes.as_millis() as u64).await;
-            if note(&ledger, id, slot, &node.name, &answer) {
+            let leaves = random.random_ratio(1, LEAVES);
+            let patience = match leaves {
+                true => Duration::from_millis(random.random_range(1..200)),
+                false => Duration::from_secs(60),
+            };
+            let estimate = takes.as_millis() as u64;
+            let reused = kept.contains_key(&node.ip);
+            let submit = async {
+                let mut client = match kept.remove(&node.ip) {
+                    Some(client) => client,
+                    None => Client::connect(node.front()).await?,
+                };
+                let answer = node.submit_over(&mut client, id, TASKS, estimate).await?;
+                if keeps && answer.header("connection") != Some("close") {
+                    kept.insert(node.ip.clone(), client);
+                }
+                Ok(answer)
+            };
+            let Ok(answer) = timeout(patience, submit).await else {
+                // It has gone, and doesn't know what became of its job.
+                ledger.lock().unwrap().refused.insert(id, false);
+                break;
+            };
+            if reused && answer.is_err() {
+                let mut ledger = ledger.lock().unwrap();
+                ledger.refused.insert(id, false);
+                // An earlier attempt may have begun elsewhere.
+                if attempt == 0 && !slot.harmed() {
+                    ledger.ended.push((id, node.name.clone()));
+                }
+            } else if note(&ledger, id, slot, &node.name, &answer) {
                 break;
             }
             sleep(RETRY).await;
@@ -206,8 +313,7 @@
     let mut ledger = ledger.lock().unwrap();
     let status = answer.as_ref().map_or(0, |answer| answer.status);
     *ledger.refused.entry(id).or_insert(true) &= status == 503;
-    let hurt = *slot.hurt.lock().unwrap();
-    let hurt = hurt.is_some_and(|at| at.elapsed() < SHADOW);
+    let hurt = slot.harmed();
     match answer {
         Ok(answer) => {
             ledger.answered += 1;
@@ -255,7 +361,7 @@
                 }));
             }
             6 => fleet.store.compact(),
-            7 => fleet.runners[random.random_range(0..RUNNERS)].mute(3),
+            7 => fleet.runners[random.random_range(0..fleet.runners.len())].mute(3),
             _ => {
                 version += 3;
                 configure(&fleet.store, version, 4_000);
@@ -269,6 +375,52 @@
     Ok(())
 }
 
+/// Harms the links to endpoints and to the store, one after the other and overlapping.
+async fn harm_links(mut random: SmallRng, fleet: &Fleet, end: Instant) {
+    let proxies = &fleet.proxies;
+    let modes = [
+        Mode::Delay {
+            up: Duration::from_millis(1_500),
+            down: Duration::ZERO,
+        },
+        Mode::Delay {
+            up: Duration::from_millis(40),
+            down: Duration::from_millis(40),
+        },
+        Mode::Lose {
+            direction: Direction::Up,
+            close: false,
+        },
+        Mode::Lose {
+            direction: Direction::Down,
+            close: false,
+        },
+        Mode::SWALLOW,
+    ];
+    let mut healing = FuturesUnordered::new();
+    while Instant::now() < end {
+        let pause = Duration::from_millis(random.random_range(150..700));
+        let healed = async { while healing.next().await.is_some() {} };
+        tokio::join!(sleep(pause), timeout(pause, healed)).1.ok();
+        let links = match random.random_range(0..3) {
+            0 => &proxies.stores,
+            _ => &proxies.endpoints,
+        };
+        let link = &links[random.random_range(0..links.len())];
+        if random.random_ratio(1, 5) {
+            link.silence();
+            continue;
+        }
+        link.set(modes[random.random_range(0..modes.len())]);
+        let span = Duration::from_millis(random.random_range(100..2_500));
+        healing.push(async move {
+            sleep(span).await;
+            link.set(Mode::Pass);
+        });
+    }
+    while healing.next().await.is_some() {}
+}
+
 /// Ends an instance by a signal and starts it again.
 async fn restart(slots: Slots, i: usize, signal: Signal, down: Duration) -> Result {
     let slot = &slots[i];
@@ -283,6 +435,7 @@
     while node.alive() {
         sleep(Duration::from_millis(20)).await;
     }
+    slot.log.lock().unwrap().push_str(&node.log());
     sleep(down).await;
     let again = node.restart(program()).await?;
     let mut current = slot.node.lock().unwrap();
