--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! [`Dispatcher::step`] takes what happened and returns what is to be done. It knows no sockets, clocks or
 //! threads, so that every order of events can be played in a test.
 
+pub mod durable;
 pub mod endpoint;
 pub mod entry;
 pub mod id;
@@ -12,17 +13,22 @@
 mod ownership;
 pub mod patience;
 pub mod queue;
+mod requests;
 pub mod roster;
 pub mod route;
 pub mod task;
 mod telling;
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     rc::Rc, //
 };
 
 use self::{
+    durable::Durable,
     entry::Entry,
     id::{
         Epoch,
@@ -51,6 +57,7 @@
         Owner, //
     },
     ownership::Former,
+    requests::Requests,
     route::Configuration,
     task::Submission,
 };
@@ -76,6 +83,12 @@
 /// its request came, and the caller saw it break; requests follow their connection within milliseconds.
 pub const PARTING: Span = Span::millis(200);
 
+/// Between decisions on which shards to coordinate: what others say of theirs comes as often.
+const COORDINATE: Span = member::HEARTBEAT;
+
+/// How long a question about a stored job may take: a few takeovers of its shard.
+const ASKED: Span = Span::millis(2_500);
+
 /// When a caller that a leaving instance refuses may come back: at once, anywhere else.
 const LEAVING: Span = Span::millis(500);
 
@@ -128,6 +141,10 @@
     members: Members,
     entry: Entry,
     owner: Owner,
+    /// The shards of stored jobs that it coordinates.
+    durable: Durable,
+    /// Requests about stored jobs that wait for an answer.
+    requests: Requests,
     configuration: Option<Configuration>,
     roster: Roster,
     listed: bool,
@@ -136,7 +153,7 @@
     /// The counts of changes, of members' claims and of its own, up to which `owners` is known.
     claims: Option<(u64, u64)>,
     /// Racks that nobody is heard to own, and that may still be somebody's.
-    former: HashMap<RackId, Former>,
+    former: BTreeMap<RackId, Former>,
     epoch: Epoch,
     /// Racks that were handed over, with the time of that.
     ceded: Vec<(Claim, Time)>,
@@ -145,6 +162,7 @@
     began: Time,
     stepped: Time,
     expired: Time,
+    coordinated: Time,
     told: Time,
     rooms: Time,
     refresh: Time,
@@ -162,6 +180,11 @@
         Self {
             entry: Entry::new(identity.incarnation << SERIAL_BITS),
             owner: Owner::new(&identity.contact.name),
+            durable: Durable::new(format!(
+                "{} {}",
+                identity.contact.name, identity.incarnation
+            )),
+            requests: Requests::default(),
             identity,
             members: Members::default(),
             configuration: None,
@@ -169,13 +192,14 @@
             listed: false,
             owners: Rc::default(),
             claims: None,
-            former: HashMap::new(),
+            former: BTreeMap::new(),
             epoch: identity_epoch,
             ceded: Vec::new(),
             rebalanced: now,
             began: now,
             stepped: Time::default(),
             expired: Time::default(),
+            coordinated: Time::default(),
             told: Time::default(),
             rooms: Time::default(),
             refresh: Time::default(),
@@ -210,7 +234,8 @@
     /// Tells whether all that came before it took no jobs any more is answered, and what came since had time to be told.
     fn over(&self, now: Time) -> bool {
         let told = |since| now.since(since) >= LINGER + PARTING + PARTING;
-        self.draining.is_some_and(told) && self.entry.is_empty() && self.owner.idle()
+        let answered = self.entry.is_empty() && self.requests.is_empty();
+        self.draining.is_some_and(told) && answered && self.owner.idle()
     }
 
     /// Tells whether it hears no peer.
@@ -218,9 +243,15 @@
         self.members.live().next().is_none()
     }
 
-    /// Counts the jobs of its callers of which nothing has started.
-    pub fn pending(&self) -> usize {
-        self.entry.pending()
+    /// Counts the jobs of a queue of which nothing has started, at all instances that it hears.
+    pub fn pending(&self, route: &str) -> u32 {
+        let members = self.members.live().filter_map(|m| m.status.as_ref());
+        let told = members.flat_map(|status| status.pending.iter());
+        let told = told
+            .filter(|(name, _)| name == route)
+            .map(|(_, count)| count);
+        let own = self.entry.pending().get(route).copied().unwrap_or(0);
+        own + told.sum::<u32>()
     }
 
     /// Tells whether a job is in progress here.
@@ -271,6 +302,7 @@
             let messages = std::mem::take(&mut out.messages);
             if messages.is_empty() {
                 self.owner.work(now, out);
+                self.report_ends(now, out);
                 if out.messages.is_empty() {
                     return;
                 }
@@ -297,7 +329,24 @@
                 submission,
                 wait,
             } => self.submit(ticket, &host, &path, *submission, wait, now, out),
-            Input::Abandoned(ticket) => self.entry.abandon(ticket, now, out),
+            Input::Abandoned(ticket) => {
+                self.requests.abandon(ticket);
+                self.entry.abandon(ticket, now, out);
+            }
+            Input::Asked {
+                ticket,
+                job,
+                question,
+            } => {
+                self.ask(ticket, job, question, ASKED, now);
+                self.ask_again(now, out);
+            }
+            Input::Stored { call, reply } => {
+                let acts = self.durable.stored(call, reply, now, out);
+                self.act(acts, now, out);
+                let acts = self.durable.work(now, out);
+                self.act(acts, now, out);
+            }
             Input::Cancelled(job) => {
                 if !self.entry.cancel(job, now, out) {
                     self.tell_all(Message::CancelJob(job), out);
@@ -353,6 +402,10 @@
                 .push(Output::Answer(ticket, Answer::Refused { again }));
             return;
         }
+        if !submission.best_effort {
+            let route = route.clone();
+            return self.submit_stored(ticket, submission, &route, wait, now, out);
+        }
         let centre = &self.identity.centre;
         self.entry
             .submit(ticket, submission, route, wait, centre, now, out);
@@ -478,11 +531,12 @@
             Message::Report {
                 serial,
                 outcome,
+                done,
                 started,
             } => {
                 let centre = &self.identity.centre;
                 self.entry
-                    .report(serial, outcome, started, centre, now, out);
+                    .report(serial, outcome, done, started, centre, now, out);
             }
             Message::Returned {
                 serial,
@@ -513,12 +567,37 @@
             Message::CancelJob(job) => {
                 self.entry.cancel(job, now, out);
             }
+            Message::Request {
+                serial,
+                job,
+                question,
+            } => {
+                self.request(from, serial, job, question, now, out);
+                let acts = self.durable.work(now, out);
+                self.act(acts, now, out);
+            }
+            Message::Verdict { serial, verdict } => self.verdict(serial, verdict, now, out),
+            Message::Begun(serial) => self.entry.begun(serial),
+            Message::Ended(end) => {
+                let late = self.entry.gave_out_again(end.task, end.batch);
+                let act = self.durable.ended(from, &end, late, out);
+                self.act(act.into_iter().collect(), now, out);
+                let acts = self.durable.work(now, out);
+                self.act(acts, now, out);
+            }
+            Message::Noted {
+                endpoint,
+                serial,
+                late,
+            } => self.owner.noted(&endpoint, serial, late, now),
         }
     }
 
     /// Takes all that it holds as lapsed, after the process stood still for longer than its peers wait.
     fn awake(&mut self, now: Time, out: &mut Effects) {
         out.outputs.push(Output::Log(Record::new("awoke")));
+        let acts = self.durable.void(out);
+        self.act(acts, now, out);
         self.owner.void(&self.identity.contact.name);
         for member in self.members.void(now) {
             out.outputs.push(Output::Session {
@@ -553,6 +632,7 @@
             self.remember(&name, &claims, now);
             self.owner.abandon(&name, out);
             self.entry.lost(&name, now, out);
+            self.durable.suspect(now);
         }
     }
 
@@ -560,6 +640,13 @@
         self.ceded.retain(|(_, at)| now.since(*at) < CEDED);
         self.deal(now, out);
         self.rebalance(now, out);
+        if now.since(self.coordinated) >= COORDINATE {
+            self.coordinated = now;
+            self.coordinate(now, out);
+        }
+        let acts = self.durable.work(now, out);
+        self.act(acts, now, out);
+        self.ask_again(now, out);
         self.entry.work(&self.identity.centre, now, out);
         if now.since(self.audit) >= AUDITS {
             self.audit = now;
--- /dev/null
+++ b/src/dispatch/durable.rs
@@ -0,0 +1,831 @@
+//! Jobs that are stored: their shards, and what an instance that coordinates some of them keeps and writes.
+//!
+//! A shard's coordinator is the only one that writes its rows: each write is guarded by the version of the shard's lock
+//! row, which the next coordinator changes first. What was accepted, and how each run ended, is answered to callers
+//! and endpoints only when it is written, so that nothing but the store has to survive.
+
+pub mod record;
+
+use std::collections::{
+    BTreeMap,
+    HashMap,
+    VecDeque, //
+};
+
+pub use self::record::Record;
+use self::record::{
+    progress_key,
+    record_key,
+    Progress,
+    Row,
+    State,
+    LOCK, //
+};
+use super::{
+    id::{
+        JobId,
+        ShardId,
+        TaskId, //
+    },
+    message::{
+        Contact,
+        Coordination,
+        Knowledge,
+        Message,
+        Output,
+        Question,
+        Record as Line,
+        RunEnd,
+        StoreCall,
+        StoreReply,
+        StoreRequest,
+        Verdict, //
+    },
+    owner::Effects,
+};
+use crate::prelude::*;
+
+/// Between writes of one shard: with all shards busy, 530 calls a second of the 600 that the smallest platform allows.
+const WRITES: Span = Span::millis(30);
+
+/// Jobs in one write: two rows each, of the hundred entries that a call may hold.
+const ROWS: usize = 45;
+
+/// Between calls to the store that failed.
+const AGAIN: Span = Span::millis(100);
+
+/// How long what the former coordinator of a shard had running may go on: owners stop it 600 ms after they heard it
+/// last, or when it gives its jobs up after [`CONFIDENCE`]; the rest is for stops and endpoints' clocks.
+const DOUBT: Span = Span::millis(1_700);
+
+/// How long a coordinator that has lost a member may go on without having found its lock unchanged: the member may live,
+/// and have taken the shard over.
+const CONFIDENCE: Span = Span::millis(1_000);
+
+/// Between looks at the lock in that time.
+const CONFIRM: Span = Span::millis(300);
+
+/// How long after the loss of a member it may still take over: it is forgotten after that.
+const SUSPICION: Span = Span::seconds(30);
+
+/// How long an instance leaves a shard alone that another one took over which it doesn't hear: the two sides of a cut
+/// between instances must not take it from each other by turns, since nothing runs for [`DOUBT`] after each time.
+const TAKEN: Span = Span::seconds(8);
+
+/// How long the state of a job that has ended can be asked for: half as long again as the platform wants.
+const KEPT: Span = Span::seconds(180);
+
+/// Jobs in progress in one shard; with more of them its coordinator's memory would not last.
+const MOST: usize = 5_000;
+
+/// What the dispatcher must do with a job's tasks.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// Run what is not done, from a time on.
+    Run(JobId, Time),
+    /// A task is done.
+    Done(TaskId),
+    /// A run of a task failed, and it may run again.
+    Failed(TaskId),
+    /// Stop all of a job that runs, and forget it.
+    Release(JobId),
+}
+
+/// A shard that this instance coordinates.
+#[derive(Debug)]
+struct Shard {
+    phase: Phase,
+    /// The call to the store that is out; one at a time.
+    call: Option<(StoreCall, Time)>,
+    /// When the next one may leave.
+    next: Time,
+    /// The version of the lock row, zero where there is none.
+    lock: u64,
+    /// When the lock was found unchanged last.
+    confirmed: Time,
+    /// Whether all rows have been read.
+    loaded: bool,
+    /// The last key that was read.
+    after: Option<String>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that have ended, with the time of that.
+    ended: VecDeque<(Time, JobId)>,
+    /// What is to be written, and what is being written.
+    changed: BTreeMap<JobId, Change>,
+    flight: BTreeMap<JobId, Change>,
+    /// Answers that hold if the shard is found empty.
+    if_empty: Vec<(Contact, Message)>,
+    /// Jobs that callers handed in before it could take any.
+    waiting: Vec<(Contact, u64, JobId, Box<Record>)>,
+}
+
+/// What a shard's coordinator is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It looks for the lock row.
+    Reading,
+    /// There is none, and no job.
+    Empty,
+    /// It writes the lock row, which fences any writer before it.
+    Locking,
+    /// A write of the lock row went wrong: it looks whose it is.
+    Checking,
+    /// It reads the jobs.
+    Loading,
+    /// It knows all and is the only writer.
+    Held,
+}
+
+/// A stored job.
+#[derive(Debug)]
+struct Job {
+    record: Option<Box<Record>>,
+    progress: Progress,
+    /// The state that is stored, none before the job is.
+    shown: Option<State>,
+    /// Ends that were heard, and whether each came late: told otherwise the second time, its endpoint would forget it
+    /// too soon.
+    counted: HashMap<(Endpoint, u64), bool>,
+    ended: bool,
+}
+
+/// What is to be written of a job, and who waits for that.
+#[derive(Debug, Default)]
+struct Change {
+    /// Its state as it is being written.
+    state: State,
+    accepted: Vec<(Contact, u64)>,
+    cancelled: Vec<(Contact, u64)>,
+    asked: Vec<(Contact, u64)>,
+    ends: Vec<(Contact, Message)>,
+    /// Whether its last row goes.
+    forget: bool,
+}
+
+/// All shards that this instance coordinates.
+#[derive(Debug)]
+pub struct Durable {
+    /// Names one life of the instance in lock rows.
+    own: String,
+    shards: BTreeMap<ShardId, Shard>,
+    calls: HashMap<StoreCall, ShardId>,
+    serial: u64,
+    /// When a member was lost last.
+    lost: Option<Time>,
+    /// Shards that another instance took over, with the time of that.
+    taken: BTreeMap<ShardId, Time>,
+}
+
+impl Durable {
+    /// Makes one that coordinates nothing; `own` tells one life of an instance from all others.
+    pub fn new(own: impl Into<String>) -> Self {
+        Self {
+            own: own.into(),
+            shards: BTreeMap::new(),
+            calls: HashMap::new(),
+            serial: 0,
+            lost: None,
+            taken: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the shards that it coordinates, for the others to know.
+    pub fn coordinations(&self) -> Vec<Coordination> {
+        let coordination = |(shard, state): (&ShardId, &Shard)| Coordination {
+            shard: *shard,
+            knowledge: state.knowledge(),
+        };
+        self.shards.iter().map(coordination).collect()
+    }
+
+    /// Returns what it knows of a shard, if it coordinates it.
+    pub fn knowledge(&self, shard: ShardId) -> Option<Knowledge> {
+        self.shards.get(&shard).map(Shard::knowledge)
+    }
+
+    /// Begins to coordinate a shard that nobody is heard to coordinate.
+    pub fn claim(&mut self, shard: ShardId, now: Time) {
+        if self
+            .taken
+            .get(&shard)
+            .is_some_and(|at| now.since(*at) < TAKEN)
+        {
+            return;
+        }
+        self.shards.entry(shard).or_insert_with(|| Shard::new(now));
+    }
+
+    /// Gives a shard up; its jobs are stopped here, and run on at its next coordinator.
+    pub fn release(&mut self, shard: ShardId, why: &str, out: &mut Effects) -> Vec<Act> {
+        let Some(state) = self.shards.remove(&shard) else {
+            return Vec::new();
+        };
+        if state.phase != Phase::Empty && state.phase != Phase::Reading {
+            let line = Line::new("shard_released").with("shard", shard.to_string());
+            out.outputs.push(Output::Log(line.with("reason", why)));
+        }
+        self.calls.retain(|_, of| *of != shard);
+        state.jobs.keys().copied().map(Act::Release).collect()
+    }
+
+    /// Gives all shards up, after the process stood still.
+    pub fn void(&mut self, out: &mut Effects) -> Vec<Act> {
+        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
+        let release = |shard| self.release(shard, "the process stood still", out);
+        shards.into_iter().flat_map(release).collect()
+    }
+
+    /// Takes note that a member was lost, or coordinates the same shard: it may live, and take shards over.
+    pub fn suspect(&mut self, now: Time) {
+        let already = self.suspicious(now);
+        self.lost = Some(now);
+        for shard in self.shards.values_mut() {
+            if !already {
+                // Before, nothing had to be confirmed.
+                shard.confirmed = now;
+            }
+        }
+    }
+
+    fn suspicious(&self, now: Time) -> bool {
+        self.lost.is_some_and(|at| now.since(at) < SUSPICION)
+    }
+
+    /// Answers a caller's request, or takes it up.
+    pub fn request(
+        &mut self,
+        from: &Contact,
+        serial: u64,
+        job: JobId,
+        question: Question,
+        out: &mut Effects,
+    ) -> Option<Act> {
+        let Some(shard) = self.shards.get_mut(&job.shard()) else {
+            answer(from, serial, Verdict::Unready, out);
+            return None;
+        };
+        match question {
+            Question::Accept(record) => shard.accept(from, serial, job, record, out),
+            Question::Cancel => return shard.cancel(from, serial, job, out),
+            Question::State => shard.state(from, serial, job, out),
+        }
+        None
+    }
+
+    /// Returns the stored state of a job.
+    pub fn state(&self, job: JobId) -> Option<State> {
+        let shard = self.shards.get(&job.shard())?;
+        shard.jobs.get(&job).and_then(|job| job.shown)
+    }
+
+    /// Tells whether it knows a job, stored or about to be.
+    pub fn knows(&self, job: JobId) -> bool {
+        let shard = self.shards.get(&job.shard());
+        shard.is_some_and(|shard| shard.jobs.contains_key(&job))
+    }
+
+    /// Returns what was asked for, and how far it has come, of a job that has not ended.
+    pub fn job(&self, job: JobId) -> Option<(&Record, &Progress)> {
+        let job = self.shards.get(&job.shard())?.jobs.get(&job)?;
+        Some((job.record.as_deref()?, &job.progress))
+    }
+
+    /// Takes note of the end of a run, and tells what follows; its endpoint forgets it when that is stored.
+    ///
+    /// One is `late` whose task this instance has given out again.
+    pub fn ended(
+        &mut self,
+        from: &Contact,
+        end: &RunEnd,
+        late: bool,
+        out: &mut Effects,
+    ) -> Option<Act> {
+        let shard = self.shards.get_mut(&end.task.job.shard())?;
+        let noted = |late| Message::Noted {
+            endpoint: end.endpoint.clone(),
+            serial: end.serial,
+            late,
+        };
+        match shard.phase {
+            Phase::Empty | Phase::Reading => {
+                shard.ask((from.clone(), noted(false)));
+                return None;
+            }
+            // Also while the store is away: a task whose end isn't counted would be run again.
+            _ if shard.loaded => {}
+            _ => return None,
+        }
+        let Some(job) = shard.jobs.get_mut(&end.task.job) else {
+            out.messages.push((from.clone(), noted(false)));
+            return None;
+        };
+        // One that has ended, but isn't stored as such, still needs the ends that it counted.
+        if let Some(state) = job.shown.filter(|state| *state != State::Open) {
+            // Of a completed job this end wasn't counted, so another run of the task was.
+            let late = state == State::Completed;
+            out.messages.push((from.clone(), noted(late)));
+            return None;
+        }
+        let key = (end.endpoint.clone(), end.serial);
+        let known = job.counted.get(&key).copied();
+        let first = known.is_none();
+        let record = job.record.as_ref();
+        let counts = first && record.is_some_and(|r| job.progress.end(r, end.task, end.done));
+        let again = first && !counts && job.progress.state == State::Open;
+        let late = known.unwrap_or(late || again);
+        job.counted.insert(key, late);
+        let change = shard.changed.entry(end.task.job).or_default();
+        change.ends.push((from.clone(), noted(late)));
+        match (counts, job.progress.state, end.done) {
+            (false, ..) => None,
+            (_, State::Failed | State::Cancelled, _) => Some(Act::Release(end.task.job)),
+            (_, _, true) => Some(Act::Done(end.task)),
+            (_, _, false) => Some(Act::Failed(end.task)),
+        }
+    }
+
+    /// Does what is due: calls the store, forgets jobs that ended long ago, gives shards up that may be another's.
+    pub fn work(&mut self, now: Time, out: &mut Effects) -> Vec<Act> {
+        let suspicious = self.suspicious(now);
+        let mut acts = Vec::new();
+        let doubtful = |(shard, state): (&ShardId, &Shard)| {
+            (state.loaded && now.since(state.confirmed) > CONFIDENCE).then_some(*shard)
+        };
+        if suspicious {
+            let doubtful: Vec<ShardId> = self.shards.iter().filter_map(doubtful).collect();
+            for shard in doubtful {
+                acts.extend(self.release(shard, "its lock can't be confirmed", out));
+            }
+        }
+        for (id, shard) in &mut self.shards {
+            shard.expire(now);
+            let Some(request) = shard.due(*id, &self.own, suspicious, now) else {
+                continue;
+            };
+            self.serial += 1;
+            let call = StoreCall(self.serial);
+            shard.call = Some((call, now));
+            self.calls.insert(call, *id);
+            out.outputs.push(Output::Store { call, request });
+        }
+        acts
+    }
+
+    /// Takes an answer of the store.
+    pub fn stored(
+        &mut self,
+        call: StoreCall,
+        reply: StoreReply,
+        now: Time,
+        out: &mut Effects,
+    ) -> Vec<Act> {
+        let Some(id) = self.calls.remove(&call) else {
+            return Vec::new();
+        };
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return Vec::new();
+        };
+        let Some((_, sent)) = shard.call.take() else {
+            return Vec::new();
+        };
+        let mut acts = Vec::new();
+        let kept = match shard.phase {
+            Phase::Reading | Phase::Checking | Phase::Empty => {
+                shard.found(reply, &self.own, now, out)
+            }
+            Phase::Locking => shard.locked(reply, sent, now, out),
+            Phase::Loading => shard.loaded(id, reply, now, &mut acts, out),
+            Phase::Held => shard.written(reply, sent, now, &mut acts, out),
+        };
+        if !kept {
+            self.taken.insert(id, now);
+            acts.extend(self.release(id, "another coordinates it", out));
+        }
+        acts
+    }
+}
+
+fn answer(to: &Contact, serial: u64, verdict: Verdict, out: &mut Effects) {
+    let message = Message::Verdict { serial, verdict };
+    out.messages.push((to.clone(), message));
+}
+
+impl Shard {
+    fn new(now: Time) -> Self {
+        Self {
+            phase: Phase::Reading,
+            call: None,
+            next: now,
+            lock: 0,
+            confirmed: now,
+            loaded: false,
+            after: None,
+            jobs: BTreeMap::new(),
+            ended: VecDeque::new(),
+            changed: BTreeMap::new(),
+            flight: BTreeMap::new(),
+            if_empty: Vec::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    fn knowledge(&self) -> Knowledge {
+        match self.phase {
+            Phase::Empty => Knowledge::Empty,
+            Phase::Held => Knowledge::Held,
+            // After the first write the shard is never empty again.
+            _ if self.loaded => Knowledge::Held,
+            _ => Knowledge::Reading,
+        }
+    }
+
+    fn accept(
+        &mut self,
+        from: &Contact,
+        serial: u64,
+        job: JobId,
+        record: Box<Record>,
+        out: &mut Effects,
+    ) {
+        if self.phase != Phase::Held {
+            self.waiting
+                .retain(|(contact, s, ..)| (contact, *s) != (from, serial));
+            self.waiting.push((from.clone(), serial, job, record));
+            return;
+        }
+        match self.jobs.get(&job) {
+            Some(known) if known.shown.is_some() => answer(from, serial, Verdict::Accepted, out),
+            Some(_) => {
+                let change = self.changed.get_mut(&job).or(self.flight.get_mut(&job));
+                if let Some(change) = change {
+                    change.accepted.push((from.clone(), serial));
+                }
+            }
+            None if self.jobs.len() >= MOST => {
+                let again = Span::seconds(2);
+                answer(from, serial, Verdict::Rejected { again }, out);
+            }
+            None => {
+                let fresh = Job {
+                    progress: record.begin(),
+                    record: Some(record),
+                    shown: None,
+                    counted: HashMap::new(),
+                    ended: false,
+                };
+                self.jobs.insert(job, fresh);
+                let change = self.changed.entry(job).or_default();
+                change.accepted.push((from.clone(), serial));
+            }
+        }
+    }
+
+    fn cancel(&mut self, from: &Contact, serial: u64, id: JobId, out: &mut Effects) -> Option<Act> {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.unknown(from, serial, out);
+            return None;
+        };
+        if let Some(state) = job.shown.filter(|state| *state != State::Open) {
+            answer(from, serial, Verdict::Standing(state.into()), out);
+            return None;
+        }
+        let open = job.progress.state == State::Open;
+        if open {
+            job.progress.state = State::Cancelled;
+        }
+        let change = self.changed.entry(id).or_default();
+        change.cancelled.push((from.clone(), serial));
+        open.then_some(Act::Release(id))
+    }
+
+    /// Answers how a job stands that the dispatcher doesn't find among those whose end is stored.
+    fn state(&mut self, from: &Contact, serial: u64, id: JobId, out: &mut Effects) {
+        match self.jobs.get(&id) {
+            // Its end is being stored: whoever asks hears of it in a moment, and needn't ask again.
+            Some(job) if job.progress.state != State::Open => {
+                let change = self.changed.get_mut(&id).or(self.flight.get_mut(&id));
+                if let Some(change) = change {
+                    change.asked.push((from.clone(), serial));
+                }
+            }
+            Some(_) => answer(from, serial, Verdict::Unready, out),
+            None => self.unknown(from, serial, out),
+        }
+    }
+
+    /// Answers a question about a job that isn't known here.
+    fn unknown(&mut self, from: &Contact, serial: u64, out: &mut Effects) {
+        let verdict = Verdict::Unknown;
+        match self.phase {
+            Phase::Held => answer(from, serial, verdict, out),
+            Phase::Empty | Phase::Reading => {
+                self.ask((from.clone(), Message::Verdict { serial, verdict }));
+            }
+            _ => answer(from, serial, Verdict::Unready, out),
+        }
+    }
+
+    /// Keeps an answer that holds if the shard is empty still: an instance that isn't heard may have stored the first
+    /// job since.
+    fn ask(&mut self, answer: (Contact, Message)) {
+        self.phase = Phase::Reading;
+        self.if_empty.push(answer);
+    }
+
+    /// Lets the last rows of jobs go that ended long ago.
+    fn expire(&mut self, now: Time) {
+        if self.phase != Phase::Held {
+            return;
+        }
+        while let Some((at, id)) = self.ended.front().copied() {
+            if now.since(at) <= KEPT {
+                return;
+            }
+            self.ended.pop_front();
+            self.changed.entry(id).or_default().forget = true;
+        }
+    }
+
+    /// Returns the call to the store that is due.
+    fn due(
+        &mut self,
+        shard: ShardId,
+        own: &str,
+        suspicious: bool,
+        now: Time,
+    ) -> Option<StoreRequest> {
+        if self.call.is_some() || now < self.next {
+            return None;
+        }
+        let find = StoreRequest::Find {
+            shard,
+            key: LOCK.to_owned(),
+        };
+        let after = self.after.clone();
+        match self.phase {
+            Phase::Reading | Phase::Checking => Some(find),
+            Phase::Empty if self.waiting.is_empty() => None,
+            Phase::Empty | Phase::Locking => {
+                self.phase = Phase::Locking;
+                Some(StoreRequest::Write {
+                    shard,
+                    guard: (LOCK.to_owned(), self.lock),
+                    set: vec![(LOCK.to_owned(), own.as_bytes().to_vec())],
+                    remove: Vec::new(),
+                })
+            }
+            Phase::Loading => Some(StoreRequest::Read { shard, after }),
+            Phase::Held if !self.changed.is_empty() => Some(self.write(shard)),
+            Phase::Held if suspicious && now.since(self.confirmed) >= CONFIRM => Some(find),
+            Phase::Held => None,
+        }
+    }
+
+    fn write(&mut self, shard: ShardId) -> StoreRequest {
+        let (mut set, mut remove) = (Vec::new(), Vec::new());
+        while self.flight.len() < ROWS {
+            let Some((id, mut change)) = self.changed.pop_first() else {
+                break;
+            };
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            change.state = job.progress.state;
+            if change.forget {
+                remove.push(progress_key(id));
+            } else {
+                set.push((progress_key(id), record::write(&job.progress)));
+            }
+            match (&job.record, job.progress.state) {
+                (Some(record), State::Open) if job.shown.is_none() => {
+                    set.push((record_key(id), record::write(record)));
+                }
+                (Some(_), state) if state != State::Open && job.shown.is_some() => {
+                    remove.push(record_key(id));
+                }
+                _ => {}
+            }
+            self.flight.insert(id, change);
+        }
+        StoreRequest::Write {
+            shard,
+            guard: (LOCK.to_owned(), self.lock),
+            set,
+            remove,
+        }
+    }
+
+    /// Takes what the store says of the lock row; returns whether the shard is kept.
+    fn found(&mut self, reply: StoreReply, own: &str, now: Time, out: &mut Effects) -> bool {
+        let StoreReply::Rows(rows, _) = reply else {
+            self.next = now + AGAIN;
+            return true;
+        };
+        let Some((_, value, version)) = rows.into_iter().next() else {
+            // Without the row there is no job; one that wanted to write it tries again.
+            self.phase = match self.waiting.is_empty() {
+                true => Phase::Empty,
+                false => Phase::Locking,
+            };
+            self.lock = 0;
+            if !self.loaded {
+                out.messages.append(&mut self.if_empty);
+            }
+            return !self.loaded;
+        };
+        // Those who wait for these ask again.
+        self.if_empty.clear();
+        let mine = value == own.as_bytes();
+        let contested = self.phase == Phase::Checking && version != self.lock;
+        if contested && !mine {
+            return false;
+        }
+        self.lock = version;
+        // Also where it is this life's own: a write under the former version may still be on its way.
+        self.phase = Phase::Locking;
+        true
+    }
+
+    /// Takes what came of the write of the lock row.
+    fn locked(&mut self, reply: StoreReply, sent: Time, now: Time, out: &mut Effects) -> bool {
+        match reply {
+            StoreReply::Written(version) => {
+                self.lock = version;
+                self.confirmed = sent;
+                self.phase = match self.loaded {
+                    true => Phase::Held,
+                    false => Phase::Loading,
+                };
+                if self.loaded {
+                    self.take_waiting(out);
+                }
+            }
+            StoreReply::Refused => self.next = now + AGAIN,
+            _ => {
+                self.phase = Phase::Checking;
+                self.next = now + AGAIN;
+            }
+        }
+        true
+    }
+
+    /// Takes rows of jobs; with the last of them the shard is held.
+    fn loaded(
+        &mut self,
+        id: ShardId,
+        reply: StoreReply,
+        now: Time,
+        acts: &mut Vec<Act>,
+        out: &mut Effects,
+    ) -> bool {
+        let StoreReply::Rows(rows, more) = reply else {
+            self.next = now + AGAIN;
+            return true;
+        };
+        self.after = rows.last().map(|(key, ..)| key.clone());
+        for (key, value, _) in rows {
+            match record::read(&key, &value) {
+                Ok(Row::Lock) => {}
+                Ok(Row::Record(id, record)) => self.read(id).record = Some(Box::new(record)),
+                Ok(Row::Progress(id, progress)) => {
+                    let job = self.read(id);
+                    job.shown = Some(progress.state);
+                    job.progress = progress;
+                }
+                Err(fault) => {
+                    let line = Line::new("row_malformed").with("key", key);
+                    out.outputs.push(Output::Log(line.with("fault", fault)));
+                }
+            }
+        }
+        if more {
+            return true;
+        }
+        self.loaded = true;
+        self.phase = Phase::Held;
+        for (id, job) in &mut self.jobs {
+            if job.progress.state == State::Open && job.record.is_some() {
+                acts.push(Act::Run(*id, now + DOUBT));
+            } else {
+                job.ended = true;
+                self.ended.push_back((now, *id));
+            }
+        }
+        let line = Line::new("shard_held").with("shard", id.to_string());
+        let line = line.with("jobs", self.jobs.len());
+        out.outputs.push(Output::Log(line.with("open", acts.len())));
+        self.take_waiting(out);
+        true
+    }
+
+    fn read(&mut self, id: JobId) -> &mut Job {
+        self.jobs.entry(id).or_insert_with(|| Job {
+            record: None,
+            progress: Progress::default(),
+            shown: None,
+            counted: HashMap::new(),
+            ended: false,
+        })
+    }
+
+    fn take_waiting(&mut self, out: &mut Effects) {
+        for (from, serial, job, record) in std::mem::take(&mut self.waiting) {
+            self.accept(&from, serial, job, record, out);
+        }
+    }
+
+    /// Takes what came of a write of jobs, or of a look at the lock.
+    fn written(
+        &mut self,
+        reply: StoreReply,
+        sent: Time,
+        now: Time,
+        acts: &mut Vec<Act>,
+        out: &mut Effects,
+    ) -> bool {
+        match reply {
+            StoreReply::Written(_) => {
+                self.confirmed = sent;
+                self.next = sent + WRITES;
+                for (id, change) in std::mem::take(&mut self.flight) {
+                    self.settle(id, change, now, acts, out);
+                }
+                true
+            }
+            StoreReply::Rows(rows, _) => {
+                let unchanged = rows.first().is_some_and(|(_, _, v)| *v == self.lock);
+                if unchanged {
+                    self.confirmed = sent;
+                }
+                unchanged
+            }
+            StoreReply::Conflict => false,
+            reply => {
+                let writing = !self.flight.is_empty();
+                for (id, change) in std::mem::take(&mut self.flight) {
+                    self.changed.entry(id).or_default().join(change);
+                }
+                if writing && reply == StoreReply::Silent {
+                    // The write may be made later, over a newer one. A new lock bars it.
+                    self.phase = Phase::Locking;
+                }
+                self.next = now + AGAIN;
+                true
+            }
+        }
+    }
+
+    /// Tells those who waited that what they waited for is stored.
+    fn settle(
+        &mut self,
+        id: JobId,
+        change: Change,
+        now: Time,
+        acts: &mut Vec<Act>,
+        out: &mut Effects,
+    ) {
+        if change.forget {
+            self.jobs.remove(&id);
+            return;
+        }
+        out.messages.extend(change.ends);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let first = job.shown.is_none();
+        let ended = change.state != State::Open;
+        job.shown = Some(change.state);
+        if first {
+            let line = Line::routine("job_stored").job(id);
+            out.outputs.push(Output::Log(line));
+            if !ended {
+                acts.push(Act::Run(id, now));
+            }
+        }
+        for (to, serial) in change.accepted {
+            answer(&to, serial, Verdict::Accepted, out);
+        }
+        if ended && !job.ended {
+            job.ended = true;
+            job.record = None;
+            job.counted = HashMap::new();
+            self.ended.push_back((now, id));
+            let line = Line::routine("job_ended").job(id);
+            let line = line.with("state", format!("{:?}", change.state));
+            out.outputs.push(Output::Log(line));
+        }
+        for (to, serial) in change.cancelled.into_iter().chain(change.asked) {
+            answer(&to, serial, Verdict::Standing(change.state.into()), out);
+        }
+    }
+}
+
+impl Change {
+    fn join(&mut self, other: Self) {
+        self.accepted.extend(other.accepted);
+        self.cancelled.extend(other.cancelled);
+        self.asked.extend(other.asked);
+        self.ends.extend(other.ends);
+        self.forget |= other.forget;
+    }
+}
--- /dev/null
+++ b/src/dispatch/durable/record.rs
@@ -0,0 +1,169 @@
+//! What the store keeps of a job: what was asked for, and how far it has come.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::super::{
+    id::{
+        JobId,
+        TaskId, //
+    },
+    message::JobState,
+    task::Submission, //
+};
+use crate::prelude::*;
+
+/// The key of the row whose version fences a shard's writers, beside keys that begin with a job's digits.
+pub(super) const LOCK: &str = "lock";
+
+/// Ends the key of a job's progress.
+const PROGRESS: &str = ".progress";
+
+/// A job as it was accepted; its row is never changed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// What its caller handed in.
+    pub submission: Submission,
+    /// The queue that it came by.
+    pub route: String,
+    /// The service whose endpoints run it.
+    pub service: String,
+    /// How many runs of a task may fail.
+    pub attempts: u32,
+    /// How long after its arrival it is on time.
+    pub objective: Span,
+}
+
+/// Where a job stands.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Not all of its tasks have ended.
+    #[default]
+    Open,
+    /// Every task ended as done.
+    Completed,
+    /// A task failed as often as it may.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl From<State> for JobState {
+    fn from(state: State) -> Self {
+        match state {
+            // Only who runs it knows whether some of it has started.
+            State::Open => Self::Running,
+            State::Completed => Self::Completed,
+            State::Failed => Self::Failed,
+            State::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+/// How far a job has come.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Where it stands.
+    pub state: State,
+    /// Its steps.
+    pub steps: Vec<Ends>,
+}
+
+/// The ends of a step's tasks.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ends {
+    /// Tasks that are done.
+    pub done: BTreeSet<u32>,
+    /// How often tasks failed, of those that did.
+    pub failures: BTreeMap<u32, u32>,
+}
+
+impl Record {
+    /// Returns the progress of a job of which nothing has run.
+    pub fn begin(&self) -> Progress {
+        Progress {
+            state: State::Open,
+            steps: vec![Ends::default(); self.submission.steps.len()],
+        }
+    }
+}
+
+impl Progress {
+    /// Takes note of the end of a run; returns whether it changed anything.
+    pub fn end(&mut self, record: &Record, task: TaskId, done: bool) -> bool {
+        if self.state != State::Open {
+            return false;
+        }
+        let wanted = record.submission.steps.get(task.step as usize);
+        let (Some(wanted), Some(ends)) = (wanted, self.steps.get_mut(task.step as usize)) else {
+            return false;
+        };
+        if task.index >= wanted.count || ends.done.contains(&task.index) {
+            return false;
+        }
+        if done {
+            ends.done.insert(task.index);
+        } else {
+            let failures = ends.failures.entry(task.index).or_default();
+            *failures += 1;
+            if *failures >= record.attempts {
+                self.state = State::Failed;
+            }
+        }
+        let steps = record.submission.steps.iter().zip(&self.steps);
+        let mut steps = steps.map(|(wanted, ends)| ends.done.len() == wanted.count as usize);
+        if self.state == State::Open && steps.all(|whole| whole) {
+            self.state = State::Completed;
+        }
+        true
+    }
+}
+
+/// Returns the key of a job's record.
+pub(super) fn record_key(job: JobId) -> String {
+    job.to_string()
+}
+
+/// Returns the key of a job's progress.
+pub(super) fn progress_key(job: JobId) -> String {
+    format!("{job}{PROGRESS}")
+}
+
+/// A row of a shard.
+pub(super) enum Row {
+    Lock,
+    Record(JobId, Record),
+    Progress(JobId, Progress),
+}
+
+/// Reads a row of a shard by its key.
+pub(super) fn read(key: &str, value: &[u8]) -> Result<Row, String> {
+    if key == LOCK {
+        return Ok(Row::Lock);
+    }
+    let wrong = |error: serde_json::Error| error.to_string();
+    let named = |digits: &str| digits.parse::<JobId>().map_err(|error| error.to_string());
+    match key.strip_suffix(PROGRESS) {
+        Some(job) => {
+            let progress = serde_json::from_slice(value).map_err(wrong)?;
+            Ok(Row::Progress(named(job)?, progress))
+        }
+        None => {
+            let record = serde_json::from_slice(value).map_err(wrong)?;
+            Ok(Row::Record(named(key)?, record))
+        }
+    }
+}
+
+/// Writes the value of a row.
+pub(super) fn write(value: &impl Serialize) -> Vec<u8> {
+    // Plain data with text for keys always has a form in JSON.
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -1,7 +1,8 @@
 //! An endpoint as its owner sees it: what runs there, until when its leases last, whether it answers.
 
 use std::collections::{
-    HashMap,
+    BTreeMap,
+    BTreeSet,
     HashSet, //
 };
 
@@ -45,6 +46,9 @@
 /// Between looks at an endpoint that doesn't answer, and at one that is being cleared.
 const LOOK_AGAIN: Span = Span::millis(50);
 
+/// Between looks at an endpoint that lists ends which are being stored: half of a write's time.
+const LOOK_HELD: Span = Span::millis(15);
+
 /// Between looks at an endpoint where nothing runs: its clock may be 2 % slow, which makes 100 ms of doubt.
 const LOOK_IDLE: Span = Span::seconds(5);
 
@@ -131,6 +135,8 @@
     pub tries: u8,
     /// Whether an earlier start of this run may still arrive.
     pub doubt: bool,
+    /// Whether its end must be stored before the endpoint forgets it.
+    pub stored: bool,
 }
 
 /// Something that an owner must act on.
@@ -142,6 +148,19 @@
     Failed(TaskId, Handle),
     /// A run is gone without a result; it is to be started again, with this number at least.
     Gone(TaskId, Handle, Run),
+    /// A run ended whose end must be stored, or may have to be: the endpoint lists it until [`State::noted`].
+    Ended {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: Run,
+        /// Whether it is done; else it failed.
+        done: bool,
+        /// The end's number.
+        serial: u64,
+        /// Its batch, where it is known.
+        batch: Option<Handle>,
+    },
     /// A run that nobody wanted is gone.
     Cleared(TaskId),
     /// Another owner has a higher token.
@@ -173,7 +192,7 @@
     /// How far it can be used.
     pub standing: Standing,
     /// What runs there.
-    pub executions: HashMap<TaskId, Execution>,
+    pub executions: BTreeMap<TaskId, Execution>,
     /// What is free.
     pub free: Room,
     /// Until when it gets no task, and why that is.
@@ -184,11 +203,15 @@
     penalty: Span,
     /// Whether it is tried with one task.
     probation: bool,
-    unknown: HashSet<(Name, Run)>,
+    unknown: BTreeSet<(Name, Run)>,
     reading: Option<Reading>,
     /// When every lease that it may have been given has passed.
     lapse: Time,
     seen: u64,
+    /// Ends that the endpoint must not forget yet.
+    held: BTreeSet<u64>,
+    /// Of these, those that it may forget when its lease has passed.
+    late: BTreeSet<u64>,
     told: u64,
     /// Whether a look is wanted although nothing seems to run.
     unsure: bool,
@@ -206,15 +229,17 @@
             delisted: false,
             token,
             standing: Standing::Claimed,
-            executions: HashMap::new(),
+            executions: BTreeMap::new(),
             rest: Time::default(),
             failures: (0, 0),
             penalty: REST.0,
             probation: false,
-            unknown: HashSet::new(),
+            unknown: BTreeSet::new(),
             reading: None,
             lapse: now + LEASE + Span::millis(50),
             seen: 0,
+            held: BTreeSet::new(),
+            late: BTreeSet::new(),
             told: 0,
             unsure: false,
             look: None,
@@ -230,12 +255,12 @@
             && !self.delisted
             && self.reading.is_some()
             && now >= self.rest
+            && self.late.is_empty()
             && (!self.probation || self.executions.is_empty())
     }
 
     /// Takes over a run of the former owner.
-    pub fn adopt(&mut self, task: TaskId, batch: Handle, run: Run, need: Room, now: Time) {
-        let mut execution = Execution::new(batch, run, need, now);
+    pub fn adopt(&mut self, task: TaskId, mut execution: Execution, now: Time) {
         execution.phase = Phase::Running;
         // Its start may still be on its way. Not listed by the first looks, it counts as running until its
         // lease would have passed.
@@ -322,8 +347,9 @@
         if self.look.is_some() || now < self.next_look {
             return None;
         }
+        self.forget_late(now);
         let quiet = self.executions.is_empty() && self.standing == Standing::Open;
-        let told = self.told >= self.seen;
+        let told = self.told >= self.forgettable();
         let fresh = self
             .reading
             .is_some_and(|r| now.since(r.received) < LOOK_IDLE);
@@ -349,16 +375,44 @@
         };
         self.unsure = false;
         self.look = Some(call);
-        self.told = self.seen;
+        self.told = self.forgettable();
         let order = Order::Look {
             lease,
             token: self.token,
-            seen: self.seen,
+            seen: self.told,
             wait,
         };
         Some((order, wait))
     }
 
+    /// Returns the number of the last end up to which the endpoint may forget all.
+    fn forgettable(&self) -> u64 {
+        self.held.first().map_or(self.seen, |held| held - 1)
+    }
+
+    /// Lets the endpoint forget an end.
+    pub fn noted(&mut self, serial: u64, now: Time) {
+        if self.held.remove(&serial) {
+            self.next_look = self.next_look.min(now);
+        }
+    }
+
+    /// Lets the endpoint forget an end once its lease has passed. Until then it gets no new task, so that it does pass.
+    pub fn noted_late(&mut self, serial: u64) {
+        if self.held.contains(&serial) {
+            self.late.insert(serial);
+        }
+    }
+
+    /// Lets the endpoint forget what it may after its lease has passed.
+    fn forget_late(&mut self, now: Time) {
+        if !self.late.is_empty() && now > self.lapse {
+            for serial in std::mem::take(&mut self.late) {
+                self.held.remove(&serial);
+            }
+        }
+    }
+
     /// Tells when the next look is due at the latest.
     pub fn next_look(&self) -> Time {
         self.next_look
@@ -407,7 +461,7 @@
             }
         }
         let mut listed = HashSet::with_capacity(running.len());
-        let mut unknown = HashSet::new();
+        let mut unknown = BTreeSet::new();
         for entry in running {
             match &entry.task {
                 Name::Known(task) if self.knows(task, entry.run) => {
@@ -426,9 +480,11 @@
             true => Standing::Open,
             false => Standing::Claimed,
         };
-        self.next_look = match clear {
-            true => now,
-            false => now + LOOK_AGAIN,
+        self.next_look = match (clear, self.held.is_empty()) {
+            (true, true) => now,
+            // Its list isn't empty, so that it doesn't wait with its answer.
+            (true, false) => now + LOOK_HELD,
+            (false, _) => now + LOOK_AGAIN,
         };
         (events, order)
     }
@@ -443,7 +499,20 @@
         let Name::Known(task) = &end.task else {
             return;
         };
+        let ended = matches!(end.end, End::Done | End::Failed);
+        let mut event = Event::Ended {
+            task: *task,
+            run: end.run,
+            done: end.end == End::Done,
+            serial: end.serial,
+            batch: None,
+        };
         if !self.knows(task, end.run) {
+            // Another instance started it, and died before it heard this.
+            if ended {
+                self.held.insert(end.serial);
+                events.push(event);
+            }
             return;
         }
         let Some(execution) = self.remove(task) else {
@@ -454,6 +523,14 @@
             End::Failed => self.failed(task.job.0, now),
             _ => {}
         }
+        if execution.stored && ended {
+            self.held.insert(end.serial);
+            if let Event::Ended { batch, .. } = &mut event {
+                *batch = Some(execution.batch);
+            }
+            events.push(event);
+            return;
+        }
         events.push(match (end.end, execution.fate) {
             (_, Fate::Drop) => Event::Cleared(*task),
             (End::Done, _) => Event::Done(*task, execution.batch),
@@ -661,6 +738,7 @@
             answered: None,
             tries: 1,
             doubt: false,
+            stored: false,
         }
     }
 }
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -1,6 +1,7 @@
 //! The entry's duty: it takes jobs in, gives their tasks out as batches, and answers.
 
 mod rack;
+mod stored;
 
 use std::{
     collections::{
@@ -57,10 +58,13 @@
 /// the worst case until its leases have lapsed, and what keeps the caller's place from being served now.
 const GIVEN_UP: Answer = Answer::GivenUp { again: AGAIN.0 };
 
+/// How long a stored job may take: it is run to its end, however late that is.
+const FOREVER: Span = Span::seconds(1_000_000_000);
+
 /// After this multiple of its objective an answer is of little use. A job that would end later is refused where it
 /// would have to wait, so that those which can still be of use get the room: without that, two seconds of overload
 /// make everything late for as long as the load lasts.
-const USEFUL: f64 = 3.0;
+pub(super) const USEFUL: f64 = 3.0;
 
 /// The share of the estimated wait and work that must fit in a caller's time for its job to be taken.
 const CAUTION: f64 = 0.8;
@@ -80,7 +84,7 @@
     /// Until when its callers wait.
     until: Time,
     steps: Vec<Progress>,
-    batches: HashMap<u64, Sent>,
+    batches: BTreeMap<u64, Sent>,
     /// Tasks that no owner has, with the earliest time at which they may be placed.
     loose: Vec<Loose>,
     /// Whether some start may have left.
@@ -89,6 +93,10 @@
     ending: bool,
     /// Whether it is given up because a task failed as often as it may.
     failed: bool,
+    /// Whether it is stored: nobody waits, and the ends of its tasks come one by one.
+    stored: bool,
+    /// The queue that it came by.
+    route: String,
 }
 
 /// How far a step has come.
@@ -125,6 +133,8 @@
     by_ticket: HashMap<Ticket, JobId>,
     by_serial: HashMap<u64, JobId>,
     racks: BTreeMap<RackId, Rack>,
+    /// Stored jobs that wait until what ran of them elsewhere has ended.
+    held_back: Vec<(Time, JobId)>,
     serial: u64,
     refused: u32,
 }
@@ -148,15 +158,28 @@
         self.jobs.is_empty()
     }
 
-    /// Tells whether a job is in progress here.
+    /// Tells whether a job whose caller waits is in progress here.
     pub fn knows(&self, job: JobId) -> bool {
-        self.jobs.contains_key(&job)
+        self.jobs.get(&job).is_some_and(|job| !job.stored)
+    }
+
+    /// Counts the jobs of which nothing has started, by queue.
+    pub fn pending(&self) -> BTreeMap<String, u32> {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.started) {
+            match counts.get_mut(&job.route) {
+                Some(count) => *count += 1,
+                None => {
+                    counts.insert(job.route.clone(), 1);
+                }
+            }
+        }
+        counts
     }
 
-    /// Counts the jobs of which nothing has started.
-    pub fn pending(&self) -> usize {
-        let pending = |job: &&Job| !job.started;
-        self.jobs.values().filter(pending).count()
+    /// Tells whether some of a job has started here.
+    pub fn started(&self, job: JobId) -> bool {
+        self.jobs.get(&job).is_some_and(|job| job.started)
     }
 
     /// Takes note of the endpoints that the platform lists.
@@ -299,11 +322,13 @@
             until: now + limit,
             steps: steps.collect(),
             submission: Rc::new(submission),
-            batches: HashMap::new(),
+            batches: BTreeMap::new(),
             loose: Vec::new(),
             started: false,
             ending: false,
             failed: false,
+            stored: false,
+            route: route.name.clone(),
         };
         let record = Record::routine("job_accepted").job(id);
         let record = record.with("route", route.name.as_str());
@@ -317,7 +342,14 @@
     }
 
     /// Refuses a job of which nothing has left, with the time after which its caller may come back.
-    fn refuse(&mut self, ticket: Ticket, id: JobId, why: &str, ahead: Span, out: &mut Effects) {
+    pub(super) fn refuse(
+        &mut self,
+        ticket: Ticket,
+        id: JobId,
+        why: &str,
+        ahead: Span,
+        out: &mut Effects,
+    ) {
         // Callers of the same moment come back at different ones.
         self.refused = self.refused.wrapping_add(1);
         let spread = u64::from(self.refused % 4) * 500_000;
@@ -331,7 +363,7 @@
     }
 
     /// Estimates how long a job would take now; none where it can never run.
-    fn expect(&self, submission: &Submission, service: &str) -> Option<Span> {
+    pub(super) fn expect(&self, submission: &Submission, service: &str) -> Option<Span> {
         let mut wait = Span(0);
         for step in &submission.steps {
             let racks = self.racks.values();
@@ -348,7 +380,10 @@
             return;
         };
         if job.steps.iter().all(|step| step.left.is_empty()) {
-            return self.answer(id, Answer::Completed, now, out);
+            return match job.stored {
+                true => self.forget(id),
+                false => self.answer(id, Answer::Completed, now, out),
+            };
         }
         let submission = job.submission.clone();
         let mut due = Vec::new();
@@ -360,7 +395,8 @@
             };
             if !job.steps[index].placed && step.after.iter().all(ready) {
                 job.steps[index].placed = true;
-                due.push((index as u32, (0..step.count).collect::<Vec<u32>>()));
+                let left: Vec<u32> = job.steps[index].left.iter().copied().collect();
+                due.push((index as u32, left));
             }
         }
         for (step, tasks) in due {
@@ -440,6 +476,7 @@
             spec: job.submission.spec.clone(),
             attempts: job.attempts,
             tied: wanted.affinity.as_ref() == Some(&rack.name),
+            stored: job.stored,
             slack: (latest > now).then(|| latest.since(now)),
             useful: job.useful.since(now),
             left: job.until.since(now),
@@ -463,10 +500,12 @@
     }
 
     /// Takes note of how a batch ended.
+    #[allow(clippy::too_many_arguments)]
     pub fn report(
         &mut self,
         serial: u64,
         outcome: Outcome,
+        done: Vec<u32>,
         started: bool,
         centre: &str,
         now: Time,
@@ -485,9 +524,24 @@
         match outcome {
             Outcome::Done => {
                 let step = &mut job.steps[sent.step as usize];
-                for task in &sent.tasks {
+                for task in &done {
                     step.left.remove(task);
                 }
+                let tasks: Vec<u32> = sent
+                    .tasks
+                    .into_iter()
+                    .filter(|t| !done.contains(t))
+                    .collect();
+                if !tasks.is_empty() {
+                    // They were sent back, and the message got lost.
+                    let at = now + ELSEWHERE;
+                    job.loose.push(Loose {
+                        step: sent.step,
+                        tasks,
+                        at,
+                        hint: None,
+                    });
+                }
                 match job.ending {
                     true => self.end(id, "given up", now, out),
                     false => self.advance(id, centre, now, out),
@@ -708,7 +762,8 @@
 
     /// Cancels a job; returns whether it was in progress here.
     pub fn cancel(&mut self, id: JobId, now: Time, out: &mut Effects) -> bool {
-        if !self.jobs.contains_key(&id) {
+        // A stored one is cancelled at its shard.
+        if self.jobs.get(&id).is_none_or(|job| job.stored) {
             return false;
         }
         self.end(id, "its caller cancels it", now, out);
@@ -720,7 +775,8 @@
 
     /// Gives all jobs up and answers their callers, when the process can't wait for their ends any longer.
     pub fn close(&mut self, now: Time, out: &mut Effects) {
-        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        let waited = self.jobs.iter().filter(|(_, job)| !job.stored);
+        let ids: Vec<JobId> = waited.map(|(id, _)| *id).collect();
         for id in ids {
             self.end(id, "its instance ends", now, out);
             self.answer(id, GIVEN_UP, now, out);
@@ -789,10 +845,7 @@
 }
 
 /// Tells what a job asks for that can't be done yet.
-fn unsupported(submission: &Submission, route: &Route) -> Option<String> {
-    if !submission.best_effort {
-        return Some("jobs that must be stored are not supported".to_owned());
-    }
+pub(super) fn unsupported(submission: &Submission, route: &Route) -> Option<String> {
     if route.advised {
         return Some("queues with an adviser are not supported".to_owned());
     }
--- /dev/null
+++ b/src/dispatch/entry/stored.rs
@@ -0,0 +1,163 @@
+//! Stored jobs at the instance that coordinates them: their tasks are given out like those of any other job, and
+//! their ends come one by one, as they are stored.
+
+use std::{
+    collections::BTreeMap,
+    rc::Rc, //
+};
+
+use super::{
+    super::{
+        durable::record::Progress as Stored,
+        durable::Record as Accepted,
+        id::{
+            JobId,
+            TaskId, //
+        },
+        owner::Effects,
+    },
+    Entry,
+    Job,
+    Loose,
+    Progress,
+    FOREVER, //
+};
+use crate::prelude::*;
+
+impl Entry {
+    /// Runs what is not done of a stored job, from `at` on.
+    pub fn run(&mut self, id: JobId, accepted: &Accepted, stored: &Stored, at: Time, now: Time) {
+        let steps = accepted.submission.steps.iter().zip(&stored.steps);
+        let steps = steps.map(|(step, ends)| Progress {
+            left: (0..step.count).filter(|i| !ends.done.contains(i)).collect(),
+            placed: false,
+        });
+        let begun = |ends: &super::super::durable::record::Ends| {
+            !ends.done.is_empty() || !ends.failures.is_empty()
+        };
+        let job = Job {
+            tickets: Vec::new(),
+            service: accepted.service.clone(),
+            attempts: accepted.attempts,
+            arrived: now,
+            due: now + accepted.objective,
+            useful: now + FOREVER,
+            until: now + FOREVER,
+            steps: steps.collect(),
+            submission: Rc::new(accepted.submission.clone()),
+            batches: BTreeMap::new(),
+            loose: Vec::new(),
+            started: stored.steps.iter().any(begun),
+            ending: false,
+            failed: false,
+            stored: true,
+            route: accepted.route.clone(),
+        };
+        self.jobs.insert(id, job);
+        self.held_back.push((at, id));
+    }
+
+    /// Places the first steps of stored jobs whose time has come.
+    pub fn begin(&mut self, centre: &str, now: Time, out: &mut Effects) {
+        let (due, later) = std::mem::take(&mut self.held_back)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.held_back = later;
+        let due: Vec<(Time, JobId)> = due;
+        for (_, id) in due {
+            self.advance(id, centre, now, out);
+        }
+    }
+
+    /// Takes note that a task of a stored job is done.
+    pub fn task_done(&mut self, task: TaskId, centre: &str, now: Time, out: &mut Effects) {
+        self.take_out(task);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.started = true;
+        for loose in &mut job.loose {
+            if loose.step == task.step {
+                loose.tasks.retain(|index| *index != task.index);
+            }
+        }
+        job.loose.retain(|loose| !loose.tasks.is_empty());
+        if let Some(step) = job.steps.get_mut(task.step as usize) {
+            step.left.remove(&task.index);
+        }
+        if !self.held_back.iter().any(|(_, id)| *id == task.job) {
+            self.advance(task.job, centre, now, out);
+        }
+    }
+
+    /// Takes note that a run of a task of a stored job failed: it is placed again.
+    pub fn task_failed(&mut self, task: TaskId, now: Time) {
+        let out_of_batch = self.take_out(task);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.started = true;
+        // One that no batch has waits already, or its step hasn't been placed.
+        if out_of_batch {
+            job.loose.push(Loose {
+                step: task.step,
+                tasks: vec![task.index],
+                at: now,
+                hint: None,
+            });
+        }
+    }
+
+    /// Takes a task out of its batch; returns whether one had it.
+    fn take_out(&mut self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let has = |sent: &super::Sent| sent.step == task.step && sent.tasks.contains(&task.index);
+        let Some(serial) = job
+            .batches
+            .iter()
+            .find(|(_, sent)| has(sent))
+            .map(|(s, _)| *s)
+        else {
+            return false;
+        };
+        if let Some(sent) = job.batches.get_mut(&serial) {
+            sent.tasks.retain(|index| *index != task.index);
+            if sent.tasks.is_empty() {
+                job.batches.remove(&serial);
+                self.by_serial.remove(&serial);
+            }
+        }
+        true
+    }
+
+    /// Tells whether a task has been given out otherwise than in the batch that its end came from.
+    pub fn gave_out_again(&self, task: TaskId, batch: Option<u64>) -> bool {
+        let own = batch.is_some_and(|serial| self.by_serial.contains_key(&serial));
+        let job = self.jobs.get(&task.job);
+        let has = |sent: &super::Sent| sent.step == task.step && sent.tasks.contains(&task.index);
+        !own && job.is_some_and(|job| job.batches.values().any(has))
+    }
+
+    /// Takes note that a start of a batch has left.
+    pub fn begun(&mut self, serial: u64) {
+        let job = self.by_serial.get(&serial).copied();
+        if let Some(job) = job.and_then(|id| self.jobs.get_mut(&id)) {
+            job.started = true;
+        }
+    }
+
+    /// Stops what runs of a stored job, and forgets it.
+    pub fn release(&mut self, id: JobId, out: &mut Effects) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.stored) else {
+            return;
+        };
+        let serials: Vec<u64> = job.batches.keys().copied().collect();
+        for serial in serials {
+            self.cancel_batch(id, serial, out);
+        }
+        self.held_back.retain(|(_, held)| *held != id);
+        self.forget(id);
+    }
+}
--- a/src/dispatch/id.rs
+++ b/src/dispatch/id.rs
@@ -46,6 +46,42 @@
     }
 }
 
+/// How many shards the stored jobs are divided into. Each has one writer, which makes a call to the store every 30 ms at the
+/// most: 16 of them stay below the 600 calls a second that the smallest platform allows.
+pub const SHARDS: u16 = 16;
+
+/// A part of the stored jobs, by a hash of their identifiers; one instance at a time coordinates it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ShardId(pub u16);
+
+impl ShardId {
+    /// Returns all shards.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..SHARDS).map(Self)
+    }
+
+    /// Weighs a member as the shard's coordinator: the highest weight of all wins.
+    pub fn weight(self, member: &str) -> u64 {
+        mix(fnv(
+            fnv(FNV_OFFSET, &self.0.to_le_bytes()),
+            member.as_bytes(),
+        ))
+    }
+}
+
+impl fmt::Display for ShardId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "shard-{:02}", self.0)
+    }
+}
+
+impl JobId {
+    /// Returns the shard that the job belongs to.
+    pub fn shard(self) -> ShardId {
+        ShardId((mix(self.0) % u64::from(SHARDS)) as u16)
+    }
+}
+
 /// One task of a job: the place of its step in the job, and its own place in the step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -6,11 +6,13 @@
 };
 
 use super::{
+    durable,
     id::{
         Epoch,
         JobId,
         RackId,
         Run,
+        ShardId,
         TaskId,
         Token, //
     },
@@ -111,6 +113,22 @@
     },
     /// Heartbeats of peers arrived, in this order.
     Heartbeats(Vec<(Sender, Heartbeat)>),
+    /// A caller asks for a job that is stored, or cancels it.
+    Asked {
+        /// Where its answer goes.
+        ticket: Ticket,
+        /// The job.
+        job: JobId,
+        /// What it wants.
+        question: Question,
+    },
+    /// A call to the store has ended.
+    Stored {
+        /// The call.
+        call: StoreCall,
+        /// How it ended.
+        reply: StoreReply,
+    },
     /// A call to an endpoint has ended.
     Called {
         /// The call.
@@ -163,6 +181,13 @@
         /// Whether a connection must be new: the last one may have gone silent.
         fresh: bool,
     },
+    /// Call the store.
+    Store {
+        /// Names the call in its answer.
+        call: StoreCall,
+        /// What for.
+        request: StoreRequest,
+    },
     /// Send a message to a peer, after all before it.
     Send(Contact, Message),
     /// Send a heartbeat to some peers; any of these may be lost.
@@ -203,6 +228,12 @@
         /// After how long.
         again: Span,
     },
+    /// The job is stored, and will be run.
+    Accepted,
+    /// How a stored job stands.
+    Standing(JobState),
+    /// There is no such job.
+    Unknown,
     /// There is no such queue.
     NoRoute,
     /// The instance has no configuration yet.
@@ -299,7 +330,7 @@
 }
 
 /// A task as an endpoint names it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Name {
     /// One that an instance of this build can have started.
     Known(TaskId),
@@ -359,6 +390,8 @@
         serial: u64,
         /// How.
         outcome: Outcome,
+        /// Its tasks that are done.
+        done: Vec<u32>,
         /// Whether a start of it ever left.
         started: bool,
     },
@@ -401,6 +434,146 @@
     Roster(Box<Roster>),
     /// A caller cancels a job that the sender doesn't have.
     CancelJob(JobId),
+    /// The receiver coordinates the job's shard: a caller hands it in, asks for it or cancels it.
+    Request {
+        /// Counts the requests of the sender.
+        serial: u64,
+        /// The job.
+        job: JobId,
+        /// What the caller wants.
+        question: Question,
+    },
+    /// The answer to a request.
+    Verdict {
+        /// The request.
+        serial: u64,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// A start of a batch of a stored job has left.
+    Begun(u64),
+    /// A run of a stored job has ended; the endpoint goes on listing its end until it is stored.
+    Ended(Box<RunEnd>),
+    /// The end of a run is stored, or is of no job that is: the endpoint may forget it.
+    Noted {
+        /// The endpoint.
+        endpoint: Endpoint,
+        /// The end's number there.
+        serial: u64,
+        /// Whether the task was given out again before its end was heard: the endpoint may forget the end only when
+        /// its lease has passed, after which the end has no meaning any more.
+        late: bool,
+    },
+}
+
+/// What a caller wants of a stored job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    /// To hand it in.
+    Accept(Box<durable::Record>),
+    /// To know how it stands.
+    State,
+    /// That it ends.
+    Cancel,
+}
+
+/// What a shard's coordinator answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The job is stored.
+    Accepted,
+    /// It is not taken, and never runs; its caller may come back later.
+    Rejected {
+        /// After how long.
+        again: Span,
+    },
+    /// How it stands.
+    Standing(JobState),
+    /// There is no such job.
+    Unknown,
+    /// The receiver doesn't coordinate the shard, or can't tell yet; nothing was done.
+    Unready,
+}
+
+/// How a stored job stands, as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Nothing of it has started.
+    Queued,
+    /// Some of it has.
+    Running,
+    /// Every task is done.
+    Completed,
+    /// A task failed as often as it may.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// The end of a run that must be stored before its endpoint forgets it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RunEnd {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Counts the ends of one life of the endpoint.
+    pub serial: u64,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: Run,
+    /// Whether it ended as done; else it failed.
+    pub done: bool,
+    /// Its batch, by its entry's number, where the owner knows it.
+    pub batch: Option<u64>,
+}
+
+/// Names a call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct StoreCall(pub u64);
+
+/// What the store is asked for; rows are those of one shard.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreRequest {
+    /// Read rows in the order of their keys, after one or from the first.
+    Read {
+        /// The shard.
+        shard: ShardId,
+        /// The key to begin after.
+        after: Option<String>,
+    },
+    /// Read one row.
+    Find {
+        /// The shard.
+        shard: ShardId,
+        /// Its key.
+        key: String,
+    },
+    /// Change rows, all or none, if one row still has its version.
+    Write {
+        /// The shard.
+        shard: ShardId,
+        /// The row, and the version that it must have; zero means that there is none.
+        guard: (String, u64),
+        /// Rows to set, by their keys.
+        set: Vec<(String, Vec<u8>)>,
+        /// Keys of rows to remove.
+        remove: Vec<String>,
+    },
+}
+
+/// What came of a call to the store.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreReply {
+    /// Rows with key, value and version; and whether more follow.
+    Rows(Vec<(String, Vec<u8>, u64)>, bool),
+    /// The change was made, as this version.
+    Written(u64),
+    /// The row that guards it has another version; nothing was changed.
+    Conflict,
+    /// It was refused; nothing was changed.
+    Refused,
+    /// No answer came. A change may be made, now or later.
+    Silent,
 }
 
 /// What a member tells all others again and again: it lives, and how much room its racks have.
@@ -432,6 +605,30 @@
     pub share: u32,
     /// The racks that it owns.
     pub racks: Vec<Claim>,
+    /// The shards of stored jobs that it coordinates.
+    pub shards: Vec<Coordination>,
+    /// Its jobs of which nothing has started, by queue.
+    pub pending: Vec<(String, u32)>,
+}
+
+/// A shard that a member coordinates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coordination {
+    /// The shard.
+    pub shard: ShardId,
+    /// What it knows of it.
+    pub knowledge: Knowledge,
+}
+
+/// What a coordinator knows of its shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Knowledge {
+    /// Nothing yet.
+    Reading,
+    /// That the store holds nothing of it.
+    Empty,
+    /// All of its jobs, as the only one that writes them.
+    Held,
 }
 
 /// A rack that a member owns.
@@ -485,6 +682,8 @@
     pub attempts: u32,
     /// Whether its data ties it to the rack.
     pub tied: bool,
+    /// Whether the ends of its runs must be stored before endpoints forget them.
+    pub stored: bool,
     /// How long until a task must have started to be on time; none where that has passed.
     pub slack: Option<Span>,
     /// How long until an answer is of so little use that the room is better given to others.
@@ -530,6 +729,8 @@
     pub next: Vec<Run>,
     /// How often each of its tasks failed.
     pub failures: Vec<u32>,
+    /// Tasks that are done.
+    pub done: Vec<u32>,
     /// Whether a start ever left.
     pub started: bool,
 }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of racks: the only one that starts, stops and looks at their endpoints.
 
 mod answer;
+mod ends;
 mod handover;
 mod place;
 mod probe;
@@ -36,7 +37,8 @@
         Order,
         Outcome,
         Output,
-        Record, //
+        Record,
+        RunEnd, //
     },
     patience::Patience,
     queue::{
@@ -71,6 +73,9 @@
     /// When nobody waits any more.
     until: Time,
     tasks: BTreeMap<u32, Progress>,
+    /// Tasks that are done. The report names them: were it to stand for all that was sent, a task that was sent
+    /// back in a message which got lost would count as done.
+    done: Vec<u32>,
     started: bool,
 }
 
@@ -94,8 +99,8 @@
 #[derive(Debug, Default)]
 pub struct Owner {
     racks: BTreeMap<RackId, Rack>,
-    endpoints: HashMap<Endpoint, State>,
-    loads: HashMap<Handle, Load>,
+    endpoints: BTreeMap<Endpoint, State>,
+    loads: BTreeMap<Handle, Load>,
     by_entry: HashMap<(Instance, u64), Handle>,
     /// Where a run of a task is, wanted or not: no other one is started before it has ended.
     busy: HashMap<TaskId, Endpoint>,
@@ -105,6 +110,8 @@
     fenced: Vec<(RackId, Token)>,
     /// Entries that are heard: a task is started only for one of these.
     present: HashSet<Instance>,
+    /// Ends that endpoints list until they are stored, with the time at which each was reported last.
+    ends: BTreeMap<(Endpoint, u64), (RunEnd, Option<Time>)>,
     patience: Patience,
     handles: u64,
     serial: u64,
@@ -342,6 +349,7 @@
             until: now + batch.left,
             batch,
             tasks,
+            done: Vec::new(),
             started,
         };
         for index in load.tasks.keys() {
@@ -368,6 +376,7 @@
         let message = Message::Report {
             serial,
             outcome: Outcome::Dropped,
+            done: Vec::new(),
             started,
         };
         out.tell(entry, message);
@@ -475,13 +484,14 @@
     fn finish(&mut self, handle: Handle, outcome: Outcome, out: &mut Effects) {
         let told = self.loads.get(&handle).map(|load| {
             let serial = load.batch.serial;
-            (load.entry.clone(), serial)
+            (load.entry.clone(), serial, load.done.clone())
         });
         let started = self.drop_load(handle, out);
-        if let Some((entry, serial)) = told {
+        if let Some((entry, serial, done)) = told {
             let message = Message::Report {
                 serial,
                 outcome,
+                done,
                 started,
             };
             out.tell(&entry, message);
@@ -520,6 +530,7 @@
             entry: self.entry,
             next: self.tasks.values().map(|p| p.next).collect(),
             failures: self.tasks.values().map(|p| p.failures).collect(),
+            done: self.done,
             started: self.started,
             batch,
         }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -20,7 +20,8 @@
             Outcome,
             Record,
             Refusal,
-            Reply, //
+            Reply,
+            RunEnd, //
         },
         queue::Handle, //
     },
@@ -256,6 +257,23 @@
                     out.log(record.with("endpoint", id.as_str()));
                     self.again(task, handle, next, now);
                 }
+                Event::Ended {
+                    task,
+                    run,
+                    done,
+                    serial,
+                    batch,
+                } => {
+                    let end = RunEnd {
+                        endpoint: id.clone(),
+                        serial,
+                        task,
+                        run,
+                        done,
+                        batch: None,
+                    };
+                    self.ended(end, batch, out);
+                }
                 Event::Cleared(task) => {
                     self.busy.remove(&task);
                 }
@@ -287,7 +305,9 @@
         let Some(load) = self.loads.get_mut(&handle) else {
             return;
         };
-        load.tasks.remove(&task.index);
+        if load.tasks.remove(&task.index).is_some() {
+            load.done.push(task.index);
+        }
         if load.tasks.is_empty() {
             self.finish(handle, Outcome::Done, out);
         }
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -2,7 +2,10 @@
 
 use super::{
     super::{
-        endpoint::Phase,
+        endpoint::{
+            Execution,
+            Phase, //
+        },
         id::{
             RackId,
             Token, //
@@ -100,7 +103,10 @@
                 failures: *failures,
             });
             let tasks = held.batch.tasks.iter().copied().zip(progress).collect();
-            self.load(&held.entry, held.batch, tasks, held.started, now);
+            let handle = self.load(&held.entry, held.batch, tasks, held.started, now);
+            if let Some(load) = self.loads.get_mut(&handle) {
+                load.done = held.done;
+            }
         }
         for run in handover.runs {
             let key = (run.entry, run.serial);
@@ -110,9 +116,10 @@
             let Some(load) = self.loads.get(&handle) else {
                 continue;
             };
-            let need = load.batch.need;
+            let mut execution = Execution::new(handle, run.run, load.batch.need, now);
+            execution.stored = load.batch.stored;
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
-                state.adopt(run.task, handle, run.run, need, now);
+                state.adopt(run.task, execution, now);
                 self.busy.insert(run.task, run.endpoint.clone());
             }
             if let Some(rack) = self.racks.get_mut(&handover.rack) {
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -12,6 +12,7 @@
             TaskId, //
         },
         message::{
+            Message,
             Outcome,
             Record, //
         },
@@ -171,8 +172,12 @@
         };
         let run = progress.next;
         progress.next = run.next();
+        if load.batch.stored && !load.started {
+            out.tell(&load.entry, Message::Begun(load.batch.serial));
+        }
         load.started = true;
-        let execution = Execution::new(waiting.batch, run, load.batch.need, now);
+        let mut execution = Execution::new(waiting.batch, run, load.batch.need, now);
+        execution.stored = load.batch.stored;
         let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
         };
--- /dev/null
+++ b/src/dispatch/requests.rs
@@ -0,0 +1,360 @@
+//! Requests of callers about stored jobs: they go to the instance that coordinates the job's shard.
+
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+
+use super::{
+    durable::{
+        record::State,
+        Act, //
+    },
+    entry::{
+        unsupported,
+        USEFUL, //
+    },
+    id::{
+        JobId,
+        ShardId, //
+    },
+    member::SETTLE,
+    message::{
+        Answer,
+        Contact,
+        JobState,
+        Knowledge,
+        Message,
+        Output,
+        Question,
+        Record,
+        Ticket,
+        Verdict, //
+    },
+    owner::Effects,
+    route::Route,
+    task::Submission,
+    Dispatcher, //
+};
+use crate::prelude::*;
+
+/// After which a request that has no answer is sent again, to whoever coordinates the shard then.
+const AGAIN: Span = Span::millis(400);
+
+/// The same where the receiver couldn't tell.
+const SOON: Span = Span::millis(60);
+
+/// How long a request may take: a few takeovers of a shard. A caller comes again after that.
+const PATIENCE: Span = Span::millis(4_000);
+
+/// When a caller may come back whose job was not accepted.
+const BACK: Span = Span::seconds(1);
+
+/// A request of a caller that waits.
+#[derive(Debug)]
+struct Request {
+    ticket: Ticket,
+    job: JobId,
+    question: Question,
+    /// When it is sent again.
+    next: Time,
+    until: Time,
+    /// Whether some coordinator may have taken it up.
+    doubt: bool,
+}
+
+/// Requests on their way.
+#[derive(Debug, Default)]
+pub(super) struct Requests {
+    open: BTreeMap<u64, Request>,
+    serial: u64,
+}
+
+impl Requests {
+    /// Forgets the request of a caller that has gone.
+    pub(super) fn abandon(&mut self, ticket: Ticket) {
+        self.open.retain(|_, request| request.ticket != ticket);
+    }
+
+    /// Tells whether nobody waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+}
+
+impl Dispatcher {
+    /// Takes in a job that is to be stored.
+    pub(super) fn submit_stored(
+        &mut self,
+        ticket: Ticket,
+        submission: Submission,
+        route: &Route,
+        wait: Option<Span>,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        if let Some(reason) = unsupported(&submission, route) {
+            let id = submission.id;
+            return self.entry.refuse(ticket, id, &reason, Span(0), out);
+        }
+        let job = submission.id;
+        let record = super::durable::Record {
+            route: route.name.clone(),
+            service: route.service.clone(),
+            attempts: route.attempts.max(1),
+            objective: route.objective(submission.chain()),
+            submission,
+        };
+        let limit = wait.unwrap_or(route.timeout).min(PATIENCE);
+        self.ask(ticket, job, Question::Accept(Box::new(record)), limit, now);
+        self.ask_again(now, out);
+    }
+
+    /// Begins a request.
+    pub(super) fn ask(
+        &mut self,
+        ticket: Ticket,
+        job: JobId,
+        question: Question,
+        limit: Span,
+        now: Time,
+    ) {
+        let request = Request {
+            ticket,
+            job,
+            question,
+            next: now,
+            until: now + limit,
+            doubt: false,
+        };
+        self.requests.serial += 1;
+        let serial = self.requests.serial;
+        self.requests.open.insert(serial, request);
+    }
+
+    /// Sends the requests that are due, and answers those whose time has passed.
+    pub(super) fn ask_again(&mut self, now: Time, out: &mut Effects) {
+        if self.requests.open.is_empty() {
+            return;
+        }
+        let coordinators = self.coordinators();
+        let mut over = Vec::new();
+        for (serial, request) in &mut self.requests.open {
+            if now >= request.until {
+                over.push(*serial);
+                continue;
+            }
+            if now < request.next {
+                continue;
+            }
+            let Some(to) = coordinators.get(&request.job.shard()) else {
+                request.next = now + SOON;
+                continue;
+            };
+            request.next = now + AGAIN;
+            request.doubt = true;
+            let message = Message::Request {
+                serial: *serial,
+                job: request.job,
+                question: request.question.clone(),
+            };
+            out.messages.push((to.clone(), message));
+        }
+        for serial in over {
+            let Some(request) = self.requests.open.remove(&serial) else {
+                continue;
+            };
+            let record = Record::new("request_unanswered").job(request.job);
+            out.outputs.push(Output::Log(record));
+            let answer = match (&request.question, request.doubt) {
+                (Question::Accept(_), true) => Answer::GivenUp { again: BACK },
+                (Question::Accept(_), false) => Answer::Refused { again: BACK },
+                _ => Answer::Unready,
+            };
+            out.outputs.push(Output::Answer(request.ticket, answer));
+        }
+    }
+
+    /// Takes the answer to a request.
+    pub(super) fn verdict(&mut self, serial: u64, verdict: Verdict, now: Time, out: &mut Effects) {
+        let Some(request) = self.requests.open.get_mut(&serial) else {
+            return;
+        };
+        let answer = match verdict {
+            Verdict::Unready => {
+                request.doubt = false;
+                request.next = now + SOON;
+                return;
+            }
+            Verdict::Accepted => Answer::Accepted,
+            Verdict::Rejected { again } => Answer::Refused { again },
+            Verdict::Standing(state) => Answer::Standing(state),
+            Verdict::Unknown => Answer::Unknown,
+        };
+        let ticket = request.ticket;
+        self.requests.open.remove(&serial);
+        out.outputs.push(Output::Answer(ticket, answer));
+    }
+
+    /// Answers a request about a job of a shard that this instance coordinates.
+    pub(super) fn request(
+        &mut self,
+        from: &Contact,
+        serial: u64,
+        job: JobId,
+        question: Question,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let verdict = match &question {
+            Question::State => self.state(job).map(Verdict::Standing),
+            Question::Accept(record) => self.rejection(job, record),
+            Question::Cancel => None,
+        };
+        if let Some(verdict) = verdict {
+            let message = Message::Verdict { serial, verdict };
+            return out.messages.push((from.clone(), message));
+        }
+        if let Some(act) = self.durable.request(from, serial, job, question, out) {
+            self.act(vec![act], now, out);
+        }
+    }
+
+    fn state(&self, job: JobId) -> Option<JobState> {
+        let ending = self
+            .durable
+            .job(job)
+            .is_some_and(|(_, progress)| progress.state != State::Open);
+        if ending {
+            return None;
+        }
+        let state = self.durable.state(job)?.into();
+        let queued = state == JobState::Running && !self.entry.started(job);
+        Some(if queued { JobState::Queued } else { state })
+    }
+
+    /// Rejects a job for which there is no room in any useful time, before anything of it is stored.
+    fn rejection(&self, job: JobId, record: &super::durable::Record) -> Option<Verdict> {
+        if self.durable.knows(job) {
+            return None;
+        }
+        let needed = self.entry.expect(&record.submission, &record.service);
+        let useful = Span((record.objective.0 as f64 * USEFUL) as u64);
+        match needed {
+            Some(needed) if needed <= useful || needed <= record.submission.chain() => None,
+            _ => Some(Verdict::Rejected { again: BACK }),
+        }
+    }
+
+    /// Does what a shard's rows ask for.
+    pub(super) fn act(&mut self, acts: Vec<Act>, now: Time, out: &mut Effects) {
+        let centre = self.identity.centre.clone();
+        for act in acts {
+            match act {
+                Act::Run(job, at) => {
+                    if let Some((record, progress)) = self.durable.job(job) {
+                        self.entry.run(job, record, progress, at, now);
+                    }
+                }
+                Act::Done(task) => self.entry.task_done(task, &centre, now, out),
+                Act::Failed(task) => self.entry.task_failed(task, now),
+                Act::Release(job) => self.entry.release(job, out),
+            }
+        }
+        self.entry.begin(&centre, now, out);
+    }
+
+    /// Returns who coordinates each shard, as far as that is known.
+    fn coordinators(&self) -> HashMap<ShardId, Contact> {
+        let mut found: HashMap<ShardId, (bool, Contact)> = HashMap::new();
+        let own = (self.durable.coordinations(), &self.identity.contact);
+        let others = self.members.live().filter_map(|member| {
+            let status = member.status.as_ref()?;
+            Some((status.shards.clone(), &member.contact))
+        });
+        for (shards, contact) in others.chain([own]) {
+            for coordination in shards {
+                let held = coordination.knowledge == Knowledge::Held;
+                let known = found.get(&coordination.shard);
+                if known.is_none_or(|(known, _)| held && !known) {
+                    found.insert(coordination.shard, (held, contact.clone()));
+                }
+            }
+        }
+        let contact = |(shard, (_, contact))| (shard, contact);
+        found.into_iter().map(contact).collect()
+    }
+
+    /// Decides which shards it coordinates: those of nobody else, by their weight, until it ends.
+    pub(super) fn coordinate(&mut self, now: Time, out: &mut Effects) {
+        if now.since(self.began) < SETTLE {
+            return;
+        }
+        let own = self.identity.contact.name.clone();
+        let coordinators = self.coordinators();
+        let mut acts = Vec::new();
+        let candidates: Vec<Instance> = self
+            .members
+            .takers()
+            .map(|m| m.contact.name.clone())
+            .collect();
+        for shard in ShardId::all() {
+            let known = coordinators.get(&shard).map(|contact| &contact.name);
+            let mine = self.durable.knowledge(shard).is_some();
+            if mine && self.draining() {
+                acts.extend(self.durable.release(shard, "the instance ends", out));
+            } else if mine && known.is_some_and(|name| *name != own) {
+                acts.extend(self.durable.release(shard, "another holds it", out));
+            } else if mine && self.contested(shard) {
+                self.durable.suspect(now);
+                let heavier =
+                    |name: &Instance| shard.weight(name.as_str()) > shard.weight(own.as_str());
+                let held = self.durable.knowledge(shard) == Some(Knowledge::Held);
+                if !held && self.claimants(shard).any(|name| heavier(&name)) {
+                    acts.extend(self.durable.release(shard, "another claims it", out));
+                }
+            } else if known.is_none() && !self.draining() {
+                let best = candidates
+                    .iter()
+                    .max_by_key(|name| shard.weight(name.as_str()));
+                let beaten = best
+                    .is_some_and(|name| shard.weight(name.as_str()) > shard.weight(own.as_str()));
+                if !beaten {
+                    self.durable.claim(shard, now);
+                }
+            }
+        }
+        self.act(acts, now, out);
+    }
+
+    /// Returns the live members that claim a shard.
+    fn claimants(&self, shard: ShardId) -> impl Iterator<Item = Instance> + '_ {
+        let claims = move |member: &&super::member::Member| {
+            let status = member.status.as_ref();
+            status.is_some_and(|status| status.shards.iter().any(|c| c.shard == shard))
+        };
+        self.members
+            .live()
+            .filter(claims)
+            .map(|m| m.contact.name.clone())
+    }
+
+    fn contested(&self, shard: ShardId) -> bool {
+        self.claimants(shard).next().is_some()
+    }
+
+    /// Reports ends that must be stored to the coordinators of their shards.
+    pub(super) fn report_ends(&mut self, now: Time, out: &mut Effects) {
+        let ends = self.owner.unstored(now);
+        if ends.is_empty() {
+            return;
+        }
+        let coordinators = self.coordinators();
+        for end in ends {
+            if let Some(to) = coordinators.get(&end.task.job.shard()) {
+                let message = Message::Ended(Box::new(end));
+                out.messages.push((to.clone(), message));
+            }
+        }
+    }
+}
--- a/src/dispatch/telling.rs
+++ b/src/dispatch/telling.rs
@@ -111,6 +111,8 @@
             draining: self.draining(),
             share: self.identity.share,
             racks: self.owner.racks().map(claim).chain(ceded).collect(),
+            shards: self.durable.coordinations(),
+            pending: self.entry.pending().into_iter().collect(),
         }
     }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -8,6 +8,7 @@
 pub mod hub;
 pub mod journal;
 pub mod peers;
+pub mod rows;
 
 use std::{
     net::SocketAddr,
@@ -42,6 +43,7 @@
     },
     journal::Journal,
     peers::Peers,
+    rows::Rows,
 };
 use crate::{
     clock::wall,
@@ -113,7 +115,14 @@
     let dispatcher = Dispatcher::new(identity.clone(), now());
     let peers_out = Peers::new(identity);
     let heartbeats = Heartbeats::new(heartbeats);
-    let hub = Hub::new(dispatcher, journal, Calls::new(), peers_out, heartbeats);
+    let hub = Hub::new(
+        dispatcher,
+        journal,
+        Calls::new(),
+        peers_out,
+        heartbeats,
+        Rows::new(site.store.clone()),
+    );
     let record = Record::new("started").with("centre", site.centre.as_str());
     hub.log(&record.with("peers", contact.address.as_str()));
     spawn_local(front::serve(hub.clone(), callers, site.sockets));
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -59,6 +59,8 @@
         message::{
             Answer,
             Input,
+            JobState,
+            Question,
             Record,
             Ticket, //
         },
@@ -240,7 +242,7 @@
         Some(Some(found)) => found,
     };
     if rest.is_empty() && request.method() == Method::GET {
-        let pending = hub.look(|dispatcher| dispatcher.pending());
+        let pending = hub.look(|dispatcher| dispatcher.pending(&route.name));
         return reply(StatusCode::OK, ingress::queue(pending));
     }
     let Ok(id) = rest.parse::<JobId>() else {
@@ -250,17 +252,17 @@
     match *request.method() {
         Method::POST => submit(hub, request, &route, id, host, path).await,
         Method::GET if hub.look(|d| d.knows(id)) => {
-            reply(StatusCode::OK, ingress::state(ingress::State::Running))
+            reply(StatusCode::OK, ingress::state(JobState::Running))
         }
+        Method::GET => ask(hub, id, Question::State).await,
         Method::DELETE => {
             let known = hub.look(|d| d.knows(id));
             hub.feed(Input::Cancelled(id));
             match known {
                 true => reply(StatusCode::OK, Vec::new()),
-                false => failure(StatusCode::GONE, "no such job is in progress"),
+                false => ask(hub, id, Question::Cancel).await,
             }
         }
-        Method::GET => failure(StatusCode::GONE, "no such job is in progress"),
         _ => failure(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE"),
     }
 }
@@ -308,9 +310,33 @@
     let answer = answered.await.unwrap_or(Answer::Unready);
     drop(presence);
     hub.gauges.answer(answer, now().since(came));
+    told(answer)
+}
+
+/// Asks for a stored job, or cancels it.
+async fn ask(hub: &Rc<Hub>, job: JobId, question: Question) -> Response<Full<Bytes>> {
+    let (ticket, answered) = hub.ticket();
+    let presence = Presence {
+        hub: hub.clone(),
+        ticket,
+    };
+    hub.feed(Input::Asked {
+        ticket,
+        job,
+        question,
+    });
+    let answer = answered.await.unwrap_or(Answer::Unready);
+    drop(presence);
+    told(answer)
+}
+
+fn told(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
-        Answer::Completed => reply(StatusCode::OK, ingress::state(ingress::State::Completed)),
-        Answer::Failed => reply(StatusCode::OK, ingress::state(ingress::State::Failed)),
+        Answer::Completed => reply(StatusCode::OK, ingress::state(JobState::Completed)),
+        Answer::Failed => reply(StatusCode::OK, ingress::state(JobState::Failed)),
+        Answer::Accepted => reply(StatusCode::OK, ingress::state(JobState::Queued)),
+        Answer::Standing(state) => reply(StatusCode::OK, ingress::state(state)),
+        Answer::Unknown => failure(StatusCode::GONE, "no such job is known"),
         Answer::GivenUp { again } => {
             let text = "it can't end in its time; some of it may have run, and is being stopped";
             later(StatusCode::GATEWAY_TIMEOUT, text, again)
--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -112,6 +112,9 @@
             Answer::Failed => "failed",
             Answer::GivenUp { .. } => "given_up",
             Answer::Refused { .. } => "refused",
+            Answer::Accepted => "accepted",
+            Answer::Standing(_) => "standing",
+            Answer::Unknown => "unknown",
             Answer::NoRoute => "no_route",
             Answer::Unready => "unready",
         };
--- a/src/instance/hub.rs
+++ b/src/instance/hub.rs
@@ -24,6 +24,7 @@
     heartbeats::Heartbeats, //
     journal::Journal,
     peers::Peers,
+    rows::Rows,
 };
 use crate::{
     dispatch::{
@@ -53,6 +54,8 @@
     pub peers: Peers,
     /// Heartbeats to peers.
     pub heartbeats: Heartbeats,
+    /// Calls to the store for stored jobs.
+    pub rows: Rows,
     /// Rings when no jobs are taken any more.
     pub closing: Notify,
     /// Rings when all is answered after a drain.
@@ -79,6 +82,7 @@
         calls: Calls,
         peers: Peers,
         heartbeats: Heartbeats,
+        rows: Rows,
     ) -> Rc<Self> {
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
@@ -89,6 +93,7 @@
             calls,
             peers,
             heartbeats,
+            rows,
             closing: Notify::new(),
             drained: Notify::new(),
         })
@@ -115,6 +120,7 @@
             Output::Heartbeat(to, heartbeat) => {
                 self.heartbeats.send(self, &to, &heartbeat);
             }
+            Output::Store { call, request } => self.rows.begin(self, call, request),
             Output::Session {
                 to,
                 incarnation,
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -12,6 +12,7 @@
 use crate::{
     dispatch::{
         id::JobId,
+        message::JobState,
         task::{
             Room,
             Step,
@@ -157,7 +158,7 @@
 
 #[derive(Serialize)]
 struct QueueBody {
-    pending: usize,
+    pending: u32,
 }
 
 #[derive(Serialize)]
@@ -165,29 +166,20 @@
     error: &'a str,
 }
 
-/// How far a job is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum State {
-    /// Something of it runs or waits.
-    Running,
-    /// Every task is done.
-    Completed,
-    /// It ended otherwise.
-    Failed,
-}
-
 /// Writes a job's state.
-pub fn state(state: State) -> Vec<u8> {
+pub fn state(state: JobState) -> Vec<u8> {
     let state = match state {
-        State::Running => "running",
-        State::Completed => "completed",
-        State::Failed => "failed",
+        JobState::Queued => "queued",
+        JobState::Running => "running",
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
     };
     write(&StateBody { state })
 }
 
 /// Writes the number of a queue's jobs of which nothing has started.
-pub fn queue(pending: usize) -> Vec<u8> {
+pub fn queue(pending: u32) -> Vec<u8> {
     write(&QueueBody { pending })
 }
 
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -38,6 +38,9 @@
 /// The table in which every instance keeps a row.
 pub const INSTANCES: &str = "instances";
 
+/// The table of stored jobs, with a part for each shard.
+pub const JOBS: &str = "jobs";
+
 #[derive(Deserialize)]
 struct ConfigBody {
     version: u64,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -37,11 +37,40 @@
     pub version: u64,
 }
 
+/// What a status of the store says of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was carried out.
+    Done,
+    /// Its condition doesn't hold; nothing was changed.
+    Conflict,
+    /// The store has no time for it; nothing was changed.
+    Refused,
+    /// The store can't make anything of it.
+    Wrong,
+}
+
 #[derive(Serialize)]
 struct ChangeBody<'a> {
-    expected_rev: [(); 0],
-    set_keys: [SetBody<'a>; 1],
-    remove: [(); 0],
+    expected_rev: Vec<GuardBody<'a>>,
+    set_keys: Vec<SetBody<'a>>,
+    remove: Vec<KeyBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct GuardBody<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    /// The version that the row must have; zero where there must be none.
+    ver: u64,
+}
+
+#[derive(Serialize)]
+struct KeyBody<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
 }
 
 #[derive(Serialize)]
@@ -62,6 +91,11 @@
     ver: u64,
 }
 
+#[derive(Deserialize)]
+struct VersionBody {
+    ver: u64,
+}
+
 #[derive(Deserialize)]
 struct RowBody {
     key: String,
@@ -77,25 +111,88 @@
 /// Writes the call that sets one row whatever it was: its path and body.
 pub fn set(table: &str, key: &str, value: &[u8]) -> (String, Vec<u8>) {
     let body = ChangeBody {
-        expected_rev: [],
-        set_keys: [SetBody {
+        expected_rev: Vec::new(),
+        set_keys: vec![SetBody {
             table,
             part: "",
             key,
             value: BASE64_STANDARD.encode(value),
         }],
-        remove: [],
+        remove: Vec::new(),
     };
-    // Plain structs of text always serialise.
-    let body = serde_json::to_vec(&body).unwrap_or_default();
+    transaction(&body)
+}
+
+/// Writes the call that changes rows of one part of a table if the row `guard` has its version still.
+pub fn change(
+    table: &str,
+    part: &str,
+    guard: &(String, u64),
+    set: &[(String, Vec<u8>)],
+    remove: &[String],
+) -> (String, Vec<u8>) {
+    let set = set.iter().map(|(key, value)| SetBody {
+        table,
+        part,
+        key,
+        value: BASE64_STANDARD.encode(value),
+    });
+    let remove = remove.iter().map(|key| KeyBody { table, part, key });
+    let body = ChangeBody {
+        expected_rev: vec![GuardBody {
+            table,
+            part,
+            key: &guard.0,
+            ver: guard.1,
+        }],
+        set_keys: set.collect(),
+        remove: remove.collect(),
+    };
+    transaction(&body)
+}
+
+fn transaction(body: &ChangeBody<'_>) -> (String, Vec<u8>) {
+    // Plain structs of text and numbers always serialise.
+    let body = serde_json::to_vec(body).unwrap_or_default();
     ("/api/rows-tx".to_owned(), body)
 }
 
+/// Reads the version that a change was made as.
+///
+/// # Errors
+///
+/// Names the field that is missing or wrong.
+pub fn version(body: &[u8]) -> Result<u64, Fault> {
+    let body: VersionBody = json(body)?;
+    Ok(body.ver)
+}
+
+/// Tells what a status says of a call.
+pub fn outcome(status: u16) -> Outcome {
+    match status {
+        200 => Outcome::Done,
+        412 => Outcome::Conflict,
+        429 | 503 => Outcome::Refused,
+        _ => Outcome::Wrong,
+    }
+}
+
+/// Writes the path that reads rows of one part of a table after the key `after`, or from its beginning.
+pub fn range(table: &str, part: &str, after: Option<&str>) -> String {
+    let from = after.map_or(String::new(), |key| format!("&from={key}%20"));
+    format!("/api/rows-get?table={table}&part={part}{from}")
+}
+
+/// Writes the path that reads one row.
+pub fn find(table: &str, part: &str, key: &str) -> String {
+    // A range leaves its last key out.
+    format!("/api/rows-get?table={table}&part={part}&from={key}&target={key}%20")
+}
+
 /// Writes the path that reads a table's rows after the key `after`, or from its beginning.
 pub fn get(table: &str, after: Option<&str>) -> String {
     // A range begins with its first key; no key can lie between `after` and `after` with a blank.
-    let from = after.map_or(String::new(), |key| format!("&from={key}%20"));
-    format!("/api/rows-get?table={table}&part={from}")
+    range(table, "", after)
 }
 
 /// Writes the path that waits for changes of a table after a version.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -5,6 +5,10 @@
 
 #[path = "dispatch/endpoint.rs"]
 mod endpoint;
+#[path = "dispatch/rows.rs"]
+mod rows;
+#[path = "dispatch/stored.rs"]
+mod stored;
 #[path = "dispatch/world.rs"]
 mod world;
 
@@ -36,6 +40,7 @@
     late: 0.0,
     lost_heartbeats: 0.0,
     failures: 0.0,
+    lost_calls: 0.0,
 };
 
 fn completed(answer: &Answer) -> bool {
@@ -233,6 +238,7 @@
             late: 0.03,
             lost_heartbeats: 0.05,
             failures: 0.02,
+            lost_calls: 0.0,
         };
         let mut world = World::new(seed, 4, 3, faults);
         world.load(80, Span::millis(80));
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -35,6 +35,9 @@
     pub from: Time,
     pub until: Option<Time>,
     pub done: bool,
+    pub failed: bool,
+    /// Whether its owner let the endpoint forget its end, before the endpoint's lease had passed.
+    pub noted: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -58,6 +61,10 @@
     ended: Vec<Ended>,
     serial: u64,
     lease: u64,
+    /// When its lease passed last.
+    lapsed: Time,
+    /// Where the runs of the ends that it lists are in the history.
+    places: HashMap<u64, usize>,
     token: Token,
     barred: HashMap<TaskId, Run>,
 }
@@ -77,6 +84,8 @@
             ended: Vec::new(),
             serial: 0,
             lease: 0,
+            lapsed: Time::default(),
+            places: HashMap::new(),
             token: Token::default(),
             barred: HashMap::new(),
         }
@@ -89,6 +98,9 @@
     /// Lets time pass: runs end, or their lease does.
     pub(crate) fn pass(&mut self, now: Time) {
         let lapsed = self.clock(now) >= self.lease;
+        if lapsed {
+            self.lapsed = now;
+        }
         let over: Vec<TaskId> = self
             .running
             .iter()
@@ -113,7 +125,9 @@
         self.serial += 1;
         self.history[run.0.place].until = Some(now);
         self.history[run.0.place].done = how == End::Done;
+        self.history[run.0.place].failed = how == End::Failed;
         self.bar(task, run.0.run);
+        self.places.insert(self.serial, run.0.place);
         self.ended.push(Ended {
             serial: self.serial,
             task: Name::Known(task),
@@ -202,6 +216,8 @@
                     from: now,
                     until: None,
                     done: false,
+                    failed: false,
+                    noted: false,
                 });
                 self.running.insert(*task, Active_(active));
                 Reply::Done { clock }
@@ -221,12 +237,20 @@
             }
             Order::Look { lease, seen, .. } => {
                 self.extend(*lease, now);
-                self.ended.retain(|end| end.serial > *seen);
+                self.note(*seen);
                 self.lists(now)
             }
         }
     }
 
+    fn note(&mut self, seen: u64) {
+        for end in self.ended.iter().filter(|end| end.serial <= seen) {
+            let past = &mut self.history[self.places[&end.serial]];
+            past.noted = past.until.is_some_and(|until| until > self.lapsed);
+        }
+        self.ended.retain(|end| end.serial > seen);
+    }
+
     pub(crate) fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -30,6 +30,9 @@
             Reply,
             Roster,
             Sender,
+            StoreCall,
+            StoreReply,
+            StoreRequest,
             Ticket, //
         },
         route::{
@@ -51,12 +54,17 @@
     SeedableRng as _, //
 };
 
-use super::endpoint::Worker;
+use super::{
+    endpoint::Worker,
+    rows::Rows, //
+};
 
 /// Between ticks of an instance.
 const TICK: Span = Span::millis(10);
 /// One way between two parties.
 const WAY: u64 = 300;
+/// After which a call to the store counts as unanswered.
+const STORE_PATIENCE: Span = Span::millis(400);
 /// After a broken connection, how long until a caller comes again.
 const RETRY: Span = Span::millis(1_300);
 
@@ -69,12 +77,18 @@
     pub lost_heartbeats: f64,
     /// The share of runs that fail.
     pub failures: f64,
+    /// The share of calls to the store that get no answer; half of them are carried out a little later, a quarter
+    /// much later, the others never.
+    pub lost_calls: f64,
 }
 
 #[derive(Debug)]
 enum Event {
     Tick(usize, u64),
     Deliver(usize, u64, Box<Delivery>),
+    Store(usize, u64, StoreCall, Box<StoreRequest>, bool),
+    Stored(usize, u64, StoreCall, Box<StoreReply>),
+    StoreAway(bool),
     Order(usize, usize, u64, CallId, Time, Box<Order>, bool),
     Reply(usize, u64, CallId, Time, Box<Reply>),
     Submit(usize, JobId, u32, u64, Span),
@@ -135,6 +149,10 @@
     silent: HashSet<usize>,
     tickets: u64,
     roster: Roster,
+    rows: Rows,
+    away: bool,
+    /// Whether jobs are stored, with two steps one after the other.
+    stored: bool,
     /// Looks that wait for an end.
     parked: Vec<Parked>,
 }
@@ -142,6 +160,9 @@
 /// A look that waits: at which endpoint, until when, whose, and the order.
 type Parked = (usize, Time, (usize, u64, CallId, Time), Box<Order>);
 
+/// How many runs of a task may fail.
+const ATTEMPTS: u32 = 3;
+
 const ROUTE: &str = "/q/";
 const HOST: &str = "queue.example";
 
@@ -166,6 +187,9 @@
             silent: HashSet::new(),
             tickets: 0,
             roster: Roster::default(),
+            rows: Rows::default(),
+            away: false,
+            stored: false,
             parked: Vec::new(),
         };
         for i in 0..racks * 4 {
@@ -262,7 +286,7 @@
             host: HOST.to_owned(),
             prefix: ROUTE.to_owned(),
             service: "cells".to_owned(),
-            attempts: 3,
+            attempts: ATTEMPTS,
             timeout: Span::seconds(4),
             stretch: 1.6,
             target: Span::millis(60),
@@ -369,6 +393,23 @@
                     );
                 }
             }
+            Output::Store { call, request } => {
+                let life = self.hosts[i].life;
+                let request = Box::new(request);
+                if self.random.random_bool(self.faults.lost_calls) {
+                    let silent = Box::new(StoreReply::Silent);
+                    self.at(STORE_PATIENCE, Event::Stored(i, life, call, silent));
+                    let after = match self.random.random_range(0..4) {
+                        0 | 1 => Span::millis(3),
+                        2 => Span(self.random.random_range(500_000..3_000_000)),
+                        _ => return,
+                    };
+                    self.at(after, Event::Store(i, life, call, request, false));
+                } else {
+                    let way = Span::millis(3);
+                    self.at(way, Event::Store(i, life, call, request, true));
+                }
+            }
             Output::Forget(_) | Output::Closed => {}
         }
     }
@@ -488,6 +529,28 @@
                 let reply = *reply;
                 self.feed(i, Input::Called { call, sent, reply });
             }
+            Event::Store(i, life, call, request, answered) => {
+                let reply = match self.away {
+                    true => StoreReply::Refused,
+                    false => self.rows.obey(&request),
+                };
+                if answered {
+                    let reply = Box::new(reply);
+                    self.at(Span::millis(2), Event::Stored(i, life, call, reply));
+                }
+            }
+            Event::Stored(i, life, call, reply) => {
+                if self.hosts[i].life != life {
+                    return;
+                }
+                if self.frozen(i) {
+                    let rest = Span(self.hosts[i].frozen.since(self.now).0 + 1);
+                    return self.at(rest, Event::Stored(i, life, call, reply));
+                }
+                let reply = *reply;
+                self.feed(i, Input::Stored { call, reply });
+            }
+            Event::StoreAway(away) => self.away = away,
             Event::Submit(i, job, tasks, cpu, takes) => self.submit(i, job, tasks, cpu, takes),
             Event::Kill(i, down) => self.kill(i, down),
             Event::Start(i) => self.start(i),
@@ -561,13 +624,9 @@
             memory: 64,
             gpu: 0,
         };
-        for index in 0..tasks {
-            let task = TaskId {
-                job,
-                step: 0,
-                index,
-            };
-            self.needs.insert(task, need);
+        let steps: u32 = if self.stored { 2 } else { 1 };
+        for (step, index) in (0..steps).flat_map(|s| (0..tasks).map(move |i| (s, i))) {
+            self.needs.insert(TaskId { job, step, index }, need);
         }
         let up = |h: &Host| h.dispatcher.is_some();
         let Some(i) = (0..self.hosts.len())
@@ -579,17 +638,18 @@
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
         self.hosts[i].tickets.insert(ticket, job);
-        let step = Step {
+        let step = |n: u32| Step {
             count: tasks,
             need,
             estimate: takes,
+            after: (0..n).collect(),
             ..Step::default()
         };
         let submission = Submission {
             id: job,
             spec: "cell".to_owned(),
-            steps: vec![step],
-            best_effort: true,
+            steps: (0..steps).map(step).collect(),
+            best_effort: !self.stored,
             unsupported: None,
         };
         self.feed(
@@ -611,6 +671,13 @@
         };
         seen.answer = Some(answer);
         seen.at = now;
+        if self.stored && matches!(answer, Answer::GivenUp { .. }) {
+            self.resubmit(job);
+            return;
+        }
+        let Some(seen) = self.jobs.get_mut(&job) else {
+            return;
+        };
         let refused = matches!(
             answer,
             Answer::Refused { .. } | Answer::NoRoute | Answer::Unready
@@ -644,19 +711,82 @@
                 // The caller can't know whether anything was run.
                 seen.refused = false;
             }
-            let tasks = self.needs.keys().filter(|t| t.job == job).count() as u32;
-            let task = TaskId {
-                job,
-                step: 0,
-                index: 0,
-            };
-            let (cpu, takes) = (self.needs[&task].cpu, self.takes[&job]);
-            let at = self.random.random_range(0..self.hosts.len());
-            self.at(RETRY, Event::Submit(at, job, tasks, cpu, takes));
+            self.resubmit(job);
         }
         self.at(down, Event::Start(i));
     }
 
+    /// Lets the caller of a job come again elsewhere.
+    fn resubmit(&mut self, job: JobId) {
+        let first = |t: &&TaskId| t.job == job && t.step == 0;
+        let tasks = self.needs.keys().filter(first).count() as u32;
+        let task = TaskId {
+            job,
+            step: 0,
+            index: 0,
+        };
+        let (cpu, takes) = (self.needs[&task].cpu, self.takes[&job]);
+        let at = self.random.random_range(0..self.hosts.len());
+        self.at(RETRY, Event::Submit(at, job, tasks, cpu, takes));
+    }
+
+    /// Counts the tasks of all jobs.
+    pub(crate) fn tasks(&self) -> usize {
+        self.needs.len()
+    }
+
+    /// Lets jobs be stored from now on.
+    pub(crate) fn store_jobs(&mut self) {
+        self.stored = true;
+    }
+
+    pub(crate) fn store_away_at(&mut self, after: Span, span: Span) {
+        self.at(after, Event::StoreAway(true));
+        self.at(after + span, Event::StoreAway(false));
+    }
+
+    /// Checks stored jobs at the end: each one that was accepted has run whole, and nothing was started after an end as
+    /// done that its endpoint was told to forget. Returns how many were accepted.
+    pub(crate) fn settle_stored(&mut self) -> usize {
+        self.settle();
+        self.run(Span::seconds(20));
+        let mut done: HashSet<TaskId> = HashSet::new();
+        let all = || self.workers.iter().flat_map(|w| &w.history);
+        for begun in all().filter(|b| b.done) {
+            done.insert(begun.task);
+            if begun.noted {
+                let again = all().find(|b| b.task == begun.task && Some(b.from) > begun.until);
+                assert_eq!(
+                    again, None,
+                    "{begun:?} was noted, and the task started again"
+                );
+            }
+        }
+        let accepted = |(_, seen): &(&JobId, &Seen)| seen.answer == Some(Answer::Accepted);
+        let accepted: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(accepted)
+            .map(|(id, _)| *id)
+            .collect();
+        for job in &accepted {
+            let mut tasks = self.needs.keys().filter(|task| task.job == *job);
+            let failures = |task: &TaskId| all().filter(|b| b.task == *task && b.failed).count();
+            if tasks
+                .clone()
+                .any(|task| failures(task) >= ATTEMPTS as usize)
+            {
+                continue;
+            }
+            let missing = tasks.find(|task| !done.contains(task));
+            assert_eq!(
+                missing, None,
+                "a job was accepted, and this task of it never ended"
+            );
+        }
+        accepted.len()
+    }
+
     /// Checks what must hold at every moment.
     fn judge(&self) {
         let mut running: HashMap<TaskId, &str> = HashMap::new();
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -126,10 +126,29 @@
     entry.work("a", later, &mut out);
     let again = batches(&out);
     assert_eq!(again.len(), 1, "the task is placed once");
-    entry.report(again[0].serial, Outcome::Done, true, "a", later, &mut out);
-    entry.report(again[0].serial, Outcome::Done, true, "a", later, &mut out);
+    let done = |batch: &Batch| batch.tasks.clone();
+    for _ in 0..2 {
+        let tasks = done(&again[0]);
+        entry.report(
+            again[0].serial,
+            Outcome::Done,
+            tasks,
+            true,
+            "a",
+            later,
+            &mut out,
+        );
+    }
     assert_eq!(answers(&out), []);
-    entry.report(first.serial, Outcome::Done, true, "a", later, &mut out);
+    entry.report(
+        first.serial,
+        Outcome::Done,
+        vec![0],
+        true,
+        "a",
+        later,
+        &mut out,
+    );
     assert_eq!(answers(&out), [Answer::Completed]);
 }
 
@@ -139,7 +158,15 @@
     let (mut entry, _) = entry();
     let first = submit(&mut entry, 2).remove(0);
     let mut out = Effects::default();
-    entry.report(first.serial, Outcome::Hopeless, false, "a", NOW, &mut out);
+    entry.report(
+        first.serial,
+        Outcome::Hopeless,
+        vec![],
+        false,
+        "a",
+        NOW,
+        &mut out,
+    );
     assert!(matches!(answers(&out)[..], [Answer::Refused { .. }]));
 }
 
@@ -149,7 +176,15 @@
     let (mut entry, _) = entry();
     let first = submit(&mut entry, 2).remove(0);
     let mut out = Effects::default();
-    entry.report(first.serial, Outcome::Hopeless, true, "a", NOW, &mut out);
+    entry.report(
+        first.serial,
+        Outcome::Hopeless,
+        vec![],
+        true,
+        "a",
+        NOW,
+        &mut out,
+    );
     assert!(matches!(answers(&out)[..], [Answer::GivenUp { .. }]));
 }
 
@@ -166,3 +201,26 @@
     let cancels = |(_, message): &(Contact, Message)| matches!(message, Message::Cancel(_));
     assert!(out.messages.iter().any(cancels), "its owner stops it");
 }
+
+/// An owner sends a task back, and the message gets lost; it reports the batch as done when the other task is. The caller
+/// must not be told complete: the task that was sent back has never run. It is placed again.
+#[test]
+fn report_counts_only_the_tasks_that_it_names() {
+    let (mut entry, _) = entry();
+    let first = submit(&mut entry, 2).remove(0);
+    let mut out = Effects::default();
+    entry.report(
+        first.serial,
+        Outcome::Done,
+        vec![0],
+        true,
+        "a",
+        NOW,
+        &mut out,
+    );
+    assert_eq!(answers(&out), []);
+    entry.work("a", NOW + Span::millis(50), &mut out);
+    let again = batches(&out);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].tasks, [1]);
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -84,6 +84,7 @@
         spec: String::new(),
         attempts: 2,
         tied: false,
+        stored: false,
         slack: Some(Span::seconds(1)),
         useful: Span::seconds(2),
         left: Span::seconds(3),
