Stored jobs: trace orders of events that ended wrong

An end that came late was told otherwise the second time; a failed end made its waiting task forgotten; a shard believed empty had been filled by an instance that wasn't heard; failures were counted again by the next coordinator (they are named in the row now).

A rack handed over while one of its runs was being stopped let the next owner start that task elsewhere at once, also for best-effort jobs: the stop goes with the rack now.

--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -113,8 +113,8 @@
     /// What is to be written, and what is being written.
     changed: BTreeMap<JobId, Change>,
     flight: BTreeMap<JobId, Change>,
-    /// Answers that hold if the shard is found empty.
-    if_empty: Vec<(Contact, Message)>,
+    /// Answers that hold if nobody else has taken the shard over meanwhile.
+    unsure: Vec<(Contact, Message)>,
     /// Jobs that callers handed in before it could take any.
     waiting: Vec<(Contact, u64, JobId, Box<Record>)>,
 }
@@ -316,7 +316,7 @@
             _ => return None,
         }
         let Some(job) = shard.jobs.get_mut(&end.task.job) else {
-            out.messages.push((from.clone(), noted(false)));
+            shard.ask((from.clone(), noted(false)));
             return None;
         };
         // One that has ended, but isn't stored as such, still needs the ends that it counted.
@@ -330,8 +330,10 @@
         let known = job.counted.get(&key).copied();
         let first = known.is_none();
         let record = job.record.as_ref();
-        let counts = first && record.is_some_and(|r| job.progress.end(r, end.task, end.done));
-        let again = first && !counts && job.progress.state == State::Open;
+        let counts = first && record.is_some_and(|r| job.progress.end(r, end));
+        // Of a task that is done already: another run of it was started, unless its job ends for another reason.
+        let other = matches!(job.progress.state, State::Open | State::Completed);
+        let again = first && !counts && end.done && other;
         let late = known.unwrap_or(late || again);
         job.counted.insert(key, late);
         let change = shard.changed.entry(end.task.job).or_default();
@@ -424,7 +426,7 @@
             ended: VecDeque::new(),
             changed: BTreeMap::new(),
             flight: BTreeMap::new(),
-            if_empty: Vec::new(),
+            unsure: Vec::new(),
             waiting: Vec::new(),
         }
     }
@@ -517,19 +519,20 @@
     fn unknown(&mut self, from: &Contact, serial: u64, out: &mut Effects) {
         let verdict = Verdict::Unknown;
         match self.phase {
-            Phase::Held => answer(from, serial, verdict, out),
-            Phase::Empty | Phase::Reading => {
+            Phase::Held | Phase::Empty | Phase::Reading => {
                 self.ask((from.clone(), Message::Verdict { serial, verdict }));
             }
             _ => answer(from, serial, Verdict::Unready, out),
         }
     }
 
-    /// Keeps an answer that holds if the shard is empty still: an instance that isn't heard may have stored the first
-    /// job since.
+    /// Keeps an answer that says that a job isn't stored, until the lock row was looked at: an instance that isn't heard may
+    /// have taken the shard over, and the job in.
     fn ask(&mut self, answer: (Contact, Message)) {
-        self.phase = Phase::Reading;
-        self.if_empty.push(answer);
+        if self.phase == Phase::Empty {
+            self.phase = Phase::Reading;
+        }
+        self.unsure.push(answer);
     }
 
     /// Lets the last rows of jobs go that ended long ago.
@@ -576,6 +579,7 @@
             }
             Phase::Loading => Some(StoreRequest::Read { shard, after }),
             Phase::Held if !self.changed.is_empty() => Some(self.write(shard)),
+            Phase::Held if !self.unsure.is_empty() => Some(find),
             Phase::Held if suspicious && now.since(self.confirmed) >= CONFIRM => Some(find),
             Phase::Held => None,
         }
@@ -629,12 +633,12 @@
             };
             self.lock = 0;
             if !self.loaded {
-                out.messages.append(&mut self.if_empty);
+                out.messages.append(&mut self.unsure);
             }
             return !self.loaded;
         };
         // Those who wait for these ask again.
-        self.if_empty.clear();
+        self.unsure.clear();
         let mine = value == own.as_bytes();
         let contested = self.phase == Phase::Checking && version != self.lock;
         if contested && !mine {
@@ -756,6 +760,7 @@
                 let unchanged = rows.first().is_some_and(|(_, _, v)| *v == self.lock);
                 if unchanged {
                     self.confirmed = sent;
+                    out.messages.append(&mut self.unsure);
                 }
                 unchanged
             }
--- a/src/dispatch/durable/record.rs
+++ b/src/dispatch/durable/record.rs
@@ -11,11 +11,11 @@
 };
 
 use super::super::{
-    id::{
-        JobId,
-        TaskId, //
+    id::JobId,
+    message::{
+        JobState,
+        RunEnd, //
     },
-    message::JobState,
     task::Submission, //
 };
 use crate::prelude::*;
@@ -81,8 +81,18 @@
 pub struct Ends {
     /// Tasks that are done.
     pub done: BTreeSet<u32>,
-    /// How often tasks failed, of those that did.
-    pub failures: BTreeMap<u32, u32>,
+    /// The ends of runs that failed, by task. Each is named: an end whose endpoint hasn't forgotten it is heard again by the
+    /// next coordinator, and counted twice its job would have failed too soon.
+    pub failures: BTreeMap<u32, BTreeSet<Source>>,
+}
+
+/// Names the end of a run.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Source {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Counts the ends of one life of it.
+    pub serial: u64,
 }
 
 impl Record {
@@ -97,10 +107,11 @@
 
 impl Progress {
     /// Takes note of the end of a run; returns whether it changed anything.
-    pub fn end(&mut self, record: &Record, task: TaskId, done: bool) -> bool {
+    pub fn end(&mut self, record: &Record, end: &RunEnd) -> bool {
         if self.state != State::Open {
             return false;
         }
+        let task = end.task;
         let wanted = record.submission.steps.get(task.step as usize);
         let (Some(wanted), Some(ends)) = (wanted, self.steps.get_mut(task.step as usize)) else {
             return false;
@@ -108,12 +119,18 @@
         if task.index >= wanted.count || ends.done.contains(&task.index) {
             return false;
         }
-        if done {
+        if end.done {
             ends.done.insert(task.index);
         } else {
             let failures = ends.failures.entry(task.index).or_default();
-            *failures += 1;
-            if *failures >= record.attempts {
+            let source = Source {
+                endpoint: end.endpoint.clone(),
+                serial: end.serial,
+            };
+            if !failures.insert(source) {
+                return false;
+            }
+            if failures.len() >= record.attempts as usize {
                 self.state = State::Failed;
             }
         }
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -748,6 +748,8 @@
     pub entry: Instance,
     /// See above.
     pub serial: u64,
+    /// Whether it is being stopped, to be started again.
+    pub stopping: bool,
 }
 
 /// A line of the log: an event, the job that it touches, and what decided it.
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -4,6 +4,7 @@
     super::{
         endpoint::{
             Execution,
+            Fate,
             Phase, //
         },
         id::{
@@ -43,19 +44,18 @@
                 continue;
             };
             for (task, execution) in &state.executions {
-                // A run that is being stopped is an unknown run to the next owner, who stops it too.
+                // A run that nobody wants any more is an unknown run to the next owner, who stops it too.
                 let Some(load) = self.loads.get(&execution.batch) else {
                     continue;
                 };
-                if execution.phase != Phase::Stopping {
-                    runs.push(Transferred {
-                        endpoint: id.clone(),
-                        task: *task,
-                        run: execution.run,
-                        entry: load.entry.name.clone(),
-                        serial: load.batch.serial,
-                    });
-                }
+                runs.push(Transferred {
+                    endpoint: id.clone(),
+                    task: *task,
+                    run: execution.run,
+                    entry: load.entry.name.clone(),
+                    serial: load.batch.serial,
+                    stopping: execution.phase == Phase::Stopping,
+                });
             }
         }
         let mut batches = Vec::new();
@@ -128,6 +128,10 @@
                     index: run.task.index,
                 });
             }
+            if run.stopping {
+                // Its endpoint hasn't said that it is gone. Left out, the task would be started elsewhere beside it.
+                self.stop(run.task, handle, Fate::Again, out);
+            }
         }
     }
 }
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -1,6 +1,9 @@
 //! An endpoint's stand-in for the dispatcher's tests: leases, fencing, runs and their ends, without sockets.
 
-use std::collections::HashMap;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
 
 use poplarknot::{
     dispatch::{
@@ -55,7 +58,7 @@
     pub listing: Listing,
     /// Its clock runs this much slower than true time.
     pub slow: f64,
-    pub running: HashMap<TaskId, Active_>,
+    pub running: BTreeMap<TaskId, Active_>,
     pub history: Vec<Begun>,
     pub up: bool,
     ended: Vec<Ended>,
@@ -78,7 +81,7 @@
         Self {
             listing,
             slow,
-            running: HashMap::new(),
+            running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
             ended: Vec::new(),
@@ -143,7 +146,7 @@
 
     /// Ends everything without a word, as a crash does.
     pub(crate) fn crash(&mut self, now: Time) {
-        for (_, run) in self.running.drain() {
+        for run in std::mem::take(&mut self.running).into_values() {
             self.history[run.0.place].until = Some(now);
         }
         self.up = false;
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -672,6 +672,7 @@
         seen.answer = Some(answer);
         seen.at = now;
         if self.stored && matches!(answer, Answer::GivenUp { .. }) {
+            seen.refused = false;
             self.resubmit(job);
             return;
         }
