--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -473,6 +473,7 @@
                 self.help(&from.contact, now, out);
             }
             if lives && !lived {
+                self.durable.doubt_empty();
                 self.greet(&from.contact, now, out);
             }
         }
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -247,6 +247,16 @@
         }
     }
 
+    /// Looks again at shards that it found empty: a member that is heard again may have stored the first job meanwhile, and
+    /// have given the shard up. It would be run by nobody.
+    pub fn doubt_empty(&mut self) {
+        for shard in self.shards.values_mut() {
+            if shard.phase == Phase::Empty {
+                shard.phase = Phase::Reading;
+            }
+        }
+    }
+
     fn suspicious(&self, now: Time) -> bool {
         self.lost.is_some_and(|at| now.since(at) < SUSPICION)
     }
--- a/tests/dispatch/stored.rs
+++ b/tests/dispatch/stored.rs
@@ -106,6 +106,8 @@
     holds(45, vec![43, 131, 201, 0]);
     // A cut-off instance took a shard for empty in which another had stored the first job since.
     holds(0, vec![107, 0]);
+    // A shard that was found empty before a cut was held, filled and given up on the other side of it.
+    holds(0, vec![0, 0, 135, 10, 166]);
     QuickCheck::new()
         .tests(40)
         .rng(Gen::from_size_and_seed(20, 17))
