Stored jobs: an end that comes from elsewhere than this coordinator's own batches is late

Batches were told apart by their number alone, and a task that waited to be placed again counted as never given out. Both let an endpoint forget an end whose task had been started again.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -580,7 +580,11 @@
             Message::Verdict { serial, verdict } => self.verdict(serial, verdict, now, out),
             Message::Begun(serial) => self.entry.begun(serial),
             Message::Ended(end) => {
-                let late = self.entry.gave_out_again(end.task, end.batch);
+                let own = &self.identity.contact.name;
+                let batch = end.batch.as_ref().filter(|(entry, _)| entry == own);
+                let late = self
+                    .entry
+                    .gave_out_again(end.task, batch.map(|(_, serial)| *serial));
                 let act = self.durable.ended(from, &end, late, out);
                 self.act(act.into_iter().collect(), now, out);
                 let acts = self.durable.work(now, out);
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -95,6 +95,8 @@
     failed: bool,
     /// Whether it is stored: nobody waits, and the ends of its tasks come one by one.
     stored: bool,
+    /// Tasks that were given out, of a stored job.
+    given: BTreeSet<(u32, u32)>,
     /// The queue that it came by.
     route: String,
 }
@@ -328,6 +330,7 @@
             ending: false,
             failed: false,
             stored: false,
+            given: BTreeSet::new(),
             route: route.name.clone(),
         };
         let record = Record::routine("job_accepted").job(id);
@@ -460,6 +463,9 @@
         };
         self.serial += 1;
         let serial = self.serial;
+        if job.stored {
+            job.given.extend(tasks.iter().map(|index| (step, *index)));
+        }
         let wanted = &job.submission.steps[step as usize];
         let rest = job.submission.chain().0.saturating_sub(wanted.estimate.0);
         let latest = Time(job.due.0.saturating_sub(rest + wanted.estimate.0));
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -2,7 +2,10 @@
 //! their ends come one by one, as they are stored.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     rc::Rc, //
 };
 
@@ -51,6 +54,7 @@
             ending: false,
             failed: false,
             stored: true,
+            given: BTreeSet::new(),
             route: accepted.route.clone(),
         };
         self.jobs.insert(id, job);
@@ -132,12 +136,11 @@
         true
     }
 
-    /// Tells whether a task has been given out otherwise than in the batch that its end came from.
+    /// Tells whether a task has been given out here, and its end comes from another batch than one of these.
     pub fn gave_out_again(&self, task: TaskId, batch: Option<u64>) -> bool {
         let own = batch.is_some_and(|serial| self.by_serial.contains_key(&serial));
         let job = self.jobs.get(&task.job);
-        let has = |sent: &super::Sent| sent.step == task.step && sent.tasks.contains(&task.index);
-        !own && job.is_some_and(|job| job.batches.values().any(has))
+        !own && job.is_some_and(|job| job.given.contains(&(task.step, task.index)))
     }
 
     /// Takes note that a start of a batch has left.
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -523,8 +523,8 @@
     pub run: Run,
     /// Whether it ended as done; else it failed.
     pub done: bool,
-    /// Its batch, by its entry's number, where the owner knows it.
-    pub batch: Option<u64>,
+    /// Its batch, by the entry and its number, where the owner knows it.
+    pub batch: Option<(Instance, u64)>,
 }
 
 /// Names a call to the store.
--- a/src/dispatch/owner/ends.rs
+++ b/src/dispatch/owner/ends.rs
@@ -21,7 +21,7 @@
     pub(super) fn ended(&mut self, mut end: RunEnd, batch: Option<Handle>, out: &mut Effects) {
         let task = end.task;
         let load = batch.and_then(|handle| self.loads.get(&handle));
-        end.batch = load.map(|load| load.batch.serial);
+        end.batch = load.map(|load| (load.entry.name.clone(), load.batch.serial));
         if batch.is_some() {
             self.busy.remove(&task);
         }
--- a/tests/dispatch/stored.rs
+++ b/tests/dispatch/stored.rs
@@ -108,6 +108,8 @@
     holds(0, vec![107, 0]);
     // A shard that was found empty before a cut was held, filled and given up on the other side of it.
     holds(0, vec![0, 0, 135, 10, 166]);
+    // An end came from a batch of another entry, which had the number of one of this instance's own.
+    holds(25412, vec![201, 9, 0, 154]);
     QuickCheck::new()
         .tests(40)
         .rng(Gen::from_size_and_seed(20, 17))
