--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -48,6 +48,13 @@
 /// Between writes of one shard: with all shards busy, 530 calls a second of the 600 that the smallest platform allows.
 const WRITES: Span = Span::millis(30);
 
+/// Writes of one shard that may follow each other at once after a pause: at a low load nobody waits for the next turn.
+const BURST: u64 = 4;
+
+/// How long a job that a caller hands in may wait for its shard to be held: a takeover takes a tenth of that, and a store
+/// that is away is told to the caller at once.
+const HELD: Span = Span::millis(300);
+
 /// Jobs in one write: two rows each, of the hundred entries that a call may hold.
 const ROWS: usize = 45;
 
@@ -116,7 +123,18 @@
     /// Answers that hold if nobody else has taken the shard over meanwhile.
     unsure: Vec<(Contact, Message)>,
     /// Jobs that callers handed in before it could take any.
-    waiting: Vec<(Contact, u64, JobId, Box<Record>)>,
+    waiting: Vec<Waiting>,
+}
+
+/// A job that a caller handed in before its shard could take any.
+#[derive(Debug)]
+struct Waiting {
+    from: Contact,
+    serial: u64,
+    job: JobId,
+    record: Box<Record>,
+    /// When it came.
+    at: Time,
 }
 
 /// What a shard's coordinator is at.
@@ -268,6 +286,7 @@
         serial: u64,
         job: JobId,
         question: Question,
+        now: Time,
         out: &mut Effects,
     ) -> Option<Act> {
         let Some(shard) = self.shards.get_mut(&job.shard()) else {
@@ -275,7 +294,7 @@
             return None;
         };
         match question {
-            Question::Accept(record) => shard.accept(from, serial, job, record, out),
+            Question::Accept(record) => shard.accept(from, serial, job, record, now, out),
             Question::Cancel => return shard.cancel(from, serial, job, out),
             Question::State => shard.state(from, serial, job, out),
         }
@@ -371,6 +390,7 @@
         }
         for (id, shard) in &mut self.shards {
             shard.expire(now);
+            shard.refuse(now, out);
             let Some(request) = shard.due(*id, &self.own, suspicious, now) else {
                 continue;
             };
@@ -457,12 +477,20 @@
         serial: u64,
         job: JobId,
         record: Box<Record>,
+        now: Time,
         out: &mut Effects,
     ) {
-        if self.phase != Phase::Held {
+        // One that is being written is waited for: to say that it was not taken could be untrue.
+        if self.phase != Phase::Held && !self.jobs.contains_key(&job) {
             self.waiting
-                .retain(|(contact, s, ..)| (contact, *s) != (from, serial));
-            self.waiting.push((from.clone(), serial, job, record));
+                .retain(|w| (&w.from, w.serial) != (from, serial));
+            self.waiting.push(Waiting {
+                from: from.clone(),
+                serial,
+                job,
+                record,
+                at: now,
+            });
             return;
         }
         match self.jobs.get(&job) {
@@ -545,6 +573,18 @@
         self.unsure.push(answer);
     }
 
+    /// Tells callers whose jobs have waited too long for the shard that nothing was done.
+    fn refuse(&mut self, now: Time, out: &mut Effects) {
+        let (late, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|w| now.since(w.at) >= HELD);
+        self.waiting = waiting;
+        let late: Vec<Waiting> = late;
+        for w in late {
+            answer(&w.from, w.serial, Verdict::Unready, out);
+        }
+    }
+
     /// Lets the last rows of jobs go that ended long ago.
     fn expire(&mut self, now: Time) {
         if self.phase != Phase::Held {
@@ -743,8 +783,8 @@
     }
 
     fn take_waiting(&mut self, out: &mut Effects) {
-        for (from, serial, job, record) in std::mem::take(&mut self.waiting) {
-            self.accept(&from, serial, job, record, out);
+        for w in std::mem::take(&mut self.waiting) {
+            self.accept(&w.from, w.serial, w.job, w.record, w.at, out);
         }
     }
 
@@ -760,7 +800,8 @@
         match reply {
             StoreReply::Written(_) => {
                 self.confirmed = sent;
-                self.next = sent + WRITES;
+                let earliest = Time(now.0.saturating_sub(WRITES.times(BURST).0));
+                self.next = self.next.max(earliest) + WRITES;
                 for (id, change) in std::mem::take(&mut self.flight) {
                     self.settle(id, change, now, acts, out);
                 }
--- a/src/dispatch/requests.rs
+++ b/src/dispatch/requests.rs
@@ -47,6 +47,13 @@
 /// How long a request may take: a few takeovers of a shard. A caller comes again after that.
 const PATIENCE: Span = Span::millis(4_000);
 
+/// How long a job is offered to coordinators that can't take it before its caller is told to come back: a few tries.
+const REFUSED: Span = Span::millis(600);
+
+/// The share of its caller's time after which a job that may have been stored is answered as unknown, so that the answer
+/// arrives in time.
+const SHARE: f64 = 0.7;
+
 /// When a caller may come back whose job was not accepted.
 const BACK: Span = Span::seconds(1);
 
@@ -56,11 +63,12 @@
     ticket: Ticket,
     job: JobId,
     question: Question,
+    began: Time,
     /// When it is sent again.
     next: Time,
     until: Time,
-    /// Whether some coordinator may have taken it up.
-    doubt: bool,
+    /// How many times it was sent and nobody said that nothing was done.
+    doubt: u32,
 }
 
 /// Requests on their way.
@@ -105,7 +113,8 @@
             objective: route.objective(submission.chain()),
             submission,
         };
-        let limit = wait.unwrap_or(route.timeout).min(PATIENCE);
+        let limit = wait.unwrap_or(route.timeout);
+        let limit = Span((limit.0 as f64 * SHARE) as u64).min(PATIENCE);
         self.ask(ticket, job, Question::Accept(Box::new(record)), limit, now);
         self.ask_again(now, out);
     }
@@ -123,9 +132,10 @@
             ticket,
             job,
             question,
+            began: now,
             next: now,
             until: now + limit,
-            doubt: false,
+            doubt: 0,
         };
         self.requests.serial += 1;
         let serial = self.requests.serial;
@@ -140,7 +150,9 @@
         let coordinators = self.coordinators();
         let mut over = Vec::new();
         for (serial, request) in &mut self.requests.open {
-            if now >= request.until {
+            // A job that nobody can have taken up is refused before its caller's time is gone.
+            let idle = request.doubt == 0 && now.since(request.began) >= REFUSED;
+            if now >= request.until || idle && matches!(request.question, Question::Accept(_)) {
                 over.push(*serial);
                 continue;
             }
@@ -152,7 +164,7 @@
                 continue;
             };
             request.next = now + AGAIN;
-            request.doubt = true;
+            request.doubt += 1;
             let message = Message::Request {
                 serial: *serial,
                 job: request.job,
@@ -167,8 +179,8 @@
             let record = Record::new("request_unanswered").job(request.job);
             out.outputs.push(Output::Log(record));
             let answer = match (&request.question, request.doubt) {
-                (Question::Accept(_), true) => Answer::GivenUp { again: BACK },
-                (Question::Accept(_), false) => Answer::Refused { again: BACK },
+                (Question::Accept(_), 1..) => Answer::GivenUp { again: BACK },
+                (Question::Accept(_), 0) => Answer::Refused { again: BACK },
                 _ => Answer::Unready,
             };
             out.outputs.push(Output::Answer(request.ticket, answer));
@@ -182,7 +194,7 @@
         };
         let answer = match verdict {
             Verdict::Unready => {
-                request.doubt = false;
+                request.doubt = request.doubt.saturating_sub(1);
                 request.next = now + SOON;
                 return;
             }
@@ -215,7 +227,8 @@
             let message = Message::Verdict { serial, verdict };
             return out.messages.push((from.clone(), message));
         }
-        if let Some(act) = self.durable.request(from, serial, job, question, out) {
+        let act = self.durable.request(from, serial, job, question, now, out);
+        if let Some(act) = act {
             self.act(vec![act], now, out);
         }
     }
