--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -186,3 +186,39 @@
         ("r1-3", 16_000)
     );
 }
+
+/// Rows of stored jobs are changed under the condition that the lock row has its version, in one part of one table; the
+/// statuses that change nothing are told apart from those that leave it open.
+#[test]
+fn rows_are_changed_under_a_condition() {
+    let guard = ("lock".to_owned(), 7);
+    let set = [("a".to_owned(), b"value".to_vec())];
+    let (path, body) = store::change("jobs", "shard-03", &guard, &set, &["b".to_owned()]);
+    assert_eq!(path, "/api/rows-tx");
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let row = |key: &str| json!({"table": "jobs", "part": "shard-03", "key": key});
+    let mut expected = row("lock");
+    expected["ver"] = json!(7);
+    let mut changed = row("a");
+    changed["value"] = json!("dmFsdWU=");
+    let whole = json!({"expected_rev": [expected], "set_keys": [changed], "remove": [row("b")]});
+    assert_eq!(body, whole);
+    assert_eq!(store::version(br#"{"ver":412,"now_ms":5}"#).unwrap(), 412);
+    assert_eq!(store::version(b"{}").unwrap_err().field, ".");
+    let outcomes = [200, 412, 429, 503, 400].map(store::outcome);
+    assert_eq!(
+        outcomes,
+        [
+            store::Outcome::Done,
+            store::Outcome::Conflict,
+            store::Outcome::Refused,
+            store::Outcome::Refused,
+            store::Outcome::Wrong, //
+        ]
+    );
+    let find = store::find("jobs", "shard-03", "lock");
+    assert_eq!(
+        find,
+        "/api/rows-get?table=jobs&part=shard-03&from=lock&target=lock%20"
+    );
+}
