--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -171,7 +171,8 @@
     /// Hands a job of equal tasks in and waits for its answer.
     pub(crate) async fn submit(&self, id: u64, tasks: u32, estimate: u64) -> Result<Response> {
         let mut client = Client::connect(self.front()).await?;
-        self.submit_over(&mut client, id, tasks, estimate).await
+        let body = job_body(tasks, estimate, true);
+        self.submit_over(&mut client, id, &body).await
     }
 
     /// Hands a job in over a connection that may have been used before.
@@ -179,16 +180,11 @@
         &self,
         client: &mut Client,
         id: u64,
-        tasks: u32,
-        estimate: u64,
+        body: &Value,
     ) -> Result<Response> {
-        let body = json!({
-            "spec": "cell", "best_effort": true,
-            "steps": [{"count": tasks, "cpu": 1000, "mem_mb": 64, "estimated_ms": estimate}],
-        });
         let headers = [("host", HOST), ("x-poplarknot-deadline-ms", "8000")];
         let path = format!("{PREFIX}{id:016x}");
-        client.post(&path, &headers, &body).await
+        client.post(&path, &headers, body).await
     }
 
     #[allow(dead_code)] // The example asks nothing.
@@ -339,6 +335,14 @@
     }
 }
 
+/// Writes a job of equal tasks.
+pub(crate) fn job_body(tasks: u32, estimate: u64, best_effort: bool) -> Value {
+    json!({
+        "spec": "cell", "best_effort": best_effort,
+        "steps": [{"count": tasks, "cpu": 1000, "mem_mb": 64, "estimated_ms": estimate}],
+    })
+}
+
 /// Puts a configuration in force with one queue.
 pub(crate) fn configure(store: &Store, version: u64, timeout: u64) {
     let configuration = json!({
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,6 +4,8 @@
 //! Instances reach endpoints and the store through proxies that delay, reset, swallow one way and silence. Half of the
 //! callers keep their connections open until these end, and some go before their answer.
 //!
+//! A third of the callers hand in jobs that are stored, and ask for them at the end.
+//!
 //! While it runs it checks what callers and endpoints see: no task runs twice at a time; "completed" means that every task
 //! was done; "not run" means that none was; and an instance that was only asked to end cuts nobody off. One seed is one
 //! order of faults. `SOAK_SEEDS=FROM-TO cargo test --test soak` plays others than the kept ones.
@@ -32,8 +34,10 @@
 
 use fleet::{
     configure,
+    job_body,
     Fleet,
-    Node, //
+    Node,
+    PREFIX, //
 };
 use futures::stream::{
     FuturesUnordered,
@@ -55,6 +59,7 @@
         Direction,
         Mode, //
     },
+    until,
     Result, //
 };
 use tokio::time::{
@@ -112,6 +117,8 @@
     /// begun by then.
     ended: Vec<(u64, String, Instant)>,
     answered: usize,
+    /// Stored jobs that were accepted.
+    accepted: HashSet<u64>,
 }
 
 type Slots = Arc<Vec<Slot>>;
@@ -181,6 +188,7 @@
     for caller in callers {
         caller.await?;
     }
+    ask_for_accepted(&slots, &ledger).await?;
     // Callers that broke off may have left runs, which are stopped or lapse.
     sleep(Duration::from_millis(1_500)).await;
     fleet.judge();
@@ -204,6 +212,33 @@
     Ok(())
 }
 
+/// Asks for every stored job that was accepted until it is complete, at all instances in turn.
+async fn ask_for_accepted(slots: &Slots, ledger: &Mutex<Ledger>) -> Result {
+    let accepted: Vec<u64> = ledger.lock().unwrap().accepted.iter().copied().collect();
+    for id in accepted {
+        let mut turn = 0;
+        let complete = until("a stored job is complete", || {
+            turn += 1;
+            let node = slots[turn % slots.len()].node.lock().unwrap().clone();
+            async move {
+                let answer = node.get(&format!("{PREFIX}{id:016x}")).await.ok()?;
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                text.contains("completed").then_some(())
+            }
+        });
+        let mut ledger = match complete.await {
+            Ok(()) => ledger.lock().unwrap(),
+            Err(error) => {
+                let mut ledger = ledger.lock().unwrap();
+                ledger.faults.push(format!("{id:016x}: {error}"));
+                ledger
+            }
+        };
+        ledger.completed.insert(id);
+    }
+    Ok(())
+}
+
 /// Checks answers against what endpoints ran.
 fn settle(fleet: &Fleet, ledger: &Mutex<Ledger>) -> Vec<String> {
     let mut ledger = ledger.lock().unwrap();
@@ -259,6 +294,7 @@
 ) {
     let mut job = 0;
     let keeps = caller % 2 == 1;
+    let stores = caller % 3 == 2;
     let mut kept: HashMap<String, Client> = HashMap::new();
     while Instant::now() < end {
         job += 1;
@@ -272,13 +308,14 @@
                 false => Duration::from_secs(60),
             };
             let estimate = takes.as_millis() as u64;
+            let body = job_body(TASKS, estimate, !stores);
             let reused = kept.contains_key(&node.ip);
             let submit = async {
                 let mut client = match kept.remove(&node.ip) {
                     Some(client) => client,
                     None => Client::connect(node.front()).await?,
                 };
-                let answer = node.submit_over(&mut client, id, TASKS, estimate).await?;
+                let answer = node.submit_over(&mut client, id, &body).await?;
                 if keeps && answer.header("connection") != Some("close") {
                     kept.insert(node.ip.clone(), client);
                 }
@@ -321,6 +358,9 @@
         Ok(answer) => {
             ledger.answered += 1;
             let text = String::from_utf8_lossy(&answer.body);
+            if status == 200 && text.contains("queued") {
+                ledger.accepted.insert(id);
+            }
             if status == 200 && text.contains("completed") {
                 ledger.completed.insert(id);
             }
