--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -41,6 +41,7 @@
     },
     message::{
         Answer,
+        Arrival,
         Claim,
         Contact,
         Heartbeat,
@@ -49,8 +50,7 @@
         Output,
         Record,
         Roster,
-        Sender,
-        Ticket, //
+        Sender, //
     },
     owner::{
         Effects,
@@ -59,7 +59,6 @@
     ownership::Former,
     requests::Requests,
     route::Configuration,
-    task::Submission,
 };
 use crate::prelude::*;
 
@@ -178,7 +177,10 @@
     pub fn new(identity: Identity, now: Time) -> Self {
         let identity_epoch = identity.epoch;
         Self {
-            entry: Entry::new(identity.incarnation << SERIAL_BITS),
+            entry: Entry::new(
+                identity.incarnation << SERIAL_BITS,
+                identity.centre.as_str(),
+            ),
             owner: Owner::new(&identity.contact.name),
             durable: Durable::new(format!(
                 "{} {}",
@@ -281,16 +283,14 @@
         if paused {
             self.awake(now, &mut out);
         }
-        match input {
-            // What heartbeats say goes before who is silent: they may have waited while the process stood still.
-            Input::Heartbeats(heartbeats) => {
-                self.take_heartbeats(heartbeats, now, &mut out);
-                self.expire(now, &mut out);
-            }
-            input => {
-                self.expire(now, &mut out);
-                self.take(now, input, &mut out);
-            }
+        // What heartbeats say goes before who is silent: they may have waited while the process stood still.
+        let heartbeats = matches!(input, Input::Heartbeats(_));
+        if !heartbeats {
+            self.expire(now, &mut out);
+        }
+        self.take(now, input, &mut out);
+        if heartbeats {
+            self.expire(now, &mut out);
         }
         self.settle(now, &mut out);
         out.outputs
@@ -322,13 +322,7 @@
 
     fn take(&mut self, now: Time, input: Input, out: &mut Effects) {
         match input {
-            Input::Submitted {
-                ticket,
-                host,
-                path,
-                submission,
-                wait,
-            } => self.submit(ticket, &host, &path, *submission, wait, now, out),
+            Input::Submitted(arrival) => self.submit(*arrival, now, out),
             Input::Abandoned(ticket) => {
                 self.requests.abandon(ticket);
                 self.entry.abandon(ticket, now, out);
@@ -379,21 +373,18 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn submit(
-        &mut self,
-        ticket: Ticket,
-        host: &str,
-        path: &str,
-        submission: Submission,
-        wait: Option<Span>,
-        now: Time,
-        out: &mut Effects,
-    ) {
+    fn submit(&mut self, arrival: Arrival, now: Time, out: &mut Effects) {
+        let Arrival {
+            ticket,
+            host,
+            path,
+            submission,
+            wait,
+        } = arrival;
         let Some(configuration) = &self.configuration else {
             return out.outputs.push(Output::Answer(ticket, Answer::Unready));
         };
-        let Some((route, _)) = configuration.route(host, path) else {
+        let Some((route, _)) = configuration.route(&host, &path) else {
             return out.outputs.push(Output::Answer(ticket, Answer::NoRoute));
         };
         if self.closed(now) {
@@ -406,9 +397,7 @@
             let route = route.clone();
             return self.submit_stored(ticket, submission, &route, wait, now, out);
         }
-        let centre = &self.identity.centre;
-        self.entry
-            .submit(ticket, submission, route, wait, centre, now, out);
+        self.entry.submit(ticket, submission, route, wait, now, out);
     }
 
     /// Puts a configuration in force, unless a newer one is.
@@ -535,9 +524,7 @@
                 done,
                 started,
             } => {
-                let centre = &self.identity.centre;
-                self.entry
-                    .report(serial, outcome, done, started, centre, now, out);
+                self.entry.report(serial, outcome, done, started, now, out);
             }
             Message::Returned {
                 serial,
@@ -546,7 +533,7 @@
                 hint,
             } => {
                 self.entry.returned(serial, tasks, started, hint, now);
-                self.entry.work(&self.identity.centre, now, out);
+                self.entry.work(now, out);
             }
             Message::Audit(serials) => self.owner.audit(from, serials, out),
             Message::Unknown(serials) => self.entry.unknown(&from.name, &serials, now, out),
@@ -652,7 +639,7 @@
         let acts = self.durable.work(now, out);
         self.act(acts, now, out);
         self.ask_again(now, out);
-        self.entry.work(&self.identity.centre, now, out);
+        self.entry.work(now, out);
         if now.since(self.audit) >= AUDITS {
             self.audit = now;
             self.entry.audit(now, out);
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -339,11 +339,11 @@
         Some(until)
     }
 
-    /// Returns the look that is due, and how long it waits for an end.
+    /// Returns the look that is due.
     ///
     /// Leases are extended only where every run is known and all stops are answered: a look also extends what a
     /// dead instance started.
-    pub fn look(&mut self, call: CallId, now: Time) -> Option<(Order, Span)> {
+    pub fn look(&mut self, call: CallId, now: Time) -> Option<Order> {
         if self.look.is_some() || now < self.next_look {
             return None;
         }
@@ -376,13 +376,12 @@
         self.unsure = false;
         self.look = Some(call);
         self.told = self.forgettable();
-        let order = Order::Look {
+        Some(Order::Look {
             lease,
             token: self.token,
             seen: self.told,
             wait,
-        };
-        Some((order, wait))
+        })
     }
 
     /// Returns the number of the last end up to which the endpoint may forget all.
@@ -418,7 +417,8 @@
         self.next_look
     }
 
-    fn read(&mut self, clock: u64, sent: Time, now: Time) {
+    /// Takes note of an answer to a start, a stop or a look: its endpoint lives, and its clock was read.
+    pub fn answered(&mut self, clock: u64, sent: Time, now: Time) {
         self.answered = now;
         let better = |r: Reading| now.since(r.received) > Span::seconds(1);
         let narrow = |r: Reading| now.since(sent) <= r.received.since(r.sent);
@@ -431,16 +431,6 @@
         }
     }
 
-    /// Takes note of an answer to a start, a stop or a look; its endpoint lives.
-    pub fn answered(&mut self, clock: u64, sent: Time, now: Time) {
-        self.read(clock, sent, now);
-    }
-
-    /// Returns when it answered last.
-    pub fn last_answer(&self) -> Time {
-        self.answered
-    }
-
     /// Takes note of what runs there and what has ended; returns what to act on, and unknown to stop.
     pub fn looked(
         &mut self,
@@ -625,11 +615,6 @@
         events
     }
 
-    /// Returns when every lease that it may have been given has passed.
-    pub fn lapses(&self) -> Time {
-        self.lapse
-    }
-
     /// Takes all runs out as gone.
     pub fn lose_all(&mut self, events: &mut Vec<Event>) {
         let tasks: Vec<TaskId> = self.executions.keys().copied().collect();
@@ -669,11 +654,6 @@
         }
     }
 
-    /// Tells whether it gets no task because its runs failed.
-    pub fn failing(&self) -> bool {
-        self.probation
-    }
-
     /// Decides what a refused start means.
     pub fn refused(&mut self, task: TaskId, run: Run, refusal: Refusal, now: Time) -> Refused {
         let Some(execution) = self.executions.get_mut(&task) else {
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -131,6 +131,8 @@
 /// The jobs that an instance has taken in.
 #[derive(Debug, Default)]
 pub struct Entry {
+    /// The data centre of its instance.
+    centre: String,
     jobs: BTreeMap<JobId, Job>,
     by_ticket: HashMap<Ticket, JobId>,
     by_serial: HashMap<u64, JobId>,
@@ -143,8 +145,9 @@
 
 impl Entry {
     /// Starts the numbers of batches at `serial`, which must be above those of any former life.
-    pub fn new(serial: u64) -> Self {
+    pub fn new(serial: u64, centre: impl Into<String>) -> Self {
         Self {
+            centre: centre.into(),
             serial,
             ..Self::default()
         }
@@ -276,14 +279,12 @@
     }
 
     /// Takes a job in, or answers it at once.
-    #[allow(clippy::too_many_arguments)]
     pub fn submit(
         &mut self,
         ticket: Ticket,
         submission: Submission,
         route: &Route,
         wait: Option<Span>,
-        centre: &str,
         now: Time,
         out: &mut Effects,
     ) {
@@ -341,7 +342,7 @@
             .push(Output::Log(record.with("expected_ms", needed)));
         self.by_ticket.insert(ticket, id);
         self.jobs.insert(id, job);
-        self.advance(id, centre, now, out);
+        self.advance(id, now, out);
     }
 
     /// Refuses a job of which nothing has left, with the time after which its caller may come back.
@@ -378,7 +379,7 @@
     }
 
     /// Places the steps of a job whose turn has come, or answers it when all are done.
-    fn advance(&mut self, id: JobId, centre: &str, now: Time, out: &mut Effects) {
+    fn advance(&mut self, id: JobId, now: Time, out: &mut Effects) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -403,19 +404,17 @@
             }
         }
         for (step, tasks) in due {
-            self.place(id, step, tasks, None, centre, now, out);
+            self.place(id, step, tasks, None, now, out);
         }
     }
 
     /// Gives tasks of a step out to the racks where they are expected to end first.
-    #[allow(clippy::too_many_arguments)]
     fn place(
         &mut self,
         id: JobId,
         step: u32,
         tasks: Vec<u32>,
         hint: Option<RackId>,
-        centre: &str,
         now: Time,
         out: &mut Effects,
     ) {
@@ -428,7 +427,7 @@
         let mut loose = Vec::new();
         for task in tasks {
             let service = job.service.as_str();
-            match choose(&mut self.racks, wanted, service, hint, centre) {
+            match choose(&mut self.racks, wanted, service, hint, &self.centre) {
                 Some(rack) => shares.entry(rack).or_default().push(task),
                 None => loose.push(task),
             }
@@ -506,14 +505,12 @@
     }
 
     /// Takes note of how a batch ended.
-    #[allow(clippy::too_many_arguments)]
     pub fn report(
         &mut self,
         serial: u64,
         outcome: Outcome,
         done: Vec<u32>,
         started: bool,
-        centre: &str,
         now: Time,
         out: &mut Effects,
     ) {
@@ -550,7 +547,7 @@
                 }
                 match job.ending {
                     true => self.end(id, "given up", now, out),
-                    false => self.advance(id, centre, now, out),
+                    false => self.advance(id, now, out),
                 }
             }
             Outcome::Failed => {
@@ -790,7 +787,7 @@
     }
 
     /// Does what is due: places loose tasks, gives up jobs whose time has passed.
-    pub fn work(&mut self, centre: &str, now: Time, out: &mut Effects) {
+    pub fn work(&mut self, now: Time, out: &mut Effects) {
         let mut over = Vec::new();
         let mut ready = Vec::new();
         for (id, job) in &mut self.jobs {
@@ -826,7 +823,7 @@
             let Loose {
                 step, tasks, hint, ..
             } = loose;
-            self.place(id, step, tasks, hint, centre, now, out);
+            self.place(id, step, tasks, hint, now, out);
         }
     }
 
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -62,19 +62,19 @@
     }
 
     /// Places the first steps of stored jobs whose time has come.
-    pub fn begin(&mut self, centre: &str, now: Time, out: &mut Effects) {
+    pub fn begin(&mut self, now: Time, out: &mut Effects) {
         let (due, later) = std::mem::take(&mut self.held_back)
             .into_iter()
             .partition(|(at, _)| *at <= now);
         self.held_back = later;
         let due: Vec<(Time, JobId)> = due;
         for (_, id) in due {
-            self.advance(id, centre, now, out);
+            self.advance(id, now, out);
         }
     }
 
     /// Takes note that a task of a stored job is done.
-    pub fn task_done(&mut self, task: TaskId, centre: &str, now: Time, out: &mut Effects) {
+    pub fn task_done(&mut self, task: TaskId, now: Time, out: &mut Effects) {
         self.take_out(task);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -90,7 +90,7 @@
             step.left.remove(&task.index);
         }
         if !self.held_back.iter().any(|(_, id)| *id == task.job) {
-            self.advance(task.job, centre, now, out);
+            self.advance(task.job, now, out);
         }
     }
 
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -78,22 +78,26 @@
     pub address: String,
 }
 
+/// A job as its caller handed it in.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The caller.
+    pub ticket: Ticket,
+    /// The host that it named.
+    pub host: String,
+    /// The path that it asked for.
+    pub path: String,
+    /// The job.
+    pub submission: Submission,
+    /// How long it waits at most, where it says so.
+    pub wait: Option<Span>,
+}
+
 /// What happened.
 #[derive(Debug, Clone)]
 pub enum Input {
     /// A caller handed in a job.
-    Submitted {
-        /// The caller.
-        ticket: Ticket,
-        /// The host that it named.
-        host: String,
-        /// The path that it asked for.
-        path: String,
-        /// The job.
-        submission: Box<Submission>,
-        /// How long it waits at most, where it says so.
-        wait: Option<Span>,
-    },
+    Submitted(Box<Arrival>),
     /// A caller has gone, or its connection broke.
     Abandoned(Ticket),
     /// A caller cancels a job.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -447,7 +447,7 @@
         out: &mut Effects,
     ) {
         let call = self.next_call();
-        self.send(call, id, order, purpose, Span(0), fresh, out);
+        self.send(call, id, order, purpose, fresh, out);
     }
 
     fn next_call(&mut self) -> CallId {
@@ -455,21 +455,23 @@
         CallId(self.serial)
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn send(
         &mut self,
         call: CallId,
         id: &Endpoint,
         order: Order,
         purpose: Purpose,
-        wait: Span,
         fresh: bool,
         out: &mut Effects,
     ) {
         let Some(state) = self.endpoints.get(id) else {
             return;
         };
-        let patience = Span(wait.0 + self.patience.span().0);
+        let wait = match &order {
+            Order::Look { wait, .. } => *wait,
+            _ => Span(0),
+        };
+        let patience = wait + self.patience.span();
         self.calls.insert(call, (id.clone(), purpose));
         out.outputs.push(Output::Call {
             call,
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -69,8 +69,8 @@
                 continue;
             };
             let fresh = state.standing == Standing::Silent;
-            if let Some((order, wait)) = state.look(call, now) {
-                self.send(call, &id, order, Purpose::Look, wait, fresh, out);
+            if let Some(order) = state.look(call, now) {
+                self.send(call, &id, order, Purpose::Look, fresh, out);
             }
         }
     }
--- a/src/dispatch/requests.rs
+++ b/src/dispatch/requests.rs
@@ -261,7 +261,6 @@
 
     /// Does what a shard's rows ask for.
     pub(super) fn act(&mut self, acts: Vec<Act>, now: Time, out: &mut Effects) {
-        let centre = self.identity.centre.clone();
         for act in acts {
             match act {
                 Act::Run(job, at) => {
@@ -269,12 +268,12 @@
                         self.entry.run(job, record, progress, at, now);
                     }
                 }
-                Act::Done(task) => self.entry.task_done(task, &centre, now, out),
+                Act::Done(task) => self.entry.task_done(task, now, out),
                 Act::Failed(task) => self.entry.task_failed(task, now),
                 Act::Release(job) => self.entry.release(job, out),
             }
         }
-        self.entry.begin(&centre, now, out);
+        self.entry.begin(now, out);
     }
 
     /// Returns who coordinates each shard, as far as that is known.
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -58,6 +58,7 @@
         id::JobId,
         message::{
             Answer,
+            Arrival,
             Input,
             JobState,
             Question,
@@ -299,13 +300,13 @@
         hub: hub.clone(),
         ticket,
     };
-    hub.feed(Input::Submitted {
+    hub.feed(Input::Submitted(Box::new(Arrival {
         ticket,
         host,
         path,
-        submission: Box::new(submission),
+        submission,
         wait,
-    });
+    })));
     // The dispatcher answers every ticket; one that it lost would be a fault that the caller may retry.
     let answer = answered.await.unwrap_or(Answer::Unready);
     drop(presence);
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -19,6 +19,7 @@
         },
         message::{
             Answer,
+            Arrival,
             CallId,
             Contact,
             Heartbeat,
@@ -654,13 +655,13 @@
         };
         self.feed(
             i,
-            Input::Submitted {
+            Input::Submitted(Box::new(Arrival {
                 ticket,
                 host: HOST.to_owned(),
                 path: format!("{ROUTE}{job}"),
-                submission: Box::new(submission),
+                submission,
                 wait: Some(Span::seconds(4)),
-            },
+            })),
         );
     }
 
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -51,7 +51,7 @@
         draining: false,
     };
     let rack = listing.rack_id();
-    let mut entry = Entry::new(0);
+    let mut entry = Entry::new(0, "a");
     entry.list(&[listing]);
     entry.own(&HashMap::from([(rack, owner.clone())]));
     let vacancy = Vacancy {
@@ -92,7 +92,7 @@
         ..Route::default()
     };
     let mut out = Effects::default();
-    entry.submit(Ticket(1), submission, &route, None, "a", NOW, &mut out);
+    entry.submit(Ticket(1), submission, &route, None, NOW, &mut out);
     batches(&out)
 }
 
@@ -123,32 +123,16 @@
     for _ in 0..2 {
         entry.returned(first.serial, vec![1], false, None, NOW);
     }
-    entry.work("a", later, &mut out);
+    entry.work(later, &mut out);
     let again = batches(&out);
     assert_eq!(again.len(), 1, "the task is placed once");
     let done = |batch: &Batch| batch.tasks.clone();
     for _ in 0..2 {
         let tasks = done(&again[0]);
-        entry.report(
-            again[0].serial,
-            Outcome::Done,
-            tasks,
-            true,
-            "a",
-            later,
-            &mut out,
-        );
+        entry.report(again[0].serial, Outcome::Done, tasks, true, later, &mut out);
     }
     assert_eq!(answers(&out), []);
-    entry.report(
-        first.serial,
-        Outcome::Done,
-        vec![0],
-        true,
-        "a",
-        later,
-        &mut out,
-    );
+    entry.report(first.serial, Outcome::Done, vec![0], true, later, &mut out);
     assert_eq!(answers(&out), [Answer::Completed]);
 }
 
@@ -163,7 +147,6 @@
         Outcome::Hopeless,
         vec![],
         false,
-        "a",
         NOW,
         &mut out,
     );
@@ -176,15 +159,7 @@
     let (mut entry, _) = entry();
     let first = submit(&mut entry, 2).remove(0);
     let mut out = Effects::default();
-    entry.report(
-        first.serial,
-        Outcome::Hopeless,
-        vec![],
-        true,
-        "a",
-        NOW,
-        &mut out,
-    );
+    entry.report(first.serial, Outcome::Hopeless, vec![], true, NOW, &mut out);
     assert!(matches!(answers(&out)[..], [Answer::GivenUp { .. }]));
 }
 
@@ -209,17 +184,9 @@
     let (mut entry, _) = entry();
     let first = submit(&mut entry, 2).remove(0);
     let mut out = Effects::default();
-    entry.report(
-        first.serial,
-        Outcome::Done,
-        vec![0],
-        true,
-        "a",
-        NOW,
-        &mut out,
-    );
+    entry.report(first.serial, Outcome::Done, vec![0], true, NOW, &mut out);
     assert_eq!(answers(&out), []);
-    entry.work("a", NOW + Span::millis(50), &mut out);
+    entry.work(NOW + Span::millis(50), &mut out);
     let again = batches(&out);
     assert_eq!(again.len(), 1);
     assert_eq!(again[0].tasks, [1]);
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -148,7 +148,7 @@
 #[test]
 fn unknown_runs_are_cleared_first() {
     let mut state = State::claim(listing(4), Token(5), START);
-    let (order, _) = state.look(CallId(1), START).unwrap();
+    let order = state.look(CallId(1), START).unwrap();
     assert!(matches!(order, Order::Look { lease: None, .. }));
     let task = TaskId {
         job: JobId(1),
@@ -165,7 +165,7 @@
     assert_eq!(unknown.len(), 1);
     assert!(!state.takes(now));
     let later = now + Span::millis(60);
-    let (order, _) = state.look(CallId(2), later).unwrap();
+    let order = state.look(CallId(2), later).unwrap();
     assert!(matches!(order, Order::Look { lease: None, .. }));
     state.looked(CallId(2), later, Vec::new(), Vec::new(), later);
     assert_eq!(state.standing, Standing::Open);
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -111,7 +111,7 @@
             id: id.to_owned(),
             state,
             row,
-            server: server,
+            server,
         })
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -180,7 +180,7 @@
         })
         .collect();
     let links = SmallRng::seed_from_u64(seed ^ LINKS);
-    let (hurt, _) = tokio::join!(
+    let (hurt, ()) = tokio::join!(
         harm(&mut random, &fleet, &slots, end),
         harm_links(links, &fleet, end),
     );
