--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -54,7 +54,7 @@
 const SUSPICION: Span = Span::seconds(30);
 
 /// How long an instance leaves a shard alone that another one took over which it doesn't hear: the two sides of a cut
-/// between instances must not take it from each other by turns, since nothing runs for [`DOUBT`] after each time.
+/// between instances must not take it from each other by turns, since nothing runs for the shard's `DOUBT` after each time.
 const TAKEN: Span = Span::seconds(8);
 
 /// What the dispatcher must do with a job's tasks.
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -57,7 +57,7 @@
 const AGAIN: Span = Span::millis(100);
 
 /// How long what the former coordinator of a shard had running may go on: owners stop it 600 ms after they heard it
-/// last, or when it gives its jobs up after [`CONFIDENCE`]; the rest is for stops and endpoints' clocks.
+/// last, or when it gives its jobs up after [`super::CONFIDENCE`]; the rest is for stops and endpoints' clocks.
 const DOUBT: Span = Span::millis(1_700);
 
 /// Between looks at the lock in that time.
