Stored jobs: answers that wait for a look at the lock aren't kept back by writes

Under a steady load each turn of a shard was a write, and a question about an unknown job, or the end of one, waited for a look that never came. A write that succeeds says the same as a look. The bound on jobs in progress counted ended ones too, which are kept for 180 s. Found by reading.

--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -93,6 +93,8 @@
     pub(super) flight: BTreeMap<JobId, Change>,
     /// Answers that hold if nobody else has taken the shard over meanwhile.
     pub(super) unsure: Vec<(Contact, Message)>,
+    /// Of these, those that the call which is out decides.
+    pub(super) confirming: Vec<(Contact, Message)>,
     /// Jobs that callers handed in before it could take any.
     pub(super) waiting: Vec<Waiting>,
 }
@@ -171,6 +173,7 @@
             changed: BTreeMap::new(),
             flight: BTreeMap::new(),
             unsure: Vec::new(),
+            confirming: Vec::new(),
             waiting: Vec::new(),
         }
     }
@@ -215,7 +218,7 @@
                     change.accepted.push((from.clone(), serial));
                 }
             }
-            None if self.jobs.len() >= MOST => {
+            None if self.jobs.len() - self.ended.len() >= MOST => {
                 let again = Span::seconds(2);
                 answer(from, serial, Verdict::Rejected { again }, out);
             }
@@ -290,7 +293,10 @@
         if self.phase == Phase::Empty {
             self.phase = Phase::Reading;
         }
-        self.unsure.push(answer);
+        // An end that isn't noted is reported again and again.
+        if !self.unsure.contains(&answer) {
+            self.unsure.push(answer);
+        }
     }
 
     /// Tells callers whose jobs have waited too long for the shard that nothing was done.
@@ -388,6 +394,9 @@
             key: LOCK.to_owned(),
         };
         let after = self.after.clone();
+        if self.phase == Phase::Held {
+            self.confirming.append(&mut self.unsure);
+        }
         match self.phase {
             Phase::Reading | Phase::Checking => Some(find),
             Phase::Empty if self.waiting.is_empty() => None,
@@ -402,7 +411,7 @@
             }
             Phase::Loading => Some(StoreRequest::Read { shard, after }),
             Phase::Held if !self.changed.is_empty() => Some(self.write(shard)),
-            Phase::Held if !self.unsure.is_empty() => Some(find),
+            Phase::Held if !self.confirming.is_empty() => Some(find),
             Phase::Held if suspicious && now.since(self.confirmed) >= CONFIRM => Some(find),
             Phase::Held => None,
         }
@@ -586,6 +595,7 @@
         match reply {
             StoreReply::Written(_) => {
                 self.confirmed = sent;
+                out.messages.append(&mut self.confirming);
                 let earliest = Time(now.0.saturating_sub(WRITES.times(BURST).0));
                 self.next = self.next.max(earliest) + WRITES;
                 for (id, change) in std::mem::take(&mut self.flight) {
@@ -597,12 +607,13 @@
                 let unchanged = rows.first().is_some_and(|(_, _, v)| *v == self.lock);
                 if unchanged {
                     self.confirmed = sent;
-                    out.messages.append(&mut self.unsure);
+                    out.messages.append(&mut self.confirming);
                 }
                 unchanged
             }
             StoreReply::Conflict => false,
             reply => {
+                self.unsure.append(&mut self.confirming);
                 let writing = !self.flight.is_empty();
                 for (id, change) in std::mem::take(&mut self.flight) {
                     self.changed.entry(id).or_default().join(change);
