--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! threads, so that every order of events can be played in a test.
 
 mod announcement;
+mod coordination;
 pub mod durable;
 pub mod endpoint;
 pub mod entry;
--- /dev/null
+++ b/src/dispatch/coordination.rs
@@ -0,0 +1,133 @@
+//! Which shards of the stored jobs the instance coordinates, and what follows from that.
+
+use std::collections::HashMap;
+
+use super::{
+    durable::Act,
+    id::ShardId,
+    member::{
+        Member,
+        SETTLE, //
+    },
+    message::{
+        Contact,
+        Knowledge,
+        Message, //
+    },
+    owner::Effects,
+    Dispatcher, //
+};
+use crate::prelude::*;
+
+impl Dispatcher {
+    /// Does what a shard's rows ask for.
+    pub(super) fn act(&mut self, acts: Vec<Act>, now: Time, out: &mut Effects) {
+        for act in acts {
+            match act {
+                Act::Run(job, at) => {
+                    if let Some((record, progress)) = self.durable.job(job) {
+                        self.entry.run(job, record, progress, at, now);
+                    }
+                }
+                Act::Done(task) => self.entry.task_done(task, now, out),
+                Act::Failed(task) => self.entry.task_failed(task, now),
+                Act::Release(job) => self.entry.release(job, out),
+            }
+        }
+        self.entry.begin(now, out);
+    }
+
+    /// Returns who coordinates each shard, as far as that is known.
+    pub(super) fn coordinators(&self) -> HashMap<ShardId, Contact> {
+        let mut found: HashMap<ShardId, (bool, Contact)> = HashMap::new();
+        let own = (self.durable.coordinations(), &self.identity.contact);
+        let others = self.members.live().filter_map(|member| {
+            let status = member.status.as_ref()?;
+            Some((status.shards.clone(), &member.contact))
+        });
+        for (shards, contact) in others.chain([own]) {
+            for coordination in shards {
+                let held = coordination.knowledge == Knowledge::Held;
+                let known = found.get(&coordination.shard);
+                if known.is_none_or(|(known, _)| held && !known) {
+                    found.insert(coordination.shard, (held, contact.clone()));
+                }
+            }
+        }
+        let contact = |(shard, (_, contact))| (shard, contact);
+        found.into_iter().map(contact).collect()
+    }
+
+    /// Decides which shards it coordinates: those of nobody else, by their weight, until it ends.
+    pub(super) fn coordinate(&mut self, now: Time, out: &mut Effects) {
+        if now.since(self.began) < SETTLE {
+            return;
+        }
+        let own = self.identity.contact.name.clone();
+        let coordinators = self.coordinators();
+        let mut acts = Vec::new();
+        let candidates: Vec<Instance> = self
+            .members
+            .takers()
+            .map(|m| m.contact.name.clone())
+            .collect();
+        for shard in ShardId::all() {
+            let known = coordinators.get(&shard).map(|contact| &contact.name);
+            let mine = self.durable.knowledge(shard).is_some();
+            if mine && self.draining() {
+                acts.extend(self.durable.release(shard, "the instance ends", out));
+            } else if mine && known.is_some_and(|name| *name != own) {
+                acts.extend(self.durable.release(shard, "another holds it", out));
+            } else if mine && self.contested(shard) {
+                self.durable.suspect(now);
+                let heavier =
+                    |name: &Instance| shard.weight(name.as_str()) > shard.weight(own.as_str());
+                let held = self.durable.knowledge(shard) == Some(Knowledge::Held);
+                if !held && self.claimants(shard).any(|name| heavier(&name)) {
+                    acts.extend(self.durable.release(shard, "another claims it", out));
+                }
+            } else if known.is_none() && !self.draining() {
+                let best = candidates
+                    .iter()
+                    .max_by_key(|name| shard.weight(name.as_str()));
+                let beaten = best
+                    .is_some_and(|name| shard.weight(name.as_str()) > shard.weight(own.as_str()));
+                if !beaten {
+                    self.durable.claim(shard, now);
+                }
+            }
+        }
+        self.act(acts, now, out);
+    }
+
+    /// Returns the live members that claim a shard.
+    fn claimants(&self, shard: ShardId) -> impl Iterator<Item = Instance> + '_ {
+        let claims = move |member: &&Member| {
+            let status = member.status.as_ref();
+            status.is_some_and(|status| status.shards.iter().any(|c| c.shard == shard))
+        };
+        self.members
+            .live()
+            .filter(claims)
+            .map(|m| m.contact.name.clone())
+    }
+
+    fn contested(&self, shard: ShardId) -> bool {
+        self.claimants(shard).next().is_some()
+    }
+
+    /// Reports ends that must be stored to the coordinators of their shards.
+    pub(super) fn report_ends(&mut self, now: Time, out: &mut Effects) {
+        let ends = self.owner.unstored(now);
+        if ends.is_empty() {
+            return;
+        }
+        let coordinators = self.coordinators();
+        for end in ends {
+            if let Some(to) = coordinators.get(&end.task.job.shard()) {
+                let message = Message::Ended(Box::new(end));
+                out.messages.push((to.clone(), message));
+            }
+        }
+    }
+}
