--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -5,6 +5,8 @@
 
 #[path = "dispatch/endpoint.rs"]
 mod endpoint;
+#[path = "dispatch/overload.rs"]
+mod overload;
 #[path = "dispatch/rows.rs"]
 mod rows;
 #[path = "dispatch/stored.rs"]
--- /dev/null
+++ b/tests/dispatch/overload.rs
@@ -0,0 +1,116 @@
+//! Load at its worst: more work than the endpoints can do in its time, and how it waits and is turned away.
+
+use std::collections::BTreeSet;
+
+use poplarknot::{
+    dispatch::{
+        id::JobId,
+        message::Answer,
+        queue::{
+            Handle,
+            Queue,
+            Waiting, //
+        },
+    },
+    prelude::*,
+};
+
+use super::{
+    world::World,
+    CALM, //
+};
+
+/// How long the burst lasts, and what follows it.
+const BURST: Span = Span::seconds(2);
+
+/// Plays a burst of three times the work that the endpoints can do, and then half of what they can.
+fn burst(seed: u64) -> (World, Time) {
+    let mut world = World::new(seed, 3, 2, CALM);
+    world.load(100, Span::millis(20));
+    world.run(BURST);
+    let over = world.now;
+    world.load(60, Span::millis(150));
+    world.run(Span::seconds(12));
+    world.settle();
+    (world, over)
+}
+
+/// Two seconds bring three times the work that can be done. Callers are turned away meanwhile; if instead all of it
+/// waited, everything would be late for as long as the usual load lasts. What was taken in and is late waits behind what
+/// comes after, so that most of that is on time at once, and all but a few when five seconds have passed.
+#[test]
+fn burst_passes() {
+    for seed in 0..5 {
+        let (world, over) = burst(seed);
+        let late = |from: Span| {
+            let after = world
+                .jobs
+                .iter()
+                .filter(|(_, seen)| seen.since > over + from);
+            let after: Vec<JobId> = after.map(|(id, _)| *id).collect();
+            let late = after.iter().filter(|id| !world.on_time(**id)).count();
+            (late, after.len())
+        };
+        let (soon, of) = late(Span::millis(1_500));
+        assert!(soon * 4 <= of, "seed {seed}: {soon} of {of} after 1.5 s");
+        let (later, of) = late(Span::seconds(5));
+        assert!(later * 8 <= of, "seed {seed}: {later} of {of} after 5 s");
+    }
+}
+
+/// The endpoints can do three in ten of what the burst brings. Two in ten are on time at least: what was begun for jobs that
+/// are given up costs the rest.
+#[test]
+fn burst_is_served_in_time() {
+    let (mut served, mut all) = (0, 0);
+    for seed in 0..5 {
+        let (world, over) = burst(seed);
+        let during = world.jobs.iter().filter(|(_, seen)| seen.since <= over);
+        let during: Vec<JobId> = during.map(|(id, _)| *id).collect();
+        served += during.iter().filter(|id| world.on_time(**id)).count();
+        all += during.len();
+    }
+    assert!(served * 5 >= all, "{served} of {all}");
+}
+
+/// Callers whose jobs can't be done in any useful time hear that at once, and come back at different times: together they
+/// would make the next burst.
+#[test]
+fn refusals_come_at_once_and_spread() {
+    let (world, _) = burst(1);
+    let mut quick = 0;
+    let mut again = BTreeSet::new();
+    let mut refused = 0;
+    for seen in world.jobs.values() {
+        if let Some(Answer::Refused { again: after }) = seen.answer {
+            refused += 1;
+            quick += usize::from(seen.at.since(seen.since) < Span::millis(20));
+            again.insert(after.as_millis() / 500);
+        }
+    }
+    assert!(refused > 10, "{refused} refused");
+    assert!(quick * 10 >= refused * 8, "{quick} of {refused} at once");
+    assert!(again.len() >= 3, "{again:?}");
+}
+
+/// Tasks wait in the order in which they must start. When one can't be on time any more it goes behind all that still can
+/// be: in front, each would get its room just after its time, and everything would be late together.
+#[test]
+fn late_tasks_wait_behind_the_others() {
+    let mut queue = Queue::default();
+    let at = |ms: u64| Time(1_000_000) + Span::millis(ms);
+    let waiting = |n: u64| Waiting {
+        batch: Handle(n),
+        index: 0,
+    };
+    for (n, due) in [(1, 30), (2, 10), (3, 50)] {
+        queue.push(waiting(n), at(due), at(0), 5);
+    }
+    let order = |queue: &Queue| queue.iter().map(|w| w.batch.0).collect::<Vec<u64>>();
+    assert_eq!(order(&queue), [2, 1, 3]);
+    queue.demote(at(40));
+    assert_eq!(order(&queue), [3, 2, 1]);
+    assert_eq!(queue.work(), 15);
+    assert!(queue.remove(waiting(2)));
+    assert_eq!(order(&queue), [3, 1]);
+}
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -126,6 +126,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Seen {
     pub answer: Option<Answer>,
+    /// When its caller handed it in first.
+    pub since: Time,
     pub at: Time,
     /// Every answer so far said that nothing was run.
     pub refused: bool,
@@ -161,6 +163,10 @@
 /// A look that waits: at which endpoint, until when, whose, and the order.
 type Parked = (usize, Time, (usize, u64, CallId, Time), Box<Order>);
 
+/// A job is on time within this multiple of its work, and so much longer.
+const STRETCH: f64 = 1.6;
+const TARGET: Span = Span::millis(60);
+
 /// How many runs of a task may fail.
 const ATTEMPTS: u32 = 3;
 
@@ -289,8 +295,8 @@
             service: "cells".to_owned(),
             attempts: ATTEMPTS,
             timeout: Span::seconds(4),
-            stretch: 1.6,
-            target: Span::millis(60),
+            stretch: STRETCH,
+            target: TARGET,
             ..Route::default()
         };
         let configuration = Configuration {
@@ -615,6 +621,7 @@
     fn submit(&mut self, i: usize, job: JobId, tasks: u32, cpu: u64, takes: Span) {
         let seen = Seen {
             answer: None,
+            since: self.now,
             at: self.now,
             refused: true,
         };
@@ -732,6 +739,13 @@
         self.at(RETRY, Event::Submit(at, job, tasks, cpu, takes));
     }
 
+    /// Tells whether a job is complete within its objective.
+    pub(crate) fn on_time(&self, job: JobId) -> bool {
+        let seen = self.jobs[&job];
+        let objective = Span((self.takes[&job].0 as f64 * STRETCH) as u64) + TARGET;
+        seen.answer == Some(Answer::Completed) && seen.at.since(seen.since) <= objective
+    }
+
     /// Counts the tasks of all jobs.
     pub(crate) fn tasks(&self) -> usize {
         self.needs.len()
