One piece of code where two did the same; drop what nobody reads

Behaviour stays as it is. Written again: the capnp-rpc end of a connection (peer.rs has it; rpc::network serves both), JSON requests to endpoints and store (http::json_request), the versions that an instance tells, the calls to the store after each step. Derived: the call that a shard waits for was kept with a number that nobody read; a job's state that isn't stored yet was looked up twice. Dead: the tasks that wait on a rack as entries saw them, which went out with each heartbeat; when a run was started. Done twice: the own status was put together for each part of a heartbeat, and stored jobs were sorted by time at each step with none there.

Looked at and left: metrics of the two surroundings register alike but share no metric; the random orders of tests/dispatch.rs and stored.rs draw different faults; imports; generated code. Left for next time: the coordinators of all shards are worked out anew for each batch of ends, which stored jobs at 42 instances would feel.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -339,8 +339,7 @@
             Input::Stored { call, reply } => {
                 let acts = self.durable.stored(call, reply, now, out);
                 self.act(acts, now, out);
-                let acts = self.durable.work(now, out);
-                self.act(acts, now, out);
+                self.call_store(now, out);
             }
             Input::Cancelled(job) => {
                 if !self.entry.cancel(job, now, out) {
@@ -432,9 +431,7 @@
         if self.members.find(contact, now) {
             let record = Record::new("member_found").with("member", contact.name.as_str());
             out.outputs.push(Output::Log(record));
-            let heartbeat = self.own_heartbeat(Vec::new(), now);
-            let to = vec![contact.clone()];
-            out.outputs.push(Output::Heartbeat(to, heartbeat));
+            self.heartbeat(Some(contact), Vec::new(), now, out);
         }
     }
 
@@ -562,8 +559,7 @@
                 question,
             } => {
                 self.request(from, serial, job, question, now, out);
-                let acts = self.durable.work(now, out);
-                self.act(acts, now, out);
+                self.call_store(now, out);
             }
             Message::Verdict { serial, verdict } => self.verdict(serial, verdict, now, out),
             Message::Begun(serial) => self.entry.begun(serial),
@@ -575,8 +571,7 @@
                     .gave_out_again(end.task, batch.map(|(_, serial)| *serial));
                 let act = self.durable.ended(from, &end, late, out);
                 self.act(act.into_iter().collect(), now, out);
-                let acts = self.durable.work(now, out);
-                self.act(acts, now, out);
+                self.call_store(now, out);
             }
             Message::Noted {
                 endpoint,
@@ -637,8 +632,7 @@
             self.coordinated = now;
             self.coordinate(now, out);
         }
-        let acts = self.durable.work(now, out);
-        self.act(acts, now, out);
+        self.call_store(now, out);
         self.ask_again(now, out);
         self.entry.work(now, out);
         if now.since(self.audit) >= AUDITS {
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -39,13 +39,10 @@
     /// Gives a peer the configuration and the endpoints that it hasn't heard of for a while: the store may turn
     /// it away.
     pub(super) fn help(&mut self, to: &Contact, now: Time, out: &mut Effects) {
-        let own = self.configuration.as_ref().map_or(0, |c| c.version);
-        let roster = match self.listed {
-            true => self.roster.version,
-            false => 0,
-        };
+        let (configuration, roster) = self.versions();
         let (lacks_configuration, lacks_roster) =
-            self.members.behind(&to.name, own, roster, BEHIND, now);
+            self.members
+                .behind(&to.name, configuration, roster, BEHIND, now);
         if let Some(own) = self.configuration.as_ref().filter(|_| lacks_configuration) {
             let message = Message::Configuration(Box::new(own.clone()));
             out.messages.push((to.clone(), message));
@@ -80,34 +77,39 @@
         if parts.is_empty() {
             parts.push(Vec::new());
         }
-        for part in parts {
-            let heartbeat = self.own_heartbeat(part, now);
-            let to = match to {
-                Some(to) => vec![to.clone()],
-                None => self.members.all().map(|m| m.contact.clone()).collect(),
+        let status = self.own_status();
+        let to: Vec<Contact> = match to {
+            Some(to) => vec![to.clone()],
+            None => self.members.all().map(|m| m.contact.clone()).collect(),
+        };
+        for rooms in parts {
+            let heartbeat = Heartbeat {
+                sent: now,
+                status: status.clone(),
+                rooms,
             };
-            out.outputs.push(Output::Heartbeat(to, heartbeat));
+            out.outputs.push(Output::Heartbeat(to.clone(), heartbeat));
         }
     }
 
-    pub(super) fn own_heartbeat(&self, rooms: Vec<Vacancy>, now: Time) -> Heartbeat {
-        Heartbeat {
-            sent: now,
-            status: self.own_status(),
-            rooms,
-        }
+    /// Returns the versions of its configuration and of its list of endpoints, zero where it has none.
+    fn versions(&self) -> (u64, u64) {
+        let configuration = self.configuration.as_ref().map_or(0, |c| c.version);
+        let roster = match self.listed {
+            true => self.roster.version,
+            false => 0,
+        };
+        (configuration, roster)
     }
 
-    pub(super) fn own_status(&self) -> Status {
+    fn own_status(&self) -> Status {
         let claim = |(rack, token)| Claim { rack, token };
         let ceded = self.ceded.iter().map(|(claim, _)| *claim);
+        let (configuration, roster) = self.versions();
         Status {
             epoch: self.epoch,
-            configuration: self.configuration.as_ref().map_or(0, |c| c.version),
-            roster: match self.listed {
-                true => self.roster.version,
-                false => 0,
-            },
+            configuration,
+            roster,
             draining: self.draining(),
             share: self.identity.share,
             racks: self.owner.racks().map(claim).chain(ceded).collect(),
--- a/src/dispatch/coordination.rs
+++ b/src/dispatch/coordination.rs
@@ -20,6 +20,12 @@
 use crate::prelude::*;
 
 impl Dispatcher {
+    /// Lets the shards do what is due, with the calls to the store that it takes.
+    pub(super) fn call_store(&mut self, now: Time, out: &mut Effects) {
+        let acts = self.durable.work(now, out);
+        self.act(acts, now, out);
+    }
+
     /// Does what a shard's rows ask for.
     pub(super) fn act(&mut self, acts: Vec<Act>, now: Time, out: &mut Effects) {
         for act in acts {
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -191,10 +191,10 @@
         None
     }
 
-    /// Returns the stored state of a job.
+    /// Returns the stored state of a job, unless it has changed and that isn't stored yet.
     pub fn state(&self, job: JobId) -> Option<State> {
-        let shard = self.shards.get(&job.shard())?;
-        shard.jobs.get(&job).and_then(|job| job.shown)
+        let job = self.shards.get(&job.shard())?.jobs.get(&job)?;
+        job.shown.filter(|state| *state == job.progress.state)
     }
 
     /// Tells whether it knows a job, stored or about to be.
@@ -244,7 +244,7 @@
             };
             self.serial += 1;
             let call = StoreCall(self.serial);
-            shard.call = Some((call, now));
+            shard.sent = Some(now);
             self.calls.insert(call, *id);
             out.outputs.push(Output::Store { call, request });
         }
@@ -265,7 +265,7 @@
         let Some(shard) = self.shards.get_mut(&id) else {
             return Vec::new();
         };
-        let Some((_, sent)) = shard.call.take() else {
+        let Some(sent) = shard.sent.take() else {
             return Vec::new();
         };
         let mut acts = Vec::new();
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -19,7 +19,6 @@
             Output,
             Record as Entry,
             RunEnd,
-            StoreCall,
             StoreReply,
             StoreRequest,
             Verdict, //
@@ -73,8 +72,8 @@
 #[derive(Debug)]
 pub(super) struct Shard {
     pub(super) phase: Phase,
-    /// The call to the store that is out; one at a time.
-    pub(super) call: Option<(StoreCall, Time)>,
+    /// When the call to the store left that is out; there is one at a time.
+    pub(super) sent: Option<Time>,
     /// When the next one may leave.
     pub(super) next: Time,
     /// The version of the lock row, zero where there is none.
@@ -162,7 +161,7 @@
     pub(super) fn new(now: Time) -> Self {
         Self {
             phase: Phase::Reading,
-            call: None,
+            sent: None,
             next: now,
             lock: 0,
             confirmed: now,
@@ -386,7 +385,7 @@
         suspicious: bool,
         now: Time,
     ) -> Option<StoreRequest> {
-        if self.call.is_some() || now < self.next {
+        if self.sent.is_some() || now < self.next {
             return None;
         }
         let find = StoreRequest::Find {
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -127,8 +127,6 @@
     pub phase: Phase,
     /// See [`Fate`].
     pub fate: Fate,
-    /// When it was started first.
-    pub since: Time,
     /// When its start, or its stop, was answered.
     answered: Option<Time>,
     /// How often its start was sent, or its stop.
@@ -490,18 +488,18 @@
             return;
         };
         let ended = matches!(end.end, End::Done | End::Failed);
-        let mut event = Event::Ended {
+        let event = |batch| Event::Ended {
             task: *task,
             run: end.run,
             done: end.end == End::Done,
             serial: end.serial,
-            batch: None,
+            batch,
         };
         if !self.knows(task, end.run) {
             // Another instance started it, and died before it heard this.
             if ended {
                 self.held.insert(end.serial);
-                events.push(event);
+                events.push(event(None));
             }
             return;
         }
@@ -515,10 +513,7 @@
         }
         if execution.stored && ended {
             self.held.insert(end.serial);
-            if let Event::Ended { batch, .. } = &mut event {
-                *batch = Some(execution.batch);
-            }
-            events.push(event);
+            events.push(event(Some(execution.batch)));
             return;
         }
         events.push(match (end.end, execution.fate) {
@@ -707,14 +702,13 @@
 
 impl Execution {
     /// Makes a run whose start is about to leave.
-    pub fn new(batch: Handle, run: Run, need: Room, now: Time) -> Self {
+    pub fn new(batch: Handle, run: Run, need: Room) -> Self {
         Self {
             batch,
             run,
             need,
             phase: Phase::Starting,
             fate: Fate::Again,
-            since: now,
             answered: None,
             tries: 1,
             doubt: false,
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -209,7 +209,6 @@
             if let Some(known) = self.racks.remove(id) {
                 rack.owner = known.owner;
                 rack.free = known.free;
-                rack.waiting = known.waiting;
                 rack.movable = known.movable;
                 rack.backlog = known.backlog;
             }
@@ -255,7 +254,6 @@
             };
             if rack.owner.as_ref().is_some_and(|owner| owner.name == *from) {
                 rack.free = vacancy.free;
-                rack.waiting = vacancy.waiting;
                 rack.movable = vacancy.movable;
                 rack.backlog = vacancy.backlog;
             }
--- a/src/dispatch/entry/rack.rs
+++ b/src/dispatch/entry/rack.rs
@@ -21,7 +21,6 @@
     pub(super) owner: Option<Contact>,
     /// What is free, by endpoint, less what was sent since it was told.
     pub(super) free: Vec<Room>,
-    pub(super) waiting: u32,
     pub(super) movable: u32,
     pub(super) backlog: u64,
     /// Cores of all its endpoints that stay, in thousandths.
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -63,6 +63,9 @@
 
     /// Places the first steps of stored jobs whose time has come.
     pub fn begin(&mut self, now: Time, out: &mut Effects) {
+        if self.held_back.is_empty() {
+            return;
+        }
         let (due, later) = std::mem::take(&mut self.held_back)
             .into_iter()
             .partition(|(at, _)| *at <= now);
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -651,9 +651,7 @@
     pub rack: RackId,
     /// What is free, by endpoint that takes work.
     pub free: Vec<Room>,
-    /// Tasks that wait there.
-    pub waiting: u32,
-    /// Of these, the tasks that would run as well elsewhere.
+    /// Tasks that wait there and would run as well elsewhere.
     pub movable: u32,
     /// The work that waits, in core-milliseconds.
     pub backlog: u64,
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -116,7 +116,7 @@
             let Some(load) = self.loads.get(&handle) else {
                 continue;
             };
-            let mut execution = Execution::new(handle, run.run, load.batch.need, now);
+            let mut execution = Execution::new(handle, run.run, load.batch.need);
             execution.stored = load.batch.stored;
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
                 state.adopt(run.task, execution, now);
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -176,7 +176,7 @@
             out.tell(&load.entry, Message::Begun(load.batch.serial));
         }
         load.started = true;
-        let mut execution = Execution::new(waiting.batch, run, load.batch.need, now);
+        let mut execution = Execution::new(waiting.batch, run, load.batch.need);
         execution.stored = load.batch.stored;
         let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -59,7 +59,6 @@
             rooms.push(Vacancy {
                 rack: *id,
                 free: takes.map(|state| state.free).collect(),
-                waiting: rack.queue.len() as u32,
                 movable: rack.queue.iter().filter(movable).count() as u32,
                 backlog: rack.queue.work(),
             });
--- a/src/dispatch/requests.rs
+++ b/src/dispatch/requests.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use super::{
-    durable::record::State,
     entry::{
         unsupported,
         USEFUL, //
@@ -224,13 +223,6 @@
     }
 
     fn state(&self, job: JobId) -> Option<JobState> {
-        let ending = self
-            .durable
-            .job(job)
-            .is_some_and(|(_, progress)| progress.state != State::Open);
-        if ending {
-            return None;
-        }
         let state = self.durable.state(job)?.into();
         let queued = state == JobState::Running && !self.entry.started(job);
         Some(if queued { JobState::Queued } else { state })
--- a/src/http.rs
+++ b/src/http.rs
@@ -17,7 +17,11 @@
         self,
         SendRequest, //
     },
-    header::ETAG,
+    header::{
+        HeaderValue,
+        CONTENT_TYPE,
+        ETAG, //
+    },
     Method,
     Request,
     Response,
@@ -120,6 +124,19 @@
     request
 }
 
+/// Builds a request whose body, if there is one, is said to be JSON.
+pub fn json_request(
+    method: Method,
+    address: &str,
+    path: &str,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    let mut request = request(method, address, path, body);
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    request
+}
+
 /// Idle connections by address, each trusted for a while after its last answer.
 ///
 /// Something between the two ends can lose track of a connection: what is sent on it is swallowed, while new
--- a/src/instance/calls.rs
+++ b/src/instance/calls.rs
@@ -10,8 +10,7 @@
 use hyper::{
     header::{
         HeaderName,
-        HeaderValue,
-        CONTENT_TYPE, //
+        HeaderValue, //
     },
     Method, //
 };
@@ -119,9 +118,8 @@
         return Reply::Unsent;
     };
     let (path, body) = order::write(order);
-    let mut request = http::request(Method::POST, address, path, Bytes::from(body));
+    let mut request = http::json_request(Method::POST, address, path, Bytes::from(body));
     let headers = request.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Ok(expected) = HeaderValue::from_str(endpoint.as_str()) {
         headers.insert(HeaderName::from_static(order::EXPECTED), expected);
     }
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -7,13 +7,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{
-    header::{
-        HeaderValue,
-        CONTENT_TYPE, //
-    },
-    Method, //
-};
+use hyper::Method;
 use tokio::time::{
     sleep,
     timeout, //
@@ -123,9 +117,7 @@
             Some(connection) => connection,
             None => Connection::open(&self.address).await.ok()?,
         };
-        let mut request = http::request(method, &self.address, path, Bytes::from(body));
-        let json = HeaderValue::from_static("application/json");
-        request.headers_mut().insert(CONTENT_TYPE, json);
+        let request = http::json_request(method, &self.address, path, Bytes::from(body));
         let reply = connection.send(request).await.ok()?;
         self.connection = Some(connection);
         Some(reply)
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -12,10 +12,8 @@
 
 use capnp_rpc::{
     rpc_twoparty_capnp::Side,
-    twoparty::VatNetwork,
     RpcSystem, //
 };
-use futures::AsyncReadExt as _;
 use serde::{
     Deserialize,
     Serialize, //
@@ -35,7 +33,6 @@
         timeout, //
     },
 };
-use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
 use super::hub::Hub;
 use crate::{
@@ -51,6 +48,7 @@
     },
     fleet_capnp::mailbox,
     prelude::*,
+    rpc::network,
 };
 
 /// How long a connection to a peer may take to open: some round trips, below the silence that ends a session.
@@ -291,18 +289,6 @@
     Some(client)
 }
 
-fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<impl futures::AsyncRead + Unpin>> {
-    stream.set_nodelay(true).ok();
-    let (reader, writer) = stream.compat().split();
-    let network = VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
-        side,
-        Default::default(),
-    );
-    Box::new(network)
-}
-
 /// Serves peers that connect.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
     loop {
--- a/src/instance/rows.rs
+++ b/src/instance/rows.rs
@@ -7,13 +7,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{
-    header::{
-        HeaderValue,
-        CONTENT_TYPE, //
-    },
-    Method, //
-};
+use hyper::Method;
 use tokio::{
     task::spawn_local,
     time::timeout, //
@@ -108,9 +102,7 @@
             Some(connection) => connection,
             None => Connection::open(&self.address).await.ok()?,
         };
-        let mut request = http::request(method, &self.address, &path, Bytes::from(body));
-        let json = HeaderValue::from_static("application/json");
-        request.headers_mut().insert(CONTENT_TYPE, json);
+        let request = http::json_request(method, &self.address, &path, Bytes::from(body));
         let reply = connection.send(request).await.ok()?;
         self.pool.borrow_mut().put(&self.address, connection);
         Some(reply)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod prelude;
 pub mod record;
 pub mod ring;
+pub mod rpc;
 pub mod serve;
 pub mod settings;
 mod sync;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,10 +17,8 @@
 use capnp_rpc::{
     pry,
     rpc_twoparty_capnp::Side,
-    twoparty::VatNetwork,
     RpcSystem, //
 };
-use futures::AsyncReadExt as _;
 use tokio::{
     net::{
         TcpListener,
@@ -30,7 +28,6 @@
     task::spawn_local,
     time::timeout,
 };
-use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
 use crate::{
     core::{
@@ -56,7 +53,9 @@
         sighting, //
     },
     prelude::*,
-    ring, serve,
+    ring,
+    rpc::network,
+    serve,
     settings::Settings,
 };
 
@@ -162,18 +161,6 @@
     }
 }
 
-fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<impl futures::AsyncRead + Unpin>> {
-    stream.set_nodelay(true).ok();
-    let (reader, writer) = stream.compat().split();
-    let network = VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
-        side,
-        Default::default(),
-    );
-    Box::new(network)
-}
-
 impl Shared {
     fn next(&self) -> u64 {
         self.serial.set(self.serial.get() + 1);
--- /dev/null
+++ b/src/rpc.rs
@@ -0,0 +1,22 @@
+//! Connections of capnp-rpc between instances.
+
+use capnp_rpc::{
+    rpc_twoparty_capnp::Side,
+    twoparty::VatNetwork, //
+};
+use futures::AsyncReadExt as _;
+use tokio::net::TcpStream;
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+/// Makes one end of a connection speak capnp-rpc.
+pub fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<impl futures::AsyncRead + Unpin>> {
+    stream.set_nodelay(true).ok();
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        side,
+        Default::default(),
+    );
+    Box::new(network)
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -57,7 +57,6 @@
     let vacancy = Vacancy {
         rack,
         free: vec![capacity],
-        waiting: 0,
         movable: 0,
         backlog: 0,
     };
