Log the ends of runs, what is sent back, and connections that are closed

An owner logs each run that is done, with its number, its endpoint and the end's number; an entry logs tasks that come back, batches that move, and reports that leave tasks out; an instance logs the idle connections that it closes. All but the reports that leave tasks out are routine lines, within the bound that they had.

Ruled out: a line at the entry for every report, which the owner's line makes needless.

The price in processor time is not measured yet.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -530,7 +530,7 @@
                 started,
                 hint,
             } => {
-                self.entry.returned(serial, tasks, started, hint, now);
+                self.entry.returned(serial, tasks, started, hint, now, out);
                 self.entry.work(now, out);
             }
             Message::Audit(serials) => self.owner.audit(from, serials, out),
@@ -541,7 +541,7 @@
                 rooms,
             } => self.owner.spare(rack, to, rooms, out),
             Message::Handover(handover) => self.take_over(*handover, now, out),
-            Message::Moved { serial, to } => self.entry.moved(serial, to, now),
+            Message::Moved { serial, to } => self.entry.moved(serial, to, now, out),
             Message::Configuration(configuration) => {
                 self.configure(*configuration, from.name.as_str(), out);
             }
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -140,8 +140,8 @@
 /// Something that an owner must act on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
-    /// A run is done.
-    Done(TaskId, Handle),
+    /// A run is done, and its endpoint lists it as the end of that number.
+    Done(TaskId, Handle, Run, u64),
     /// A run failed.
     Failed(TaskId, Handle),
     /// A run is gone without a result; it is to be started again, with this number at least.
@@ -518,7 +518,7 @@
         }
         events.push(match (end.end, execution.fate) {
             (_, Fate::Drop) => Event::Cleared(*task),
-            (End::Done, _) => Event::Done(*task, execution.batch),
+            (End::Done, _) => Event::Done(*task, execution.batch, end.run, end.serial),
             (End::Failed, _) => Event::Failed(*task, execution.batch),
             _ => Event::Gone(*task, execution.batch, execution.run.next()),
         });
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -535,6 +535,10 @@
                     .collect();
                 if !tasks.is_empty() {
                     // They were sent back, and the message got lost.
+                    let record = Record::new("batch_incomplete").job(id);
+                    let record = record.with("batch", serial);
+                    out.outputs
+                        .push(Output::Log(record.with("missing", tasks.len())));
                     let at = now + ELSEWHERE;
                     job.loose.push(Loose {
                         step: sent.step,
@@ -566,6 +570,7 @@
         started: bool,
         hint: Option<RackId>,
         now: Time,
+        out: &mut Effects,
     ) {
         let Some(id) = self.by_serial.get(&serial).copied() else {
             return;
@@ -576,6 +581,15 @@
         let Some(sent) = job.batches.get_mut(&serial) else {
             return;
         };
+        let record = Record::routine("tasks_returned").job(id);
+        let record = record.with("batch", serial).with("tasks", tasks.len());
+        let begun = if started {
+            "some had started"
+        } else {
+            "none had started"
+        };
+        out.outputs
+            .push(Output::Log(record.with("of_batch", begun)));
         job.started |= started;
         // Only what the batch still has: a task must not be placed twice.
         let (tasks, kept): (Vec<u32>, Vec<u32>) =
@@ -605,10 +619,16 @@
     }
 
     /// Takes note that a batch has another owner.
-    pub fn moved(&mut self, serial: u64, to: Instance, now: Time) {
-        let job = self.by_serial.get(&serial).copied();
-        let job = job.and_then(|id| self.jobs.get_mut(&id));
+    pub fn moved(&mut self, serial: u64, to: Instance, now: Time, out: &mut Effects) {
+        let Some(id) = self.by_serial.get(&serial).copied() else {
+            return;
+        };
+        let job = self.jobs.get_mut(&id);
         if let Some(sent) = job.and_then(|job| job.batches.get_mut(&serial)) {
+            let record = Record::routine("batch_moved").job(id);
+            let record = record.with("batch", serial);
+            out.outputs
+                .push(Output::Log(record.with("owner", to.as_str())));
             sent.owner = to;
             sent.at = now;
         }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -239,8 +239,12 @@
         }
         for event in events {
             match event {
-                Event::Done(task, handle) => {
+                Event::Done(task, handle, run, serial) => {
                     self.busy.remove(&task);
+                    let record = Record::routine("task_done").job(task.job);
+                    let record = record.with("task", task.to_string()).with("run", run.0);
+                    let record = record.with("endpoint", id.as_str());
+                    out.log(record.with("end", serial));
                     self.done(task, handle, out);
                 }
                 Event::Failed(task, handle) => {
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -96,6 +96,8 @@
 struct Connection {
     /// When its last request ended; none while one is in progress.
     idle: Cell<Option<Time>>,
+    /// Its other end.
+    caller: String,
     close: Notify,
 }
 
@@ -162,6 +164,9 @@
         stream.set_nodelay(true).ok();
         let state = Rc::new(Connection {
             idle: Cell::new(Some(now())),
+            caller: stream
+                .peer_addr()
+                .map_or_else(|_| String::new(), |a| a.to_string()),
             close: Notify::new(),
         });
         self.serial.set(self.serial.get() + 1);
@@ -171,6 +176,14 @@
         self.open.borrow_mut().remove(&serial);
     }
 
+    /// Logs that an idle connection is closed: a caller that finds it closed has that moment to compare with.
+    fn log_close(&self, state: &Connection, reason: &'static str) {
+        let idle = state.idle.get().map_or(Span(0), |since| now().since(since));
+        let record = Record::routine("connection_closed").with("reason", reason);
+        let record = record.with("caller", state.caller.as_str());
+        self.hub.log(&record.with("idle_ms", idle));
+    }
+
     async fn talk(&self, stream: TcpStream, state: &Rc<Connection>) {
         let limits = self.limits();
         let service = service_fn(|request| {
@@ -202,11 +215,15 @@
             tokio::select! {
                 // A caller that breaks off is no fault of ours.
                 _ = connection.as_mut() => return,
-                () = state.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = state.close.notified() => {
+                    self.log_close(state, "there are too many");
+                    connection.as_mut().graceful_shutdown();
+                }
                 () = self.hub.closing.notified() => {}
                 () = sleep(rest.duration().max(Duration::from_millis(1))) => {
                     let over = state.idle.get().is_some_and(|since| now().since(since) >= idle);
                     if over {
+                        self.log_close(state, "it was idle");
                         connection.as_mut().graceful_shutdown();
                         // An idle connection is closed at once; one on which a request comes in this moment
                         // serves it first.
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -120,7 +120,7 @@
     let later = NOW + Span::millis(50);
     let mut out = Effects::default();
     for _ in 0..2 {
-        entry.returned(first.serial, vec![1], false, None, NOW);
+        entry.returned(first.serial, vec![1], false, None, NOW, &mut out);
     }
     entry.work(later, &mut out);
     let again = batches(&out);
