Test that fails: a request in the buffer goes before the idle timeout

An idle connection of a caller is closed by a timer, which is looked at before or beside the socket. An instance that stood still, or is short of processor time, finds both ready, and closes the connection with a whole request unread.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,14 +16,20 @@
 
 use fleet::{
     configure,
+    configure_idle,
     Fleet,
+    HOST,
     PREFIX, //
 };
+use hyper::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use store::Mood;
 use support::{
-    client,
+    client::{
+        self,
+        Client, //
+    },
     until,
     Result, //
 };
@@ -108,6 +114,55 @@
     Ok(())
 }
 
+/// An operator shortens the time for which callers' connections may be idle. An instance that is short of processor time
+/// finds a request in a connection's buffer and its idle time passed in the same moment. Where it goes by the time first,
+/// the caller has sent a whole request and gets neither an answer nor a refusal.
+///
+/// Of 24 connections 18 to 24 were cut, and the log had just as many lines like
+/// `{"caller":"127.0.0.1:41130","event":"connection_closed","idle_ms":567,"reason":"it was idle"}`.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_goes_before_the_idle_timeout() -> Result {
+    const CONNECTIONS: usize = 24;
+    const IDLE: Duration = Duration::from_millis(400);
+    /// Below the pause after which an instance takes all that it holds as lapsed.
+    const STALL: Duration = Duration::from_millis(300);
+    let fleet = Fleet::start(program(), 1, 1, SHORT).await?;
+    let node = &fleet.nodes[0];
+    configure_idle(&fleet.store, 9, 4_000, IDLE.as_millis() as u64);
+    until("the configuration is in force", || async {
+        node.log().contains("\"version\":9").then_some(())
+    })
+    .await?;
+    let headers = [("host", HOST)];
+    let mut clients = Vec::new();
+    for _ in 0..CONNECTIONS {
+        clients.push(Client::connect(node.front()).await?);
+    }
+    for client in &mut clients {
+        let answer = client.send(Method::GET, PREFIX, &headers, Vec::new());
+        assert_eq!(answer.await?.status, 200);
+    }
+    tokio::time::sleep(IDLE - STALL / 2).await;
+    node.signal(Signal::SIGSTOP)?;
+    let asked: Vec<_> = clients
+        .into_iter()
+        .map(|mut client| {
+            tokio::spawn(async move {
+                let answer = client.send(Method::GET, PREFIX, &headers, Vec::new());
+                answer.await.is_ok_and(|answer| answer.status == 200)
+            })
+        })
+        .collect();
+    tokio::time::sleep(STALL).await;
+    node.signal(Signal::SIGCONT)?;
+    let mut cut = 0;
+    for answer in asked {
+        cut += usize::from(!answer.await?);
+    }
+    assert_eq!(cut, 0, "of {CONNECTIONS} requests; {}", node.log());
+    Ok(())
+}
+
 /// An instance is killed while tasks of its callers run. They come again elsewhere after 1.3 s; what ran for the first
 /// attempt has been stopped by then, so that no task runs twice at a time, and the second attempt completes.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -345,6 +345,11 @@
 
 /// Puts a configuration in force with one queue.
 pub(crate) fn configure(store: &Store, version: u64, timeout: u64) {
+    configure_idle(store, version, timeout, 15_000);
+}
+
+/// Puts a configuration in force that closes callers' connections when they have been idle for `idle` milliseconds.
+pub(crate) fn configure_idle(store: &Store, version: u64, timeout: u64, idle: u64) {
     let configuration = json!({
         "version": version,
         "routes": [{
@@ -358,7 +363,7 @@
         }],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
+            "idle_timeout_ms": idle,
         },
     });
     store.set("op", "config", &configuration);
