A batch is spoken for by its present owner only, and no further than it knows

Cause: a batch goes from owner to owner with its rack, and its entry took what any of them said, in whatever order it came, for the whole batch. An owner that had handed a batch over answered "dropped, none started" when asked to drop it, and the caller was told that nothing was run; the next owner went on with it for nobody.

Changed: who doesn't have a batch says just that, and the entry takes it as in doubt. A new owner tells the entries itself what came to it, with a count of the moves, so that neither a lost message of the former owner nor a late one hides it; an entry that has given a batch up, or taken it back, has it dropped there. A batch that was given up while its rack was on its way is stopped when it comes; so is one whose entry is gone. A rack that is fenced off tells what had ended there before. A job that is given up is answered when its last tasks come back; it waited for its caller's time before.

Ruled out: to hold the answer until a former owner has found the present one (the answer is known to be in doubt), and to pass a request on from owner to owner (a chain that any death breaks).

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -515,7 +515,7 @@
                 }
             }
             Message::Batch(batch) => self.owner.accept(from, *batch, now, out),
-            Message::Cancel(serial) => self.owner.cancel(from, serial, out),
+            Message::Cancel(serial) => self.owner.cancel(from, serial, now, out),
             Message::Report {
                 serial,
                 outcome,
@@ -541,7 +541,9 @@
                 rooms,
             } => self.owner.spare(rack, to, rooms, out),
             Message::Handover(handover) => self.take_over(*handover, now, out),
-            Message::Moved { serial, to } => self.entry.moved(serial, to, now, out),
+            Message::Moved { serial, to, moves } => {
+                self.entry.moved(serial, to, moves, now, out);
+            }
             Message::Configuration(configuration) => {
                 self.configure(*configuration, from.name.as_str(), out);
             }
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -126,6 +126,8 @@
     step: u32,
     tasks: Vec<u32>,
     at: Time,
+    /// How often it moved, as far as this entry has heard.
+    moves: u32,
 }
 
 /// The jobs that an instance has taken in.
@@ -472,6 +474,7 @@
             job: id,
             step,
             tasks: tasks.clone(),
+            moves: 0,
             need: wanted.need,
             estimate: wanted.estimate,
             label: wanted.label.clone(),
@@ -496,6 +499,7 @@
             step,
             tasks,
             at: now,
+            moves: 0,
         };
         job.batches.insert(serial, sent);
         self.by_serial.insert(serial, id);
@@ -603,6 +607,10 @@
             job.batches.remove(&serial);
             self.by_serial.remove(&serial);
         }
+        if job.ending {
+            // Its owner has nothing left to say of it, and the caller's answer may have waited for just that.
+            return self.end(id, "given up", now, out);
+        }
         // Without a hint the owner has lost the rack, and runs may be left that its next owner stops. A rack whose
         // loss isn't known here yet would send the tasks back at once, over and over.
         let at = match (hint, started) {
@@ -618,19 +626,31 @@
         });
     }
 
-    /// Takes note that a batch has another owner.
-    pub fn moved(&mut self, serial: u64, to: Instance, now: Time, out: &mut Effects) {
-        let Some(id) = self.by_serial.get(&serial).copied() else {
-            return;
+    /// Takes note that a batch has another owner, which may not have heard that it was given up.
+    ///
+    /// What an earlier owner tells may come last: it must not hide the present one.
+    pub fn moved(&mut self, serial: u64, to: Instance, moves: u32, now: Time, out: &mut Effects) {
+        let id = self.by_serial.get(&serial).copied();
+        let job = id.and_then(|id| self.jobs.get_mut(&id));
+        let known = job.and_then(|job| {
+            let sent = job.batches.get_mut(&serial)?;
+            Some((sent, job.ending))
+        });
+        let (Some(id), Some((sent, ending))) = (id, known) else {
+            return cancel_at(to, serial, out);
         };
-        let job = self.jobs.get_mut(&id);
-        if let Some(sent) = job.and_then(|job| job.batches.get_mut(&serial)) {
-            let record = Record::routine("batch_moved").job(id);
-            let record = record.with("batch", serial);
-            out.outputs
-                .push(Output::Log(record.with("owner", to.as_str())));
-            sent.owner = to;
-            sent.at = now;
+        if moves <= sent.moves {
+            return;
+        }
+        let record = Record::routine("batch_moved").job(id);
+        let record = record.with("batch", serial);
+        out.outputs
+            .push(Output::Log(record.with("owner", to.as_str())));
+        sent.owner = to.clone();
+        sent.at = now;
+        sent.moves = moves;
+        if ending {
+            cancel_at(to, serial, out);
         }
     }
 
@@ -639,10 +659,21 @@
         self.take_back(|_, sent| sent.owner == *owner, now + DOUBT, now, out);
     }
 
-    /// Takes batches back that their owner doesn't know.
+    /// Takes batches back that their owner doesn't know: one that was asked for, or that it was to drop. A rack may still
+    /// be on its way to a new owner, so that only what has been out for long is taken for lost.
     pub fn unknown(&mut self, from: &Instance, serials: &[u64], now: Time, out: &mut Effects) {
+        let ending: BTreeSet<u64> = serials
+            .iter()
+            .copied()
+            .filter(|serial| {
+                let job = self.by_serial.get(serial);
+                let job = job.and_then(|id| self.jobs.get(id));
+                job.is_some_and(|job| job.ending)
+            })
+            .collect();
         let unknown = |serial: u64, sent: &Sent| {
-            sent.owner == *from && now.since(sent.at) > AUDIT && serials.contains(&serial)
+            let long = now.since(sent.at) > AUDIT || ending.contains(&serial);
+            sent.owner == *from && long && serials.contains(&serial)
         };
         self.take_back(unknown, now + DOUBT, now, out);
     }
@@ -729,13 +760,8 @@
 
     fn cancel_batch(&mut self, id: JobId, serial: u64, out: &mut Effects) {
         let sent = self.jobs.get(&id).and_then(|job| job.batches.get(&serial));
-        let owner = sent.map(|sent| sent.owner.clone());
-        if let Some(owner) = owner {
-            let contact = Contact {
-                name: owner,
-                address: String::new(),
-            };
-            out.messages.push((contact, Message::Cancel(serial)));
+        if let Some(sent) = sent {
+            cancel_at(sent.owner.clone(), serial, out);
         }
     }
 
@@ -865,6 +891,15 @@
     }
 }
 
+/// Asks an owner to drop a batch.
+fn cancel_at(owner: Instance, serial: u64, out: &mut Effects) {
+    let contact = Contact {
+        name: owner,
+        address: String::new(),
+    };
+    out.messages.push((contact, Message::Cancel(serial)));
+}
+
 /// Tells what a job asks for that can't be done yet.
 pub(super) fn unsupported(submission: &Submission, route: &Route) -> Option<String> {
     if route.advised {
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -425,12 +425,15 @@
     },
     /// A rack changes its owner.
     Handover(Box<Handover>),
-    /// A batch of the receiver has moved.
+    /// A batch of the receiver has moved: told by its former owner and by its next one, since either may be gone before
+    /// it is heard.
     Moved {
         /// The batch.
         serial: u64,
         /// Its new owner.
         to: Instance,
+        /// How often it has moved.
+        moves: u32,
     },
     /// The configuration, since the receiver's is older.
     Configuration(Box<Configuration>),
@@ -670,6 +673,8 @@
     pub step: u32,
     /// The tasks.
     pub tasks: Vec<u32>,
+    /// How often it went to another owner.
+    pub moves: u32,
     /// What each task takes.
     pub need: Room,
     /// A task's estimated duration where it is placed.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ends;
+mod given_up;
 mod handover;
 mod place;
 mod probe;
@@ -13,8 +14,11 @@
     HashSet, //
 };
 
-use self::probe::Probe;
 pub use self::probe::Verdict;
+use self::{
+    given_up::GivenUp,
+    probe::Probe, //
+};
 use super::{
     endpoint::{
         Fate,
@@ -98,6 +102,8 @@
 /// The racks that an instance owns, and the batches that it runs there.
 #[derive(Debug, Default)]
 pub struct Owner {
+    /// The instance.
+    own: Option<Instance>,
     racks: BTreeMap<RackId, Rack>,
     endpoints: BTreeMap<Endpoint, State>,
     loads: BTreeMap<Handle, Load>,
@@ -110,6 +116,9 @@
     fenced: Vec<(RackId, Token)>,
     /// Entries that are heard: a task is started only for one of these.
     present: HashSet<Instance>,
+    /// Entries that were heard once and are not any more.
+    gone: HashSet<Instance>,
+    given_up: GivenUp,
     /// Ends that endpoints list until they are stored, with the time at which each was reported last.
     ends: BTreeMap<(Endpoint, u64), (RunEnd, Option<Time>)>,
     patience: Patience,
@@ -141,6 +150,7 @@
     /// Makes one without racks; an instance always hears its own entry.
     pub fn new(own: &Instance) -> Self {
         Self {
+            own: Some(own.clone()),
             present: HashSet::from([own.clone()]),
             ..Self::default()
         }
@@ -216,13 +226,24 @@
         let Some(load) = self.remove_load(handle) else {
             return;
         };
+        let serial = load.batch.serial;
         let message = Message::Returned {
-            serial: load.batch.serial,
+            serial,
             tasks: load.tasks.keys().copied().collect(),
             started: load.started,
             hint: None,
         };
         out.tell(&load.entry, message);
+        if !load.done.is_empty() {
+            // What had ended would be run again.
+            let message = Message::Report {
+                serial,
+                outcome: Outcome::Done,
+                done: load.done,
+                started: true,
+            };
+            out.tell(&load.entry, message);
+        }
     }
 
     fn remove_load(&mut self, handle: Handle) -> Option<Load> {
@@ -369,10 +390,16 @@
     }
 
     /// Drops a batch as its entry asked, and tells whether a start of it ever left.
-    pub fn cancel(&mut self, entry: &Contact, serial: u64, out: &mut Effects) {
+    ///
+    /// One that has been handed over, or is still on its way here with its rack, says nothing of what was started of it:
+    /// told "none", its entry told the caller that nothing was run. It is dropped when it comes.
+    pub fn cancel(&mut self, entry: &Contact, serial: u64, now: Time, out: &mut Effects) {
         let key = (entry.name.clone(), serial);
-        let handle = self.by_entry.get(&key).copied();
-        let started = handle.is_some_and(|handle| self.drop_load(handle, out));
+        let Some(handle) = self.by_entry.get(&key).copied() else {
+            self.given_up.add(key, now);
+            return out.tell(entry, Message::Unknown(vec![serial]));
+        };
+        let started = self.drop_load(handle, out);
         let message = Message::Report {
             serial,
             outcome: Outcome::Dropped,
@@ -386,12 +413,15 @@
     pub fn hear(&mut self, entry: &Instance) {
         if !self.present.contains(entry) {
             self.present.insert(entry.clone());
+            self.gone.remove(entry);
         }
     }
 
     /// Stops all that an instance had here, which is gone or has begun anew.
     pub fn abandon(&mut self, entry: &Instance, out: &mut Effects) {
-        self.present.remove(entry);
+        if self.present.remove(entry) {
+            self.gone.insert(entry.clone());
+        }
         let of = |(handle, load): (&Handle, &Load)| (load.entry.name == *entry).then_some(*handle);
         let mut handles: Vec<Handle> = self.loads.iter().filter_map(of).collect();
         handles.sort_unstable();
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -14,6 +14,7 @@
         message::{
             Contact,
             Handover,
+            Held,
             Listing,
             Message,
             Record, //
@@ -21,6 +22,7 @@
         },
         queue::Waiting, //
     },
+    given_up::Key,
     Effects,
     Owner,
     Progress, //
@@ -60,12 +62,14 @@
         }
         let mut batches = Vec::new();
         for handle in self.loads_of(rack) {
-            let Some(load) = self.remove_load(handle) else {
+            let Some(mut load) = self.remove_load(handle) else {
                 continue;
             };
+            load.batch.moves += 1;
             let message = Message::Moved {
                 serial: load.batch.serial,
                 to: to.name.clone(),
+                moves: load.batch.moves,
             };
             out.tell(&load.entry, message);
             batches.push(load);
@@ -96,6 +100,7 @@
     ) {
         self.claim(handover.rack, token, out);
         self.list(listings, now, out);
+        let mut unwanted = Vec::new();
         for held in handover.batches {
             let numbers = held.next.iter().zip(&held.failures);
             let progress = numbers.map(|(next, failures)| Progress {
@@ -103,6 +108,11 @@
                 failures: *failures,
             });
             let tasks = held.batch.tasks.iter().copied().zip(progress).collect();
+            let key = (held.entry.name.clone(), held.batch.serial);
+            if self.given_up.contains(&key) || self.gone.contains(&held.entry.name) {
+                unwanted.push(key);
+            }
+            self.tell_moved(&held, out);
             let handle = self.load(&held.entry, held.batch, tasks, held.started, now);
             if let Some(load) = self.loads.get_mut(&handle) {
                 load.done = held.done;
@@ -133,5 +143,44 @@
                 self.stop(run.task, handle, Fate::Again, out);
             }
         }
+        self.drop_unwanted(&unwanted, out);
+    }
+
+    /// Tells the entry of a batch that it is here now. If the former owner is gone, and with it what it had to tell, the
+    /// entry has taken the batch back: it answers that it doesn't want it, before it places the tasks elsewhere.
+    fn tell_moved(&self, held: &Held, out: &mut Effects) {
+        let Some(own) = &self.own else {
+            return;
+        };
+        let message = Message::Moved {
+            serial: held.batch.serial,
+            to: own.clone(),
+            moves: held.batch.moves,
+        };
+        out.tell(&held.entry, message);
+    }
+
+    /// Stops what came with a rack and which nobody waits for: its entry gave it up, or is gone. Its caller comes again
+    /// elsewhere, and the task would run twice.
+    fn drop_unwanted(&mut self, unwanted: &[Key], out: &mut Effects) {
+        for key in unwanted {
+            let Some(handle) = self.by_entry.get(key).copied() else {
+                continue;
+            };
+            let Some(load) = self.loads.get(&handle) else {
+                continue;
+            };
+            let record = Record::new("batch_abandoned").job(load.batch.job);
+            out.log(record.with("entry", key.0.as_str()));
+            // The entry may live, and only have begun a new session with this instance.
+            let message = Message::Returned {
+                serial: load.batch.serial,
+                tasks: load.tasks.keys().copied().collect(),
+                started: true,
+                hint: None,
+            };
+            out.tell(&load.entry, message);
+            self.drop_load(handle, out);
+        }
     }
 }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -190,3 +190,85 @@
     assert_eq!(again.len(), 1);
     assert_eq!(again[0].tasks, [1]);
 }
+
+/// A job of two batches, which is given up since one of them is hopeless. Returns the other, which its owner is asked to
+/// drop.
+fn given_up(entry: &mut Entry) -> Batch {
+    let first = submit(entry, 2).remove(0);
+    let mut out = Effects::default();
+    entry.returned(first.serial, vec![1], false, None, NOW, &mut out);
+    entry.work(NOW + Span::millis(50), &mut out);
+    let second = batches(&out).remove(0);
+    let mut out = Effects::default();
+    entry.report(
+        second.serial,
+        Outcome::Hopeless,
+        Vec::new(),
+        false,
+        NOW,
+        &mut out,
+    );
+    assert_eq!(answers(&out), [], "the first may have started");
+    assert_eq!(cancelled(&out), [("owner".to_owned(), first.serial)]);
+    first
+}
+
+fn cancelled(out: &Effects) -> Vec<(String, u64)> {
+    let cancel = |(to, message): &(Contact, Message)| match message {
+        Message::Cancel(serial) => Some((to.name.to_string(), *serial)),
+        _ => None,
+    };
+    out.messages.iter().filter_map(cancel).collect()
+}
+
+/// An owner sends tasks back in the moment in which it is asked to drop them. It has nothing left to say of them, and the
+/// caller is told at once that nothing was run. Otherwise it would wait until its own time has passed.
+#[test]
+fn given_up_job_is_answered_when_its_tasks_come_back() {
+    let (mut entry, _) = entry();
+    let first = given_up(&mut entry);
+    let mut out = Effects::default();
+    entry.returned(first.serial, vec![0], false, None, NOW, &mut out);
+    assert!(matches!(answers(&out)[..], [Answer::Refused { .. }]));
+}
+
+/// A batch goes to another owner in the moment in which its entry gives it up. The next owner is asked to drop it. It
+/// doesn't have it yet and can't say what was started of it: the caller isn't told that nothing was run.
+#[test]
+fn given_up_batch_that_moved_is_in_doubt() {
+    let (mut entry, _) = entry();
+    let first = given_up(&mut entry);
+    let next: Instance = "next".parse().unwrap();
+    let mut out = Effects::default();
+    entry.moved(first.serial, next.clone(), 1, NOW, &mut out);
+    assert_eq!(cancelled(&out), [("next".to_owned(), first.serial)]);
+    entry.unknown(&"owner".parse().unwrap(), &[first.serial], NOW, &mut out);
+    assert_eq!(answers(&out), [], "it isn't the owner any more");
+    entry.unknown(&next, &[first.serial], NOW, &mut out);
+    assert!(matches!(answers(&out)[..], [Answer::GivenUp { .. }]));
+}
+
+/// A batch that its entry doesn't know any more comes to an owner with a rack. It is dropped there: its job was answered,
+/// or its tasks are about to be placed elsewhere, and would run twice.
+#[test]
+fn batch_that_nobody_wants_is_dropped_where_it_moved() {
+    let (mut entry, _) = entry();
+    let mut out = Effects::default();
+    entry.moved(17, "next".parse().unwrap(), 1, NOW, &mut out);
+    assert_eq!(cancelled(&out), [("next".to_owned(), 17)]);
+}
+
+/// A batch moves twice, and the entry hears of it in the wrong order. It goes by the later move: asked for its batch, the
+/// owner between would not know it, and the tasks would be placed a second time.
+#[test]
+fn later_move_counts() {
+    let (mut entry, _) = entry();
+    let first = submit(&mut entry, 1).remove(0);
+    let mut out = Effects::default();
+    for (owner, moves) in [("last", 2), ("between", 1)] {
+        entry.moved(first.serial, owner.parse().unwrap(), moves, NOW, &mut out);
+    }
+    entry.audit(NOW + Span::seconds(1), &mut out);
+    let audited = out.messages.iter().map(|(to, _)| to.name.as_str());
+    assert_eq!(audited.collect::<Vec<_>>(), ["last"]);
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -18,6 +18,8 @@
             Batch,
             CallId,
             Contact,
+            End,
+            Ended,
             Input,
             Listing,
             Message,
@@ -73,6 +75,7 @@
         job: JobId(serial),
         step: 0,
         tasks,
+        moves: 0,
         need: Room {
             cpu: 1_000,
             memory: 1,
@@ -213,11 +216,11 @@
         } => Some(*call),
         _ => None,
     });
-    let ended = poplarknot::dispatch::message::Ended {
+    let ended = Ended {
         serial: 1,
         task: Name::Known(task),
         run: Run(1),
-        end: poplarknot::dispatch::message::End::Done,
+        end: End::Done,
     };
     let now = START + Span::millis(140);
     let reply = Reply::Looked {
@@ -245,6 +248,96 @@
     assert!(out.messages.iter().any(|(_, message)| done(message)));
 }
 
+/// A rack is on its way from one owner to the next when the entry of a batch there gives it up. Neither has it, and neither
+/// may say that nothing of it was started: the entry told its caller that nothing was run, although a task had. The next
+/// owner stops what comes of it; else the task would run on for nobody.
+#[test]
+fn batch_on_its_way_is_given_up_in_doubt() {
+    let mut bench = Bench::new(1);
+    let (entry, next) = (contact("entry"), contact("next"));
+    let mut out = Effects::default();
+    bench.owner.hear(&entry.name);
+    bench
+        .owner
+        .accept(&entry, batch(1, vec![0]), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 1);
+    let handover = bench.owner.hand_over(bench.rack, &next, START, &mut out);
+    let mut receiver = Owner::new(&next.name);
+    receiver.hear(&entry.name);
+    for owner in [&mut bench.owner, &mut receiver] {
+        let mut out = Effects::default();
+        owner.cancel(&entry, 1, START, &mut out);
+        let [(to, Message::Unknown(serials))] = &out.messages[..] else {
+            panic!("{:?}", out.messages);
+        };
+        assert_eq!((to, &serials[..]), (&entry, &[1][..]));
+    }
+    let mut out = Effects::default();
+    let token = Token::new(Epoch(2), 2);
+    receiver.take_over(handover.unwrap(), token, &[listing(1)], START, &mut out);
+    let stop = |output: &Output| {
+        let Output::Call { order, .. } = output else {
+            return false;
+        };
+        matches!(order, Order::Stop { .. })
+    };
+    assert!(out.outputs.iter().any(stop), "{:?}", out.outputs);
+    assert!(receiver.idle());
+}
+
+/// A task that waits is sent back, the rack goes to another owner, and the other task of the batch ends there. The entry
+/// may hear the next owner first: its report names the task that ended, and no other.
+#[test]
+fn report_after_a_handover_names_what_ended() {
+    let mut bench = Bench::new(1);
+    let (entry, next) = (contact("entry"), contact("next"));
+    let mut out = Effects::default();
+    bench.owner.hear(&entry.name);
+    bench
+        .owner
+        .accept(&entry, batch(1, vec![0, 1]), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 1);
+    let room = listing(4).capacity;
+    let elsewhere = RackId::of("cells", "a", "other");
+    bench
+        .owner
+        .spare(bench.rack, elsewhere, vec![room], &mut out);
+    let handover = bench.owner.hand_over(bench.rack, &next, START, &mut out);
+    let mut receiver = Owner::new(&next.name);
+    receiver.hear(&entry.name);
+    let token = Token::new(Epoch(2), 2);
+    receiver.take_over(handover.unwrap(), token, &[listing(1)], START, &mut out);
+    let mut out = Effects::default();
+    receiver.work(START, &mut out);
+    let look = out.outputs.iter().find_map(|output| match output {
+        Output::Call { call, .. } => Some(*call),
+        _ => None,
+    });
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    let ended = Ended {
+        serial: 1,
+        task: Name::Known(task),
+        run: Run(1),
+        end: End::Done,
+    };
+    let reply = Reply::Looked {
+        clock: START.0 / 1_000,
+        running: Vec::new(),
+        ended: vec![ended],
+    };
+    let mut out = Effects::default();
+    receiver.called(look.unwrap(), START, reply, START, &mut out);
+    let reported = out.messages.iter().find_map(|(_, message)| match message {
+        Message::Report { outcome, done, .. } => Some((*outcome, done.clone())),
+        _ => None,
+    });
+    assert_eq!(reported, Some((Outcome::Done, vec![0])));
+}
+
 /// An instance stands still for three seconds. Before it does anything else it takes its racks as lost: others own them
 /// by now, and what waits in its buffers is old.
 #[test]
