Read what has come before an idle connection of a caller is closed

Cause: the timer of an idle connection was looked at beside the socket, in random order, and after a signal even before it. An instance that stood still, or was short of processor time, closed the connection over a whole request; its caller got neither an answer nor a refusal. So did a connection that gave way to a new one, and one that was closed on a leaving instance. A shorter idle timeout in a new configuration makes such closings many at once.

Changed: what has come is read first; then the connection is read for 20 ms more, and closed only if it is still idle. Each new connection has another one give way: several that came in one turn chose the same.

Ruled out: the order of the two alone. With the socket first, a wake-up by a signal still sees the timers without the sockets.

--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -42,7 +42,10 @@
         TcpStream, //
     },
     sync::Notify,
-    task::spawn_local,
+    task::{
+        spawn_local,
+        yield_now, //
+    },
     time::{
         sleep,
         timeout, //
@@ -98,9 +101,15 @@
     idle: Cell<Option<Time>>,
     /// Its other end.
     caller: String,
+    /// Whether it was chosen to give way to another one.
+    chosen: Cell<bool>,
     close: Notify,
 }
 
+/// How long a connection that is due to be closed is still read from: two ticks of the instance, so that its loop turns
+/// meanwhile whatever else comes.
+const LAST_READ: Duration = Duration::from_millis(20);
+
 type Answered = Result<Response<Full<Bytes>>, hyper::Error>;
 
 /// Tells the dispatcher when a caller goes before its answer: the future of its request is dropped then.
@@ -149,8 +158,12 @@
         if open.len() < self.most {
             return;
         }
-        let idle = open.values().filter(|state| state.idle.get().is_some());
+        let idle = open
+            .values()
+            .filter(|state| state.idle.get().is_some() && !state.chosen.get());
         if let Some(state) = idle.min_by_key(|state| state.idle.get()) {
+            // Each new connection has another one give way, although that takes a moment.
+            state.chosen.set(true);
             state.close.notify_one();
         }
     }
@@ -167,6 +180,7 @@
             caller: stream
                 .peer_addr()
                 .map_or_else(|_| String::new(), |a| a.to_string()),
+            chosen: Cell::new(false),
             close: Notify::new(),
         });
         self.serial.set(self.serial.get() + 1);
@@ -202,32 +216,48 @@
             .max_buf_size(limits.headers.max(LEAST_BUFFER));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
+        loop {
+            let reason = tokio::select! {
+                // What has come goes before the time that has passed.
+                biased;
+                // A caller that breaks off is no fault of ours.
+                _ = connection.as_mut() => return,
+                reason = self.due(state) => reason,
+            };
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = last_read() => {}
+            }
+            state.chosen.set(false);
+            if state.idle.get().is_some() {
+                self.log_close(state, reason);
+                connection.as_mut().graceful_shutdown();
+                // It ends when it is polled next, and is not due again.
+                state.idle.set(None);
+            }
+        }
+    }
+
+    /// Waits until a connection has been idle for too long, or has to give way, and tells why it is to be closed.
+    async fn due(&self, state: &Connection) -> &'static str {
         loop {
             // On a leaving instance nothing that came would be taken; its caller finds another one sooner this way.
-            let idle = match self.hub.look(|d| d.closed(now())) {
-                true => PARTING,
-                false => self.limits().idle,
+            let (idle, reason) = match self.hub.look(|d| d.closed(now())) {
+                true => (PARTING, "the instance leaves"),
+                false => (self.limits().idle, "it was idle"),
             };
             let rest = match state.idle.get() {
                 Some(since) => (since + idle).since(now()),
                 None => idle,
             };
             tokio::select! {
-                // A caller that breaks off is no fault of ours.
-                _ = connection.as_mut() => return,
-                () = state.close.notified() => {
-                    self.log_close(state, "there are too many");
-                    connection.as_mut().graceful_shutdown();
-                }
+                () = state.close.notified() => return "there are too many",
                 () = self.hub.closing.notified() => {}
                 () = sleep(rest.duration().max(Duration::from_millis(1))) => {
-                    let over = state.idle.get().is_some_and(|since| now().since(since) >= idle);
-                    if over {
-                        self.log_close(state, "it was idle");
-                        connection.as_mut().graceful_shutdown();
-                        // An idle connection is closed at once; one on which a request comes in this moment
-                        // serves it first.
-                        state.idle.set(None);
+                    let over = |since| now().since(since) >= idle;
+                    if state.idle.get().is_some_and(over) {
+                        return reason;
                     }
                 }
             }
@@ -235,6 +265,17 @@
     }
 }
 
+/// Waits while a connection that is due to be closed is read once more.
+///
+/// A process that stood still, or had no processor time, learns that the idle time has passed before it learns what has
+/// come meanwhile: the timers of a turn may be looked at without the sockets, as after a signal. The connection would be
+/// closed over a whole request, whose caller gets neither an answer nor a refusal. After this wait all that had come when
+/// the time passed is read: the sockets are looked at in every turn that no signal cuts short, and in the last one here.
+async fn last_read() {
+    sleep(LAST_READ).await;
+    yield_now().await;
+}
+
 async fn answer(hub: &Rc<Hub>, request: Request<Incoming>) -> Answered {
     let leaving = hub.look(|dispatcher| dispatcher.draining());
     let mut response = respond(hub, request).await;
