Command 'trace': one job's story from the logs of all instances

Cause: who was called for a failed request collected its lines with jq, and had to look up by hand what the instances and endpoints in them went through at that time. Lines that are no JSON made jq stop.

Change: 'poplarknot trace JOB LOG...' prints the job's lines in the order of time, and beside them, marked as context, the lines without a job that explain them: of the instances and endpoints that it touched, of the shard that holds it, and of all endpoints and racks where no task of it reached one.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,7 @@
 mod record;
 mod serve;
 mod submit;
+mod trace;
 
 use std::{
     io::{
@@ -40,6 +41,7 @@
     submit    Submits a burst and prints its answer
     record    Submits, amends, withdraws and shows configuration records
     audit     Shows who changed the configuration, when and how
+    trace     Tells a job's story from the logs of 'dispatch'
 
 Options:
     -h, --help       Prints this help, or that of a command
@@ -75,6 +77,7 @@
         "submit" => submit::run(rest),
         "record" => record::run(rest),
         "audit" => audit::run(rest),
+        "trace" => trace::run(rest),
         other => Err(Error::Usage(format!("there is no command '{other}'"))),
     }
 }
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -45,7 +45,7 @@
 const LARGEST_ANSWER: usize = 256 << 20;
 
 /// The name that stands for standard input.
-const STANDARD_INPUT: &str = "-";
+pub(super) const STANDARD_INPUT: &str = "-";
 
 /// A request to any instance.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/src/cli/trace.rs
@@ -0,0 +1,93 @@
+//! `poplarknot trace`: tells one job's story from the logs of instances.
+
+use super::{
+    client::{
+        option,
+        STANDARD_INPUT, //
+    },
+    exit::Exit,
+    print,
+    Syntax, //
+};
+use crate::{
+    dispatch::id::JobId,
+    error::Error,
+    trace::{
+        Source,
+        Story,
+        Tracer,
+        AROUND,
+        WIDEST, //
+    },
+};
+
+const BRIEF: &str = "\
+Usage: poplarknot trace [OPTIONS] JOB LOG...
+
+Tells a job's story in the order of time, from the logs of instances of 'poplarknot dispatch'. JOB is the 16 hexadecimal
+digits at the end of its path, LOG a file or - for standard input. Give the logs of all instances.
+
+Lines marked as context don't name the job. They are of the instances and endpoints that it touched, or of the shard that
+holds it; where no task of it reached an endpoint, of all endpoints and racks. Times are relative to the job's first line,
+and in UTC. The clocks of instances differ a little, so lines of two instances that are close in time may stand in the
+wrong order.
+
+Lines that can't be read are skipped and counted on standard error.";
+
+pub(super) fn run(args: &[String]) -> Result<Exit, Error> {
+    let mut syntax = Syntax::new(BRIEF);
+    let options = &mut syntax.options;
+    let brief = format!(
+        "Shows context up to SPAN before and after the job [{} s]",
+        AROUND.as_millis() / 1_000
+    );
+    options.optopt("", "around", &brief, "SPAN");
+    options.optflag("", "json", "Prints the lines as they were written");
+    let Some(mut matches) = syntax.parse(args)? else {
+        return Ok(Exit::Success);
+    };
+    let logs = matches.free.split_off(1.min(matches.free.len()));
+    let Some(job) = matches.free.pop() else {
+        return Err(Error::Usage("JOB is missing".to_owned()));
+    };
+    let job: JobId = job
+        .parse()
+        .map_err(|e| Error::Usage(format!("'{job}': {e}")))?;
+    if logs.is_empty() {
+        return Err(Error::Usage("LOG is missing".to_owned()));
+    }
+    let around = option(&matches, "around")?.unwrap_or(AROUND);
+    if around > WIDEST {
+        return Err(Error::Usage(format!("--around is {WIDEST} at the most")));
+    }
+    let tracer = Tracer::new(job).around(around);
+    let story = tracer.logs(logs.into_iter().map(source)).run()?;
+    warn(&story);
+    match matches.opt_present("json") {
+        true => print(&story.raw()),
+        false => print(&story.to_string()),
+    }
+}
+
+fn source(name: String) -> Source {
+    match name.as_str() {
+        STANDARD_INPUT => Source::Input,
+        _ => Source::File(name),
+    }
+}
+
+/// Tells on standard error what may be missing.
+fn warn(story: &Story) {
+    for skip in &story.skipped {
+        eprintln!("poplarknot: {skip}");
+    }
+    for gap in &story.gaps {
+        eprintln!("poplarknot: {gap}");
+    }
+    if story.unsearched > 0 {
+        let lines = story.unsearched;
+        eprintln!(
+            "poplarknot: {lines} lines of a stream came too early to be kept as context; name the files instead"
+        );
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     cli::exit::Exit,
+    dispatch::id::JobId,
     platform,
     prelude::*,
     settings::fault::Fault, //
@@ -96,6 +97,21 @@
         /// What it said.
         body: String,
     },
+    /// No log has a line about a job.
+    #[error(
+        "no line about job {job} in {}; lines skipped as unreadable: {skipped}, left out by instances: {left_out}",
+        logs.join(", ")
+    )]
+    Untold {
+        /// The job.
+        job: JobId,
+        /// The logs that were read.
+        logs: Vec<String>,
+        /// Lines in them that can't be read.
+        skipped: u64,
+        /// Lines that instances left out of them.
+        left_out: u64,
+    },
     /// This build can't do it.
     #[error("this build has no '{0}'")]
     Unsupported(&'static str),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,3 +32,4 @@
 mod sync;
 pub mod table;
 pub mod time;
+pub mod trace;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -184,7 +184,7 @@
 fn help_and_version_go_to_standard_output() {
     let help = poplarknot(&["--help"], "");
     assert_eq!(code(&help), 0);
-    for command in ["serve", "check", "submit", "record", "audit"] {
+    for command in ["serve", "check", "submit", "record", "audit", "trace"] {
         assert!(stdout(&help).contains(command), "{command}");
         let own = poplarknot(&[command, "--help"], "");
         assert_eq!(code(&own), 0, "{command}");
@@ -198,7 +198,7 @@
 
 #[test]
 fn wrong_usage_ends_with_code_2_and_one_line() {
-    let wrong: [&[&str]; 9] = [
+    let wrong: [&[&str]; 14] = [
         &[],
         &["sreve"],
         &["serve"],
@@ -208,6 +208,11 @@
         &["record", "amend", "service/cells"],
         &["record", "show", "cells"],
         &["audit", "--from", "yesterday"],
+        &["trace"],
+        &["trace", "7239831d1d124ecb"],
+        &["trace", "17", "a.log"],
+        &["trace", "7239831d1d124ecb", "a.log", "--around", "soon"],
+        &["trace", "7239831d1d124ecb", "a.log", "--around", "2h"],
     ];
     for args in wrong {
         let output = poplarknot(args, "");
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,54 @@
+//! One job's story from the logs of instances, as its reader gets it.
+
+#[path = "trace/files.rs"]
+mod files;
+
+use std::{
+    io::Write,
+    process::{
+        Command,
+        Output,
+        Stdio, //
+    },
+};
+
+/// Runs `poplarknot trace`.
+fn trace(args: &[&str], input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_poplarknot"))
+        .arg("trace")
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut stdin = child.stdin.take().expect("standard input is piped");
+    // The program may end without reading its input.
+    let _ = stdin.write_all(input);
+    drop(stdin);
+    child.wait_with_output().expect("the program ends")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Returns the events of a story in its order; those that are context have a `~` before them.
+fn events(output: &Output) -> Vec<String> {
+    let story = stdout(output);
+    let told = story.lines().skip(1).map(|line| {
+        let context = line.starts_with("context");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        // The mark, the span and its unit, the date, the time and the instance come first.
+        let event = words[usize::from(context) + 5];
+        match context {
+            true => format!("~{event}"),
+            false => event.to_owned(),
+        }
+    });
+    told.collect()
+}
