Trace: requests that fail on real instances, told by their logs alone

Cause: stories from written logs show what the command does, not whether the instances log enough. Two things were missing: an endpoint that refuses connections fills the story with hundreds of equal lines, and no line of a stored job says who coordinates its shard, so that a lost store was not seen.

Change: lines of context that repeat are told once, with their number and until when. For a stored job the lines about the store of all instances are context. Four scenes on real instances: the job's entry is killed, its endpoint dies, more jobs come than can be run, the store falls silent under a stored job.

--- a/src/trace/scope.rs
+++ b/src/trace/scope.rs
@@ -14,6 +14,9 @@
 /// Events of jobs that are stored; these depend on who coordinates their shard.
 const STORED: [&str; 3] = ["job_stored", "job_ended", "request_unanswered"];
 
+/// What the events begin with that are about the store.
+const STORE: &str = "store_";
+
 /// When a job lived, and what it touched.
 #[derive(Debug, Clone)]
 pub(super) struct Scope {
@@ -61,6 +64,10 @@
         if line.event == THINNED {
             return true;
         }
+        // No line says who coordinates the job's shard: it may be any instance that lost the store.
+        if self.shard.is_some() && line.event.starts_with(STORE) {
+            return true;
+        }
         if let Some(endpoint) = line.text("endpoint") {
             return self.endpoints.contains(endpoint) || self.unplaced();
         }
--- a/src/trace/text.rs
+++ b/src/trace/text.rs
@@ -68,30 +68,46 @@
             "job {job}: lines {lines}, instances {instances}, first to last {span} ms"
         )?;
         let widths = Widths::of(&self.entries);
-        for entry in &self.entries {
-            entry.tell(f, first, &widths)?;
+        for alike in self.entries.chunk_by(Entry::repeats) {
+            let after = |entry: &Entry| i128::from(entry.line.time_ms) - i128::from(first);
+            alike[0].tell(f, after(&alike[0]), &widths)?;
+            if let [_, .., last] = alike {
+                let (times, until) = (alike.len(), after(last));
+                write!(f, "  ({times} times until {until:+} ms)")?;
+            }
+            writeln!(f)?;
         }
         Ok(())
     }
 }
 
 impl Entry {
-    fn tell(&self, f: &mut fmt::Formatter<'_>, first_ms: u64, widths: &Widths) -> fmt::Result {
+    /// Tells whether the next line of a story says the same again. An endpoint that can't be reached is tried many times
+    /// a second; hundreds of equal lines would hide the one that matters.
+    fn repeats(&self, next: &Self) -> bool {
+        let (one, other) = (&self.line, &next.line);
+        let context = self.context && next.context;
+        context
+            && one.instance == other.instance
+            && one.event == other.event
+            && one.fields == other.fields
+    }
+
+    fn tell(&self, f: &mut fmt::Formatter<'_>, after: i128, widths: &Widths) -> fmt::Result {
         let line = &self.line;
         let mark = if self.context { CONTEXT } else { "" };
-        let after = i128::from(line.time_ms) - i128::from(first_ms);
         let (time, instance) = (absolute(line.time_ms), line.instance.as_str());
         write!(f, "{mark:7} {after:>+7} ms  {time}  ")?;
         write!(f, "{instance:0$}  ", widths.instance)?;
         let event = plain(&line.event);
         if line.fields.is_empty() {
-            return writeln!(f, "{event}");
+            return write!(f, "{event}");
         }
         write!(f, "{event:0$} ", widths.event)?;
         for (name, value) in &line.fields {
             write!(f, " {}={}", plain(name), shown(value))?;
         }
-        writeln!(f)
+        Ok(())
     }
 }
 
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -2,6 +2,20 @@
 
 #[path = "trace/files.rs"]
 mod files;
+#[path = "platform/fleet.rs"]
+#[allow(dead_code)] // The platform's own tests use the rest.
+mod fleet;
+#[path = "platform/runner.rs"]
+#[allow(dead_code)]
+mod runner;
+#[path = "trace/runs.rs"]
+mod runs;
+#[path = "trace/scenes.rs"]
+mod scenes;
+#[path = "platform/store.rs"]
+#[allow(dead_code)]
+mod store;
+mod support;
 
 use std::{
     io::Write,
--- a/tests/trace/files.rs
+++ b/tests/trace/files.rs
@@ -248,7 +248,8 @@
     assert!(stdout(&output).contains(r#"reason="it would end too late""#));
 }
 
-/// The story of a stored job shows who came to hold its shard and who let it go, and no other shard.
+/// The story of a stored job shows who came to hold its shard, and no other shard; and who lost the store, also an instance that
+/// no line of the job names, since it may coordinate the shard. A job that isn't stored has nothing to do with the store of others.
 #[test]
 fn stored_job_shows_its_shard() {
     let job: poplarknot::dispatch::id::JobId = JOB.parse().expect("it is one");
@@ -404,3 +405,45 @@
         stdout(&output)
     );
 }
+
+/// An endpoint that refuses connections is tried over and over. Its lines are told once, with how many there were and until
+/// when; the job's own lines are never folded, and as JSON nothing is.
+#[test]
+fn repeated_context_is_folded() {
+    let silent = |after| line(after, "a", "endpoint_silent", json!({"endpoint": "i-1"}));
+    let start = |after| {
+        line(
+            after,
+            "a",
+            "task_started",
+            json!({"job": JOB, "endpoint": "i-1"}),
+        )
+    };
+    let log = [
+        start(0),
+        start(0),
+        silent(5),
+        silent(6),
+        silent(9),
+        start(10),
+        silent(11),
+    ];
+    let logs = Logs::new(&[("log", log.concat())]);
+    let output = trace(&[JOB, &logs.path("log")], b"");
+    let expected = [
+        "task_started",
+        "task_started",
+        "~endpoint_silent",
+        "task_started",
+        "~endpoint_silent",
+    ];
+    assert_eq!(events(&output), expected);
+    let folded: Vec<String> = stdout(&output).lines().skip(3).map(str::to_owned).collect();
+    assert!(
+        folded[0].ends_with("endpoint=i-1  (3 times until +9 ms)"),
+        "{folded:?}"
+    );
+    assert!(folded[2].ends_with("endpoint=i-1"), "{folded:?}");
+    let raw = trace(&["--json", JOB, &logs.path("log")], b"");
+    assert_eq!(stdout(&raw), log.concat());
+}
