Records resolve into routes of their own module

The records parse into routes and quotas, but those types stood in core::config, which itself imports the records: each module needed the other to be read.

Route, Quota and Missing move to record::route, unchanged. The core imports the records; the records import nothing of the core.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -19,7 +19,6 @@
             Admission,
             Ask, //
         },
-        config::Route,
         health::Health,
         membership::{
             Action,
@@ -35,6 +34,7 @@
     },
     endpoint::wire::Load,
     prelude::*,
+    record::route::Route,
     settings::{
         Limits,
         Timing, //
--- a/examples/measure/policy.rs
+++ b/examples/measure/policy.rs
@@ -13,17 +13,15 @@
 };
 
 use poplarknot::{
-    core::{
-        config::Route,
-        placement::{
-            Placement,
-            Policy,
-            Slot,
-            Wanted, //
-        },
+    core::placement::{
+        Placement,
+        Policy,
+        Slot,
+        Wanted, //
     },
     endpoint::wire::Load,
-    prelude::*, //
+    prelude::*,
+    record::route::Route,
     table::wire::Worker as Entry,
 };
 
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    core::config::Quota,
     prelude::*,
+    record::route::Quota,
     settings::Limits, //
 };
 
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -11,14 +11,16 @@
 use super::{
     ask,
     row::Change,
-    spread::Sent,
-    Missing,
-    Route, //
+    spread::Sent, //
 };
 use crate::{
     core::message::Request,
     prelude::*,
     record::{
+        route::{
+            Missing,
+            Route, //
+        },
         set::Set,
         Record, //
     },
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -27,9 +27,9 @@
     },
 };
 use crate::{
-    core::config::Route,
     endpoint::wire::Load,
     prelude::*,
+    record::route::Route,
     table::wire::{
         State,
         Worker, //
--- a/src/core/stage.rs
+++ b/src/core/stage.rs
@@ -8,7 +8,6 @@
 use serde_json::value::RawValue;
 
 use super::{
-    config::Route,
     message::{
         Caller,
         Request, //
@@ -18,7 +17,8 @@
 };
 use crate::{
     job::Task,
-    prelude::*, //
+    prelude::*,
+    record::route::Route, //
 };
 
 /// Who waits for the answer of a job.
--- a/src/core/submission.rs
+++ b/src/core/submission.rs
@@ -17,7 +17,6 @@
         Found,
         Range, //
     },
-    config,
     message::Operate,
     stage::{
         Admitted,
@@ -31,7 +30,13 @@
     timer::Timer,
     Core,
 };
-use crate::prelude::*;
+use crate::{
+    prelude::*,
+    record::route::{
+        Missing,
+        Route, //
+    },
+};
 
 /// The deadline of a job that never got as far as a route.
 const DEADLINE: Span = Span::seconds(10);
@@ -220,29 +225,29 @@
     }
 
     /// Returns the slots that this instance can count on, by its share of the work.
-    fn own_slots(&self, route: &config::Route) -> u32 {
+    fn own_slots(&self, route: &Route) -> u32 {
         let slots = self.placement.slots(route);
         let own = (f64::from(slots) * self.share).ceil() as u32;
         own.clamp(slots.min(1), slots)
     }
 
-    fn route(&self, service: &Service) -> Result<Arc<config::Route>, Answer> {
+    fn route(&self, service: &Service) -> Result<Arc<Route>, Answer> {
         self.config.route(service).map_err(|missing| match missing {
-            config::Missing::Schema => Answer::refusal(
+            Missing::Schema => Answer::refusal(
                 Reason::Schema,
                 format!(
                     "service: a record of {service} has a schema that this version doesn't know"
                 ),
             )
             .with_retry(COME_BACK),
-            config::Missing::Service => Answer::refusal(
+            Missing::Service => Answer::refusal(
                 Reason::NoService,
                 format!("service: no service {service} is in force"),
             ),
         })
     }
 
-    fn check_needs(&self, route: &config::Route, submission: &Submission) -> Result<(), Answer> {
+    fn check_needs(&self, route: &Route, submission: &Submission) -> Result<(), Answer> {
         let mut checked: Option<Need> = None;
         for (i, task) in submission.tasks.iter().enumerate() {
             if checked == Some(task.need) {
--- a/src/record.rs
+++ b/src/record.rs
@@ -9,6 +9,7 @@
 pub mod fields;
 pub mod object;
 pub mod pool;
+pub mod route;
 pub mod rule;
 pub mod service;
 pub mod set;
--- a/src/record/check.rs
+++ b/src/record/check.rs
@@ -11,6 +11,7 @@
         Code,
         Fault, //
     },
+    route::Route,
     set::{
         target,
         Set, //
@@ -21,7 +22,6 @@
     Record, //
 };
 use crate::{
-    core::config::Route,
     prelude::*,
     table::wire::{
         State,
--- a/src/record/rule.rs
+++ b/src/record/rule.rs
@@ -17,11 +17,9 @@
         self,
         Fields, //
     },
+    route::Quota,
 };
-use crate::{
-    core::config::Quota,
-    prelude::*, //
-};
+use crate::prelude::*;
 
 /// The greatest weight of a quota.
 const MOST_WEIGHT: u64 = 1_000;
--- a/src/record/set.rs
+++ b/src/record/set.rs
@@ -7,6 +7,10 @@
 
 use super::{
     pool::State,
+    route::{
+        Missing,
+        Route, //
+    },
     rule,
     service,
     Body,
@@ -14,13 +18,7 @@
     Name,
     Record, //
 };
-use crate::{
-    core::config::{
-        Missing,
-        Route, //
-    },
-    prelude::*,
-};
+use crate::prelude::*;
 
 /// A record, with the revision that it is from.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -18,10 +18,6 @@
             Ask,
             Usage, //
         },
-        config::{
-            Quota,
-            Route, //
-        },
         health::{
             Change,
             Health, //
@@ -48,6 +44,10 @@
     },
     endpoint::wire::Load,
     prelude::*,
+    record::route::{
+        Quota,
+        Route, //
+    },
     settings::{
         Limits,
         Timing, //
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -33,7 +33,6 @@
                 Call,
                 Config,
                 Input,
-                Missing,
                 Output,
                 Peer,
                 Return,
@@ -50,6 +49,7 @@
         record::{
             fault::Code,
             pool,
+            route::Missing,
             rule,
             Body,
             Name,
