Placement: an endpoint's entry and rank in a module of their own

The index of a group needed the entries of the table, and the table needed the index: neither file could be read first.

Entry, Held, Score and the way a score is worked out move, unchanged, to placement::entry, which the index and the table both import.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -4,6 +4,7 @@
 //! slow the endpoint has been lately; ties go by the load that its last answer told, then at random.
 //! Endpoints that have room are kept in order, so a decision takes the first that fits.
 
+mod entry;
 mod index;
 mod speed;
 mod table;
@@ -16,15 +17,13 @@
 };
 
 use self::{
-    index::{
-        Group,
-        Score, //
-    },
-    table::{
+    entry::{
         Entry,
         Held,
+        Score,
         STEPS, //
     },
+    index::Group,
 };
 use crate::{
     endpoint::wire::Load,
--- a/src/core/placement/index.rs
+++ b/src/core/placement/index.rs
@@ -8,24 +8,16 @@
 };
 
 use super::{
-    speed::Speeds,
-    table::{
+    entry::{
         Entry,
-        Held, //
+        Held,
+        Score, //
     },
+    speed::Speeds,
     Slot,
 };
 use crate::prelude::*;
 
-/// The rank of an endpoint: the lowest gets the next task.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-pub(super) struct Score {
-    /// Its work for each slot.
-    pub(super) work: u64,
-    /// The load that it told last.
-    pub(super) load: u32,
-}
-
 /// The endpoints that have room, by score; those of the same score are drawn from at random.
 #[derive(Debug, Default)]
 pub(super) struct Index {
--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -3,18 +3,19 @@
 use std::mem;
 
 use super::{
-    index::{
-        Group,
-        Score, //
-    },
+    entry::Entry,
+    index::Group,
     speed::{
         Speed,
         UNIT, //
     },
-    Change, Placement, Policy, Slot, Standing, State, Worker, LAST,
+    Change,
+    Placement,
+    Slot,
+    Standing,
+    State,
+    Worker, //
 };
-/// The steps into which one task at one slot is divided in a score.
-pub(super) const STEPS: u64 = 1 << 10;
 
 /// Lists that must show an endpoint as live before its own word that it is leaving is forgotten.
 ///
@@ -25,100 +26,6 @@
 /// Groups without endpoints that are remembered, to tell what could run again from what never could.
 const EMPTY_GROUPS: usize = 1 << 10;
 
-/// What is known of one endpoint.
-#[derive(Debug)]
-pub(super) struct Entry {
-    pub(super) worker: Worker,
-    pub(super) group: usize,
-    pub(super) outstanding: u32,
-    pub(super) load: u32,
-    pub(super) speed: Speed,
-    pub(super) factor: u64,
-    pub(super) standing: Standing,
-    /// The list at which it said itself that it is leaving.
-    pub(super) said: Option<u64>,
-    /// The last list that had it.
-    pub(super) list: u64,
-    pub(super) absent: bool,
-    pub(super) held: Option<Held>,
-    pub(super) position: usize,
-}
-
-/// What an entry adds to its group; none where it gets nothing new.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(super) struct Held {
-    pub(super) eligible: bool,
-    pub(super) slots: u32,
-    pub(super) free: u32,
-    /// Its rank, while it has room.
-    pub(super) score: Option<Score>,
-    /// Whether it waits for a task on probation, and whether of any class.
-    pub(super) trial: Option<bool>,
-}
-
-impl Held {
-    /// Works out what an entry adds to its group.
-    pub(super) fn of(
-        entry: &Entry,
-        policy: Policy,
-        outstanding: u32,
-        instances: u32,
-    ) -> Option<Self> {
-        let worker = &entry.worker;
-        let live = worker.state == State::Live && entry.said.is_none() && !entry.absent;
-        if !live || worker.slots == 0 {
-            return None;
-        }
-        let any = match entry.standing {
-            Standing::Good | Standing::Suspect => {
-                return Some(Self::good(entry, policy, outstanding, instances));
-            }
-            Standing::Probation => false,
-            Standing::Trial => true,
-            Standing::Ejected => return None,
-        };
-        Some(Self {
-            eligible: false,
-            slots: 0,
-            free: 0,
-            score: None,
-            trial: (entry.outstanding == 0).then_some(any),
-        })
-    }
-
-    fn good(entry: &Entry, policy: Policy, outstanding: u32, instances: u32) -> Self {
-        let share = entry.worker.connections / instances;
-        let bound = outstanding.min(share).max(1);
-        let free = bound.saturating_sub(entry.outstanding);
-        Self {
-            eligible: true,
-            slots: entry.worker.slots,
-            free,
-            score: (free > 0).then(|| score(entry, policy)),
-            trial: None,
-        }
-    }
-}
-
-fn score(entry: &Entry, policy: Policy) -> Score {
-    let next = u64::from(entry.outstanding) + 1;
-    let work = |tasks: u64| tasks * entry.factor * STEPS / (UNIT * u64::from(entry.worker.slots));
-    let (work, load) = match policy {
-        Policy::Random => (0, 0),
-        Policy::Own => (work(next), 0),
-        Policy::Ties => (work(next), entry.load),
-        Policy::Sum => (work(next + u64::from(entry.load)), 0),
-    };
-    let last = match entry.standing {
-        Standing::Suspect => LAST,
-        _ => 0,
-    };
-    Score {
-        work: work + last,
-        load,
-    }
-}
-
 impl Placement {
     /// Takes over a list of endpoints that are shared by `instances` live instances.
     ///
