Core: shared types stand below the parts that use them

Parts of the core imported each other in pairs: the timers the execution whose items they time, the messages the membership and the configuration that are driven by messages, and within the configuration the state and the announcements, and the load and the catch-up.

Each shared type moves to the lower of the two: Item to the queue, Sighting to the messages, the ranking of instances to the peer, and Sent, Load and Stage to the configuration's state; the size of a scan's page stands with the rows. The messages name the configuration's requests, calls and answers by their own modules. Nothing else changes.

--- a/src/core.rs
+++ b/src/core.rs
@@ -123,7 +123,7 @@
     jobs: HashMap<u64, stage::Any>,
     requests: HashMap<message::Request, u64>,
     registry: claim::Registry,
-    queues: BTreeMap<Service, queue::Queue<execution::Item>>,
+    queues: BTreeMap<Service, queue::Queue<queue::Item>>,
     orphans: HashMap<Attempt, placement::Slot>,
     /// The run of each endpoint that was heard last.
     endpoint_runs: HashMap<placement::Slot, Incarnation>,
--- a/src/core/config/load.rs
+++ b/src/core/config/load.rs
@@ -1,7 +1,5 @@
 //! Loads the whole configuration, from the table or from a peer: the records, never their history.
 
-use std::sync::Arc;
-
 use super::{
     call::{
         Call,
@@ -9,63 +7,22 @@
     },
     row::{
         self,
-        Change,
-        Stored, //
+        Stored,
+        PAGE, //
     },
     state::{
-        replay,
-        Purpose, //
-    },
-    sync::{
-        Stage,
-        PAGE, //
+        Load,
+        Purpose,
+        Stage, //
     },
     Config,
 };
 use crate::{
     event::Code,
     prelude::*,
-    record::{
-        set::Set,
-        Name,
-        Record, //
-    },
-    table::wire::Row,
+    table::wire::Row, //
 };
 
-/// A configuration that is being loaded.
-#[derive(Debug, Default)]
-pub(super) struct Load {
-    pub(super) revision: Revision,
-    set: Set,
-    last: Option<Name>,
-}
-
-impl Load {
-    pub(super) fn at(revision: Revision) -> Self {
-        Self {
-            revision,
-            ..Self::default()
-        }
-    }
-
-    fn add(&mut self, stored: Stored) {
-        let record = Record::accepted(stored.name.clone(), stored.text);
-        self.set.put(Arc::new(record), stored.revision);
-        self.last = Some(stored.name);
-    }
-
-    /// Replays the changes that follow without a gap.
-    pub(super) fn replay(&mut self, changes: impl IntoIterator<Item = Change>) {
-        for change in changes {
-            if change.revision == self.revision.next() {
-                replay(&mut self.set, &change);
-                self.revision = change.revision;
-            }
-        }
-    }
-}
-
 impl Config {
     /// Loads everything: from the table first, and by turns from the peer with the highest revision.
     pub(super) fn start_load(&mut self) {
--- a/src/core/config/row.rs
+++ b/src/core/config/row.rs
@@ -35,6 +35,8 @@
 pub const CHANGE: &str = "config/change/";
 /// How many changes the table keeps. An instance that is further behind loads the records instead.
 pub const KEPT: u64 = 4_096;
+/// Rows in a page of a scan.
+pub const PAGE: u32 = 128;
 /// What the keys of operations begin with.
 pub const OPERATION: &str = "config/operation/";
 
--- a/src/core/config/spread.rs
+++ b/src/core/config/spread.rs
@@ -14,7 +14,10 @@
         MOST_BYTES, //
     },
     row::Stored,
-    state::Purpose,
+    state::{
+        Purpose,
+        Sent, //
+    },
     Config,
     Output, //
 };
@@ -27,16 +30,6 @@
 /// How many instances of another data centre are tried, one after another.
 const TRIES: usize = 3;
 
-/// An announcement on its way.
-#[derive(Debug, Clone)]
-pub(super) struct Sent {
-    to: Instance,
-    /// The revision before the changes that it tells of.
-    after: Revision,
-    /// Where it goes to another data centre, which, and how many were tried before.
-    outward: Option<(Centre, usize)>,
-}
-
 /// News that are to be passed on.
 #[derive(Debug, Default)]
 pub(super) struct News {
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -10,8 +10,10 @@
 
 use super::{
     ask,
-    row::Change,
-    spread::Sent, //
+    row::{
+        Change,
+        Stored, //
+    },
 };
 use crate::{
     core::message::Request,
@@ -22,6 +24,7 @@
             Route, //
         },
         set::Set,
+        Name,
         Record, //
     },
 };
@@ -57,6 +60,36 @@
     pub(super) until: Time,
 }
 
+/// An announcement on its way.
+#[derive(Debug, Clone)]
+pub(super) struct Sent {
+    pub(super) to: Instance,
+    /// The revision before the changes that it tells of.
+    pub(super) after: Revision,
+    /// Where it goes to another data centre, which, and how many were tried before.
+    pub(super) outward: Option<(Centre, usize)>,
+}
+
+/// Which step of catching up is in progress, one at a time.
+#[derive(Debug)]
+pub(super) enum Stage {
+    Idle,
+    /// The head is being read, before a load.
+    Head,
+    /// Pages of records are being read.
+    Records(Load),
+    /// The head is being read again, after the records.
+    Again(Load),
+    /// The changes since are being read, up to this revision.
+    Changes(Load, Revision),
+    /// The changes after the applied revision are being read.
+    Scan,
+    /// They are being fetched from a peer.
+    Fetch,
+    /// A snapshot is being fetched from a peer.
+    Snapshot(Instance, Load),
+}
+
 /// The configuration that an instance applies.
 #[derive(Debug, Default)]
 pub(super) struct Applied {
@@ -153,8 +186,41 @@
     }
 }
 
+/// A configuration that is being loaded.
+#[derive(Debug, Default)]
+pub(super) struct Load {
+    pub(super) revision: Revision,
+    pub(super) set: Set,
+    pub(super) last: Option<Name>,
+}
+
+impl Load {
+    pub(super) fn at(revision: Revision) -> Self {
+        Self {
+            revision,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn add(&mut self, stored: Stored) {
+        let record = Record::accepted(stored.name.clone(), stored.text);
+        self.set.put(Arc::new(record), stored.revision);
+        self.last = Some(stored.name);
+    }
+
+    /// Replays the changes that follow without a gap.
+    pub(super) fn replay(&mut self, changes: impl IntoIterator<Item = Change>) {
+        for change in changes {
+            if change.revision == self.revision.next() {
+                replay(&mut self.set, &change);
+                self.revision = change.revision;
+            }
+        }
+    }
+}
+
 /// Does to a set what the change says.
-pub(super) fn replay(set: &mut Set, change: &Change) {
+fn replay(set: &mut Set, change: &Change) {
     match &change.text {
         Some(text) => {
             let record = Record::accepted(change.name.clone(), text.as_str());
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -5,14 +5,18 @@
         Call,
         Return, //
     },
-    load::Load,
     row::{
         self,
         Change,
-        Head, //
+        Head,
+        PAGE, //
     },
     spread,
-    state::Purpose,
+    state::{
+        Load,
+        Purpose,
+        Stage, //
+    },
     Config,
 };
 use crate::{
@@ -25,8 +29,6 @@
     table::wire::Row,
 };
 
-/// Rows in a page of a scan.
-pub(super) const PAGE: u32 = 128;
 /// The wait after a first failure; it doubles with each further one.
 const BACKOFF: Span = Span::millis(100);
 /// How often the wait doubles at most.
@@ -53,26 +55,6 @@
     heard: Time,
 }
 
-/// What is in progress, one thing at a time.
-#[derive(Debug)]
-pub(super) enum Stage {
-    Idle,
-    /// The head is being read, before a load.
-    Head,
-    /// Pages of records are being read.
-    Records(Load),
-    /// The head is being read again, after the records.
-    Again(Load),
-    /// The changes since are being read, up to this revision.
-    Changes(Load, Revision),
-    /// The changes after the applied revision are being read.
-    Scan,
-    /// They are being fetched from a peer.
-    Fetch,
-    /// A snapshot is being fetched from a peer.
-    Snapshot(Instance, Load),
-}
-
 impl Sync {
     pub(super) fn new(offset: Span) -> Self {
         Self {
--- a/src/core/execution.rs
+++ b/src/core/execution.rs
@@ -15,6 +15,7 @@
         Slot,
         Wanted, //
     },
+    queue::Item,
     retry,
     stage::{
         Any,
@@ -48,15 +49,6 @@
 /// Endpoints that are remembered as to be avoided by a task.
 const AVOIDED: usize = 4;
 
-/// A task that waits for an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Item {
-    /// The number of its job.
-    pub job: u64,
-    /// Its place in the job.
-    pub task: u32,
-}
-
 /// How an attempt ended that is over.
 pub(super) enum Fate {
     /// It ran to its end.
--- a/src/core/look.rs
+++ b/src/core/look.rs
@@ -3,7 +3,6 @@
 use super::{
     execution::{
         Fate,
-        Item,
         ATTEMPTS, //
     },
     health,
@@ -12,6 +11,7 @@
         Sample, //
     },
     placement::Slot,
+    queue::Item,
     stage::{
         Any,
         Out, //
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -21,14 +21,14 @@
     Rng,
     SeedableRng, //
 };
-use sha2::Digest as _;
 
-pub use self::peer::{
-    Peer,
-    Sighting, //
-};
+use self::peer::rank;
+pub use self::peer::Peer;
 use crate::{
-    core::message::Beat,
+    core::message::{
+        Beat,
+        Sighting, //
+    },
     prelude::*,
     settings::Timing,
     table::wire::{
@@ -395,10 +395,3 @@
             .collect()
     }
 }
-
-/// Ranks an instance for a topic; all instances and versions rank alike.
-fn rank(topic: &str, name: &Instance) -> [u8; 32] {
-    let hash = sha2::Sha256::new();
-    let hash = hash.chain_update(topic).chain_update([0]);
-    hash.chain_update(name.as_str()).finalize().into()
-}
--- a/src/core/membership/peer.rs
+++ b/src/core/membership/peer.rs
@@ -1,12 +1,9 @@
 //! What is known of one other instance.
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use sha2::Digest as _;
 
-use super::rank;
 use crate::{
+    core::message::Sighting,
     prelude::*, //
     table::wire::State,
 };
@@ -31,17 +28,6 @@
 /// Sightings grow old on their way over several instances: in a trial with 320 of them to about two minutes.
 const STALE: u64 = 90;
 
-/// Tells that somebody heard from an instance, and under which incarnation it runs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sighting {
-    /// The instance.
-    pub name: Instance,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// How long ago it was heard.
-    pub age: Span,
-}
-
 /// Another instance.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -153,3 +139,10 @@
         })
     }
 }
+
+/// Ranks an instance for a topic; all instances and versions rank alike.
+pub(super) fn rank(topic: &str, name: &Instance) -> [u8; 32] {
+    let hash = sha2::Sha256::new();
+    let hash = hash.chain_update(topic).chain_update([0]);
+    hash.chain_update(name.as_str()).finalize().into()
+}
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -8,9 +8,10 @@
 };
 
 use crate::{
-    core::{
-        config,
-        membership::Sighting, //
+    core::config::{
+        ask::Ask,
+        call,
+        told::Told, //
     },
     endpoint::wire::{
         Reply,
@@ -103,6 +104,17 @@
     Unknown,
 }
 
+/// Tells that somebody heard from an instance, and under which incarnation it runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The instance.
+    pub name: Instance,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// How long ago it was heard.
+    pub age: Span,
+}
+
 /// Tells that an instance is alive, and where its configuration stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Beat {
@@ -142,7 +154,7 @@
     /// A heartbeat.
     Beat(Beat),
     /// A call of the configuration.
-    Config(config::Call),
+    Config(call::Call),
 }
 
 /// What a call gave.
@@ -155,7 +167,7 @@
     /// The peer's own heartbeat.
     Beat(Beat),
     /// The return of a call of the configuration.
-    Config(config::Return),
+    Config(call::Return),
     /// The call never left.
     Refused,
     /// The call may have arrived; no return came.
@@ -243,7 +255,7 @@
         /// The request.
         request: Request,
         /// What is asked.
-        ask: config::Ask,
+        ask: Ask,
     },
     /// An operation on the platform ended.
     Operated(Ticket, Result),
@@ -273,7 +285,7 @@
     /// Answers a caller.
     Answer(Request, Answer),
     /// Answers an operator.
-    Told(Request, config::Told),
+    Told(Request, Told),
     /// Operates on the platform.
     Operate(Ticket, Operate),
     /// Starts a task at an endpoint.
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -31,6 +31,15 @@
 /// Callers name their teams: without a bound, ever new names would fill the memory.
 const MOST_TEAMS: usize = 1 << 12;
 
+/// A task that waits for an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Item {
+    /// The number of its job.
+    pub job: u64,
+    /// Its place in the job.
+    pub task: u32,
+}
+
 /// The place of a task within its team: the oldest job first, and in it the longest task first.
 type Place = (u64, Reverse<Span>, u64);
 
--- a/src/core/timer.rs
+++ b/src/core/timer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::execution::Item;
+use super::queue::Item;
 use crate::prelude::*;
 
 /// What is to happen at a point in time. A timer whose job has ended by then does nothing.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -30,17 +30,15 @@
 };
 
 use crate::{
-    core::{
-        membership::Sighting,
-        message::{
-            Beat,
-            Call,
-            Caller,
-            Forward,
-            Input,
-            Output,
-            Return, //
-        },
+    core::message::{
+        Beat,
+        Call,
+        Caller,
+        Forward,
+        Input,
+        Output,
+        Return,
+        Sighting, //
     },
     http::CONNECT,
     metrics::{
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -24,10 +24,12 @@
         },
         membership::{
             Action,
-            Membership,
+            Membership, //
+        },
+        message::{
+            Beat,
             Sighting, //
         },
-        message::Beat,
         placement::{
             Obstacle,
             Placement,
