Serving and exit codes: what is started imports nothing above it

The callers and the peers took their listener from serve, which starts them, and the errors named the exit codes of the command line, which reports them.

serve hands over listeners of the thread's own runtime; the command line turns an error into its exit code. A listener that the runtime doesn't take ends its thread's duty as before.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -79,7 +79,7 @@
         Metrics, //
     },
     prelude::*,
-    ring, serve,
+    ring,
     settings::Settings,
     sync::lock,
 };
@@ -136,13 +136,10 @@
 /// Serves callers until the decisions end.
 pub async fn serve(
     door: Door,
-    listener: std::net::TcpListener,
+    listener: TcpListener,
     mut answers: ring::Receiver<Output>,
     back: ring::Sender<Input>,
 ) {
-    let Some(listener) = serve::adopt(listener) else {
-        return;
-    };
     let operators = admin::Operators::new(&door.settings.operators);
     let shared = Rc::new(Shared {
         door,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,7 +57,7 @@
     let args: Vec<String> = args.into_iter().collect();
     let exit = choose(&args).unwrap_or_else(|error| {
         eprintln!("poplarknot: {error}");
-        error.exit()
+        Exit::from(&error)
     });
     exit.into()
 }
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -2,7 +2,10 @@
 
 use std::process::ExitCode;
 
-use crate::prelude::*;
+use crate::{
+    error::Error,
+    prelude::*, //
+};
 
 /// How a command ended, as scripts see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +37,18 @@
     }
 }
 
+impl From<&Error> for Exit {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::Usage(_) => Self::Usage,
+            Error::Settings { .. } | Error::Site { .. } => Self::Settings,
+            Error::Unreachable(_) => Self::NotRun,
+            Error::Lost(_) | Error::Unsettled { .. } => Self::Unknown,
+            _ => Self::Failure,
+        }
+    }
+}
+
 impl From<Exit> for ExitCode {
     fn from(exit: Exit) -> Self {
         Self::from(exit as u8)
--- a/src/error.rs
+++ b/src/error.rs
@@ -6,7 +6,6 @@
 };
 
 use crate::{
-    cli::exit::Exit,
     platform,
     prelude::*,
     settings::fault::Fault, //
@@ -101,19 +100,6 @@
     Unsupported(&'static str),
 }
 
-impl Error {
-    /// Returns the exit code for the error.
-    pub fn exit(&self) -> Exit {
-        match self {
-            Self::Usage(_) => Exit::Usage,
-            Self::Settings { .. } | Self::Site { .. } => Exit::Settings,
-            Self::Unreachable(_) => Exit::NotRun,
-            Self::Lost(_) | Self::Unsettled { .. } => Exit::Unknown,
-            _ => Exit::Failure,
-        }
-    }
-}
-
 fn list(faults: &[Fault]) -> String {
     let count = match faults.len() {
         1 => "1 fault:".to_owned(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -53,7 +53,6 @@
     prelude::*,
     ring,
     rpc::network,
-    serve,
     settings::Settings,
 };
 
@@ -89,13 +88,10 @@
 pub async fn serve(
     _settings: Arc<Settings>,
     metrics: Arc<Metrics>,
-    listener: std::net::TcpListener,
+    listener: TcpListener,
     mut orders: ring::Receiver<Output>,
     back: ring::Sender<Input>,
 ) {
-    let Some(listener) = serve::adopt(listener) else {
-        return;
-    };
     let shared = Rc::new(Shared {
         metrics,
         back,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -161,11 +161,15 @@
     let (e, e2) = (ended.clone(), ended.clone());
     let threads = vec![
         // These two end by themselves after the decisions, when the last answers have left.
-        thread("callers", move || {
-            caller::serve(door, callers, caller_out, caller_in)
+        thread("callers", move || async move {
+            if let Some(callers) = adopt(callers) {
+                caller::serve(door, callers, caller_out, caller_in).await;
+            }
         })?,
-        thread("peers", move || {
-            peer::serve(s3, m3, peers, peer_out, peer_in)
+        thread("peers", move || async move {
+            if let Some(peers) = adopt(peers) {
+                peer::serve(s3, m3, peers, peer_out, peer_in).await;
+            }
         })?,
         thread("endpoints", move || {
             until(e, endpoint::serve(s, clock, m, endpoint_out, endpoint_in))
@@ -274,6 +278,6 @@
 }
 
 /// Makes a listener of this thread's runtime.
-pub(crate) fn adopt(listener: std::net::TcpListener) -> Option<TcpListener> {
+fn adopt(listener: std::net::TcpListener) -> Option<TcpListener> {
     TcpListener::from_std(listener).ok()
 }
