One HTTP client for the commands, the endpoints and the store

The command line opened, wrote and read its connections by code of its own beside http, and two users of the store and the calls to endpoints each took an idle connection or opened one by the same lines.

The commands use http::Connection, opened with their own bounds of 3 s and 256 MiB; http::exchange sends over an idle connection or a new one for the store's feeds, the store's rows and the endpoints. A failure now carries its cause, so that the commands' messages stay as they were. What the commands take for unsent or lost is unchanged: whatever fails after the connection is open counts as lost.

--- a/src/cli/admin.rs
+++ b/src/cli/admin.rs
@@ -18,14 +18,14 @@
         address_option,
         addresses,
         Call,
-        Failure,
-        Reply, //
+        Failure, //
     },
     exit::Exit,
     print, //
 };
 use crate::{
     error::Error,
+    http::Reply,
     prelude::*, //
 };
 
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -15,25 +15,21 @@
     Matches,
     Options, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
-    client::conn::http1,
     header::HOST,
     Method,
-    Request,
-    StatusCode, //
-};
-use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpStream,
-    time::timeout, //
+    Request, //
 };
+use tokio::time::timeout;
 
-use crate::error::Error;
+use crate::{
+    error::Error,
+    http::{
+        Connection,
+        Reply, //
+    },
+};
 
 /// Where an instance of the shipped settings file listens.
 const ADDRESS: &str = "127.0.0.1:7400";
@@ -58,13 +54,6 @@
     pub(super) wait: Duration,
 }
 
-/// The whole reply of an instance.
-#[derive(Debug, Clone)]
-pub(super) struct Reply {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
-}
-
 /// Why there is no reply.
 #[derive(Debug)]
 pub(super) enum Failure {
@@ -77,9 +66,10 @@
 impl Call {
     /// Sends the request to one address.
     pub(super) async fn send(&self, address: &str) -> Result<Reply, Failure> {
-        let stream = connect(address).await.map_err(Failure::Unsent)?;
+        let connection = Connection::open_within(CONNECT, LARGEST_ANSWER, address).await;
+        let mut connection = connection.map_err(|e| Failure::Unsent(format!("{address}: {e}")))?;
         let request = self.request(address).map_err(Failure::Unsent)?;
-        match timeout(self.wait, exchange(stream, request)).await {
+        match timeout(self.wait, connection.send(request)).await {
             Ok(reply) => reply.map_err(|e| Failure::Lost(format!("{address}: {e}"))),
             Err(_) => {
                 let waited = self.wait.as_secs();
@@ -101,33 +91,6 @@
     }
 }
 
-async fn connect(address: &str) -> Result<TcpStream, String> {
-    match timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(|e| format!("{address}: {e}")),
-        Err(_) => Err(format!(
-            "{address}: no connection in {} s",
-            CONNECT.as_secs()
-        )),
-    }
-}
-
-type Broken = Box<dyn std::error::Error + Send + Sync>;
-
-async fn exchange(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<Reply, Broken> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::spawn(connection);
-    let reply = async {
-        let response = sender.send_request(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), LARGEST_ANSWER);
-        let body = body.collect().await?.to_bytes();
-        Ok(Reply { status, body })
-    };
-    let reply = reply.await;
-    driver.abort();
-    reply
-}
-
 /// Runs a future to its end on this thread.
 pub(super) fn block_on<T>(future: impl Future<Output = T>) -> Result<T, Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/src/cli/submit.rs
+++ b/src/cli/submit.rs
@@ -27,8 +27,7 @@
         option,
         read,
         Call,
-        Failure,
-        Reply, //
+        Failure, //
     },
     exit::Exit,
     print,
@@ -36,6 +35,7 @@
 };
 use crate::{
     error::Error,
+    http::Reply,
     prelude::*, //
 };
 
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -182,8 +182,8 @@
         self.metrics.message(Message::Start);
         let reply = match connection.send(request).await {
             Ok(reply) => reply,
-            Err(Failure::Unsent) => return End::Unsent,
-            Err(Failure::Broken) => return End::Broken,
+            Err(Failure::Unsent(_)) => return End::Unsent,
+            Err(Failure::Broken(_)) => return End::Broken,
         };
         self.metrics.message(Message::Reply);
         let known = matches!(
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::HashMap,
+    error,
+    io,
     time::Duration, //
 };
 
@@ -46,15 +48,38 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    largest: usize,
 }
 
 /// Why a request has no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, thiserror::Error)]
 pub enum Failure {
     /// No byte of it left.
-    Unsent,
+    #[error(transparent)]
+    Unsent(Cause),
     /// It may have arrived.
-    Broken,
+    #[error(transparent)]
+    Broken(Cause),
+}
+
+/// What ended an exchange early.
+#[derive(Debug, thiserror::Error)]
+pub enum Cause {
+    /// The connection didn't open in time.
+    #[error("no connection in {} s", .0.as_secs_f64())]
+    Connect(Duration),
+    /// The answer didn't come in time.
+    #[error("no answer in {} s", .0.as_secs_f64())]
+    Answer(Duration),
+    /// The connection was refused, or can't be made.
+    #[error(transparent)]
+    Socket(#[from] io::Error),
+    /// The connection ended early, or what came on it is no HTTP.
+    #[error(transparent)]
+    Protocol(#[from] hyper::Error),
+    /// The body ended early, or is too large.
+    #[error(transparent)]
+    Body(Box<dyn error::Error + Send + Sync>),
 }
 
 /// A whole answer.
@@ -75,14 +100,27 @@
     ///
     /// Tells that the other side can't be reached within [`CONNECT`].
     pub async fn open(address: &str) -> Result<Self, Failure> {
-        let stream = timeout(CONNECT, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| Failure::Unsent)?;
-        let stream = stream.map_err(|_| Failure::Unsent)?;
+        Self::open_within(CONNECT, LARGEST, address).await
+    }
+
+    /// Opens a connection whose answers may have up to `largest` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Tells that the other side can't be reached within `wait`.
+    pub async fn open_within(
+        wait: Duration,
+        largest: usize,
+        address: &str,
+    ) -> Result<Self, Failure> {
+        let stream = timeout(wait, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| Failure::Unsent(Cause::Connect(wait)))?;
+        let stream = stream.map_err(|error| Failure::Unsent(error.into()))?;
         stream.set_nodelay(true).ok();
         let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|_| Failure::Unsent)?;
+        let (sender, connection) = handshake.map_err(|error| Failure::Unsent(error.into()))?;
         tokio::spawn(connection);
-        Ok(Self { sender })
+        Ok(Self { sender, largest })
     }
 
     /// Sends a request and reads the whole answer.
@@ -95,15 +133,18 @@
         let response: Response<Incoming> = sent.map_err(|mut error| {
             // The request comes back only when not a byte of it was written.
             match error.take_message() {
-                Some(_) => Failure::Unsent,
-                None => Failure::Broken,
+                Some(_) => Failure::Unsent(error.into_error().into()),
+                None => Failure::Broken(error.into_error().into()),
             }
         })?;
         let status = response.status();
         let etag = response.headers().get(ETAG);
         let etag = etag.and_then(|etag| etag.to_str().ok()).map(str::to_owned);
-        let body = Limited::new(response.into_body(), LARGEST).collect().await;
-        let body = body.map_err(|_| Failure::Broken)?.to_bytes();
+        let body = Limited::new(response.into_body(), self.largest);
+        let body = body.collect().await;
+        let body = body
+            .map_err(|error| Failure::Broken(Cause::Body(error)))?
+            .to_bytes();
         Ok(Reply { status, etag, body })
     }
 
@@ -112,6 +153,26 @@
     }
 }
 
+/// Sends a request over an idle connection, or over a new one where there is none.
+///
+/// The connection comes back with the answer only: one that failed is not to be used again.
+///
+/// # Errors
+///
+/// Tells whether the request may have arrived.
+pub async fn exchange(
+    idle: Option<Connection>,
+    address: &str,
+    request: Request<Full<Bytes>>,
+) -> Result<(Reply, Connection), Failure> {
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => Connection::open(address).await?,
+    };
+    let reply = connection.send(request).await?;
+    Ok((reply, connection))
+}
+
 /// Builds a request with a JSON body, or none.
 pub fn request(method: Method, address: &str, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
--- a/src/instance/calls.rs
+++ b/src/instance/calls.rs
@@ -32,7 +32,6 @@
     },
     http::{
         self,
-        Connection,
         Failure,
         Pool, //
     },
@@ -107,28 +106,21 @@
         }
         false => hub.calls.pool.borrow_mut().take(address),
     };
-    let connection = match idle {
-        Some(connection) => Ok(connection),
-        None => {
-            hub.gauges.connected();
-            Connection::open(address).await
-        }
-    };
-    let Ok(mut connection) = connection else {
-        return Reply::Unsent;
-    };
+    if idle.is_none() {
+        hub.gauges.connected();
+    }
     let (path, body) = order::write(order);
     let mut request = http::json_request(Method::POST, address, path, Bytes::from(body));
     let headers = request.headers_mut();
     if let Ok(expected) = HeaderValue::from_str(endpoint.as_str()) {
         headers.insert(HeaderName::from_static(order::EXPECTED), expected);
     }
-    match connection.send(request).await {
-        Ok(reply) => {
+    match http::exchange(idle, address, request).await {
+        Ok((reply, connection)) => {
             hub.calls.pool.borrow_mut().put(address, connection);
             order::read(order, reply.status.as_u16(), &reply.body)
         }
-        Err(Failure::Unsent) => Reply::Unsent,
-        Err(Failure::Broken) => Reply::Silent,
+        Err(Failure::Unsent(_)) => Reply::Unsent,
+        Err(Failure::Broken(_)) => Reply::Silent,
     }
 }
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -113,12 +113,10 @@
     }
 
     async fn exchange(&mut self, method: Method, path: &str, body: Vec<u8>) -> Option<Reply> {
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => Connection::open(&self.address).await.ok()?,
-        };
+        let idle = self.connection.take();
         let request = http::json_request(method, &self.address, path, Bytes::from(body));
-        let reply = connection.send(request).await.ok()?;
+        let answer = http::exchange(idle, &self.address, request).await;
+        let (reply, connection) = answer.ok()?;
         self.connection = Some(connection);
         Some(reply)
     }
--- a/src/instance/rows.rs
+++ b/src/instance/rows.rs
@@ -24,7 +24,6 @@
     },
     http::{
         self,
-        Connection,
         Pool, //
     },
     platform::{
@@ -98,12 +97,9 @@
             }
         };
         let idle = self.pool.borrow_mut().take(&self.address);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => Connection::open(&self.address).await.ok()?,
-        };
         let request = http::json_request(method, &self.address, &path, Bytes::from(body));
-        let reply = connection.send(request).await.ok()?;
+        let answer = http::exchange(idle, &self.address, request).await;
+        let (reply, connection) = answer.ok()?;
         self.pool.borrow_mut().put(&self.address, connection);
         Some(reply)
     }
--- a/src/table.rs
+++ b/src/table.rs
@@ -36,6 +36,7 @@
     },
     http::{
         self,
+        Cause,
         Connection,
         Failure,
         Pool,
@@ -297,10 +298,10 @@
                     .map(|committed| committed.verdicts)
                     .filter(|verdicts| verdicts.len() == count)
             }
-            Ok(_) | Err(Failure::Unsent) => {
+            Ok(_) | Err(Failure::Unsent(_)) => {
                 return self.tell_all(tickets, &Operated::Refused).await;
             }
-            Err(Failure::Broken) => None,
+            Err(Failure::Broken(_)) => None,
         };
         // An answer that can't be read says no more than none.
         let Some(verdicts) = verdicts else {
@@ -358,8 +359,8 @@
                 let body = Bytes::copy_from_slice(&bytes);
                 match self.send(Method::PUT, &path, body).await {
                     Ok(reply) if reply.status.is_success() => Operated::Stored,
-                    Ok(_) | Err(Failure::Unsent) => Operated::Refused,
-                    Err(Failure::Broken) => Operated::Unknown,
+                    Ok(_) | Err(Failure::Unsent(_)) => Operated::Refused,
+                    Err(Failure::Broken(_)) => Operated::Unknown,
                 }
             }
             Operate::Commit(_) | Operate::Later(_) => Operated::Refused,
@@ -401,7 +402,7 @@
                 Ok(reply)
             }
             Ok(Err(failure)) => Err(failure),
-            Err(_) => Err(Failure::Broken),
+            Err(_) => Err(Failure::Broken(Cause::Answer(self.wait))),
         }
     }
 }
