Metrics: one registry makes, names and renders those of both kinds

An instance of either kind made each metric in one list and registered it in a second, and wrote them out by the same lines.

metrics::registry::Registry adds a metric at zero under its name and returns it, so that each stands in one line.

--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -3,10 +3,7 @@
 use std::fmt;
 
 use prometheus_client::{
-    encoding::{
-        text::encode,
-        EncodeLabelSet, //
-    },
+    encoding::EncodeLabelSet,
     metrics::{
         counter::Counter,
         family::Family,
@@ -16,7 +13,6 @@
             Histogram, //
         }, //
     },
-    registry::Registry,
 };
 
 use crate::{
@@ -28,6 +24,7 @@
         },
         Standing, //
     },
+    metrics::registry::Registry,
     prelude::*,
 };
 
@@ -63,46 +60,26 @@
 impl Gauges {
     /// Makes counters at zero.
     pub fn new() -> Self {
-        let mut registry = Registry::with_prefix("poplarknot");
-        let histogram = || {
-            let (first, ratio, count) = BUCKETS;
-            Histogram::new(exponential_buckets(first, ratio, count))
-        };
-        let gauges = Self {
-            answers: Family::default(),
-            answered: histogram(),
-            calls: Family::default(),
-            starts: histogram(),
-            connections: Counter::default(),
-            messages: Counter::default(),
-            store: Family::default(),
-            events: Family::default(),
-            standing: Family::default(),
-            registry: Registry::default(),
-        };
+        let mut registry = Registry::new();
         let r = &mut registry;
-        r.register("answers", "Answers to callers", gauges.answers.clone());
-        r.register(
-            "answer_seconds",
-            "From a request to its answer",
-            gauges.answered.clone(),
-        );
-        r.register("calls", "Calls to endpoints", gauges.calls.clone());
-        r.register(
-            "start_seconds",
-            "From a start to the endpoint's answer",
-            gauges.starts.clone(),
-        );
-        r.register(
-            "connections",
-            "Connections opened to endpoints",
-            gauges.connections.clone(),
-        );
-        r.register("messages", "Messages to peers", gauges.messages.clone());
-        r.register("store_calls", "Calls to the store", gauges.store.clone());
-        r.register("events", "Lines of the log by event", gauges.events.clone());
-        r.register("standing", "What it has and does", gauges.standing.clone());
-        Self { registry, ..gauges }
+        let (first, ratio, count) = BUCKETS;
+        let buckets = || exponential_buckets(first, ratio, count);
+        Self {
+            answers: r.add("answers", "Answers to callers"),
+            answered: r.histogram("answer_seconds", "From a request to its answer", buckets()),
+            calls: r.add("calls", "Calls to endpoints"),
+            starts: r.histogram(
+                "start_seconds",
+                "From a start to the endpoint's answer",
+                buckets(),
+            ),
+            connections: r.add("connections", "Connections opened to endpoints"),
+            messages: r.add("messages", "Messages to peers"),
+            store: r.add("store_calls", "Calls to the store"),
+            events: r.add("events", "Lines of the log by event"),
+            standing: r.add("standing", "What it has and does"),
+            registry,
+        }
     }
 
     /// Counts an answer.
@@ -186,9 +163,7 @@
         set("racks", standing.racks);
         set("peers", standing.peers);
         set("configuration", standing.configuration as usize);
-        let mut text = String::new();
-        encode(&mut text, &self.registry)?;
-        Ok(text)
+        self.registry.render()
     }
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,6 +3,8 @@
 //! The decisions thread updates them and the callers thread renders them. Everything is an atomic behind an
 //! [`std::sync::Arc`], apart from the two histograms, whose lock is held for a few comparisons.
 
+pub mod registry;
+
 use std::fmt::{
     self,
     Write, //
@@ -10,7 +12,6 @@
 
 use prometheus_client::{
     encoding::{
-        text::encode,
         EncodeLabelSet,
         EncodeLabelValue,
         LabelValueEncoder, //
@@ -24,17 +25,14 @@
             Histogram, //
         },
     },
-    registry::Registry,
 };
 
+use self::registry::Registry;
 use crate::prelude::*;
 
 /// The content type of the rendered text.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
-/// What every name begins with.
-const PREFIX: &str = "poplarknot";
-
 /// The first bucket of job times in seconds; each further one is twice as long.
 const SHORTEST_JOB: f64 = 0.005;
 
@@ -181,94 +179,41 @@
 impl Metrics {
     /// Makes metrics that stand at zero.
     pub fn new() -> Self {
-        let kinds = Family::<Kind, Counter>::default();
-        let counter = |kind| kinds.get_or_create_owned(&Kind { kind: Word(kind) });
-        let messages = Message::ALL.map(counter);
-        let mut metrics = Self {
-            registry: Registry::with_prefix(PREFIX),
-            requests: Family::default(),
-            refusals: Family::default(),
-            job_seconds: Histogram::new(exponential_buckets(SHORTEST_JOB, 2.0, JOB_BUCKETS)),
-            response_ratio: Histogram::new(RATIO_BUCKETS),
-            starts: Counter::default(),
-            retries: Counter::default(),
-            hedges: Counter::default(),
-            messages,
-            ring_refusals: Counter::default(),
-            drains: Counter::default(),
-            eligible: Gauge::default(),
-            ejected: Gauge::default(),
-            outstanding: Gauge::default(),
-            waiting: Gauge::default(),
-            kept: Gauge::default(),
-            kept_bytes: Gauge::default(),
-            revision: Gauge::default(),
-            peers: Gauge::default(),
-        };
-        metrics.register_counters(kinds);
-        metrics.register_gauges();
-        metrics
-    }
-
-    fn register_counters(&mut self, kinds: Family<Kind, Counter>) {
-        let r = &mut self.registry;
-        r.register("requests", "Answers to submissions", self.requests.clone());
-        r.register("refusals", "Submissions not run", self.refusals.clone());
-        let help = "From a submission's arrival to its answer";
-        r.register("job_seconds", help, self.job_seconds.clone());
-        let help = "Response time over the longest task of the job";
-        r.register("response_ratio", help, self.response_ratio.clone());
-        r.register("task_starts", "Tasks started", self.starts.clone());
-        r.register("task_retries", "Tasks started again", self.retries.clone());
-        r.register(
-            "task_hedges",
-            "Tasks started twice to outrun a straggler",
-            self.hedges.clone(),
-        );
-        r.register("messages", "Messages to and from others", kinds);
-        let help = "Work refused because a ring between threads was full";
-        r.register("ring_refusals", help, self.ring_refusals.clone());
-        r.register("drains", "Drains begun", self.drains.clone());
-    }
-
-    fn register_gauges(&mut self) {
-        let r = &mut self.registry;
-        r.register(
-            "endpoints_eligible",
-            "Endpoints that take work",
-            self.eligible.clone(),
-        );
-        r.register(
-            "endpoints_ejected",
-            "Endpoints that are ejected",
-            self.ejected.clone(),
-        );
-        r.register(
-            "tasks_outstanding",
-            "Tasks started and not ended",
-            self.outstanding.clone(),
-        );
-        r.register(
-            "tasks_waiting",
-            "Tasks that wait for an endpoint",
-            self.waiting.clone(),
-        );
-        r.register(
-            "answers_kept",
-            "Answers kept for resubmissions",
-            self.kept.clone(),
-        );
-        r.register(
-            "answers_kept_bytes",
-            "Bytes of the kept answers",
-            self.kept_bytes.clone(),
-        );
-        r.register(
-            "configuration_revision",
-            "The revision in force",
-            self.revision.clone(),
-        );
-        r.register("peers_alive", "Peers that are alive", self.peers.clone());
+        let mut registry = Registry::new();
+        let r = &mut registry;
+        let job_buckets = exponential_buckets(SHORTEST_JOB, 2.0, JOB_BUCKETS);
+        Self {
+            requests: r.add("requests", "Answers to submissions"),
+            refusals: r.add("refusals", "Submissions not run"),
+            job_seconds: r.histogram(
+                "job_seconds",
+                "From a submission's arrival to its answer",
+                job_buckets,
+            ),
+            response_ratio: r.histogram(
+                "response_ratio",
+                "Response time over the longest task of the job",
+                RATIO_BUCKETS,
+            ),
+            starts: r.add("task_starts", "Tasks started"),
+            retries: r.add("task_retries", "Tasks started again"),
+            hedges: r.add("task_hedges", "Tasks started twice to outrun a straggler"),
+            messages: by_kind(&r.add("messages", "Messages to and from others")),
+            ring_refusals: r.add(
+                "ring_refusals",
+                "Work refused because a ring between threads was full",
+            ),
+            drains: r.add("drains", "Drains begun"),
+            eligible: r.add("endpoints_eligible", "Endpoints that take work"),
+            ejected: r.add("endpoints_ejected", "Endpoints that are ejected"),
+            outstanding: r.add("tasks_outstanding", "Tasks started and not ended"),
+            waiting: r.add("tasks_waiting", "Tasks that wait for an endpoint"),
+            kept: r.add("answers_kept", "Answers kept for resubmissions"),
+            kept_bytes: r.add("answers_kept_bytes", "Bytes of the kept answers"),
+            revision: r.add("configuration_revision", "The revision in force"),
+            peers: r.add("peers_alive", "Peers that are alive"),
+            registry,
+        }
     }
 
     /// Counts an answer, and what it refuses.
@@ -340,12 +285,14 @@
     ///
     /// Passes on what the encoder reports.
     pub fn render(&self) -> Result<String, fmt::Error> {
-        let mut text = String::new();
-        encode(&mut text, &self.registry)?;
-        Ok(text)
+        self.registry.render()
     }
 }
 
+fn by_kind(kinds: &Family<Kind, Counter>) -> [Counter; Message::ALL.len()] {
+    Message::ALL.map(|kind| kinds.get_or_create_owned(&Kind { kind: Word(kind) }))
+}
+
 fn signed(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
