Identifiers as text, and the store's two feeds, by one piece of code

Four kinds of identifier spelt out how serde takes them as the text that they display and parse, and two feeds each told a first read of a table from a read of its changes.

as_text! writes the conversions for all four; Client::follow reads for both feeds.

--- a/src/id.rs
+++ b/src/id.rs
@@ -49,6 +49,26 @@
     }
 }
 
+/// Gives serde the text that a type displays and parses; the type says `try_from = "String", into = "String"`.
+macro_rules! as_text {
+    ($type:ty, $fault:ty) => {
+        impl TryFrom<String> for $type {
+            type Error = $fault;
+
+            fn try_from(text: String) -> Result<Self, $fault> {
+                text.parse()
+            }
+        }
+
+        impl From<$type> for String {
+            fn from(value: $type) -> String {
+                value.to_string()
+            }
+        }
+    };
+}
+pub(crate) use as_text;
+
 macro_rules! name {
     ($(#[$doc:meta])* $type:ident) => {
         $(#[$doc])*
@@ -161,19 +181,7 @@
             }
         }
 
-        impl TryFrom<String> for $type {
-            type Error = Fault;
-
-            fn try_from(text: String) -> Result<Self, Fault> {
-                text.parse()
-            }
-        }
-
-        impl From<$type> for String {
-            fn from(id: $type) -> String {
-                id.to_string()
-            }
-        }
+        as_text!($type, Fault);
     };
 }
 
@@ -224,19 +232,7 @@
     }
 }
 
-impl TryFrom<String> for Digest {
-    type Error = Fault;
-
-    fn try_from(text: String) -> Result<Self, Fault> {
-        text.parse()
-    }
-}
-
-impl From<Digest> for String {
-    fn from(digest: Digest) -> String {
-        digest.to_string()
-    }
-}
+as_text!(Digest, Fault);
 
 /// A revision of the configuration: every accepted change takes the next one.
 #[derive(
@@ -311,16 +307,4 @@
     }
 }
 
-impl TryFrom<String> for Attempt {
-    type Error = Fault;
-
-    fn try_from(text: String) -> Result<Self, Fault> {
-        text.parse()
-    }
-}
-
-impl From<Attempt> for String {
-    fn from(attempt: Attempt) -> String {
-        attempt.to_string()
-    }
-}
+as_text!(Attempt, Fault);
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -164,6 +164,19 @@
         Ok((rows, version))
     }
 
+    /// Reads what changed in a table since a version, or the whole table where there is none.
+    async fn follow(
+        &mut self,
+        table: &str,
+        version: Option<u64>,
+    ) -> Result<(Vec<Row>, u64), Failure> {
+        let Some(after) = version else {
+            return self.table(table).await;
+        };
+        let page = self.page(&store::feed(table, after, WAIT), WAIT).await?;
+        Ok((page.rows, page.version))
+    }
+
     fn malformed(&self, table: &str, key: &str, fault: &Fault) {
         let record = Record::new("row_malformed")
             .with("table", table)
@@ -177,15 +190,7 @@
     let mut client = Client::new(&hub, &address);
     let mut version = None;
     loop {
-        let read = match version {
-            None => client.table(record::OPERATOR).await,
-            Some(after) => {
-                let path = store::feed(record::OPERATOR, after, WAIT);
-                let page = client.page(&path, WAIT).await;
-                page.map(|page| (page.rows, page.version))
-            }
-        };
-        match read {
+        match client.follow(record::OPERATOR, version).await {
             Ok((rows, at)) => {
                 version = Some(at);
                 for row in rows {
@@ -215,15 +220,7 @@
     let mut version = None;
     let mut read_once = false;
     loop {
-        let read = match version {
-            None => client.table(record::ENDPOINTS).await,
-            Some(after) => {
-                let path = store::feed(record::ENDPOINTS, after, WAIT);
-                let page = client.page(&path, WAIT).await;
-                page.map(|page| (page.rows, page.version))
-            }
-        };
-        match read {
+        match client.follow(record::ENDPOINTS, version).await {
             Ok((rows, at)) => {
                 take_endpoints(&client, &cache, rows, version.is_none());
                 version = Some(at);
--- a/src/record.rs
+++ b/src/record.rs
@@ -35,7 +35,10 @@
     },
     fields::Fields,
 };
-use crate::prelude::*;
+use crate::{
+    id::as_text,
+    prelude::*, //
+};
 
 /// The newest schema that this version knows.
 pub const NEWEST: u64 = 2;
@@ -109,19 +112,7 @@
     }
 }
 
-impl TryFrom<String> for Name {
-    type Error = String;
-
-    fn try_from(text: String) -> Result<Self, String> {
-        text.parse()
-    }
-}
-
-impl From<Name> for String {
-    fn from(name: Name) -> String {
-        name.to_string()
-    }
-}
+as_text!(Name, String);
 
 /// What a record says, whichever schema it is written in.
 #[derive(Debug, Clone, PartialEq, Eq)]
