--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -18,20 +18,18 @@
             Ask,
             Usage, //
         },
-        config::{
-            Quota,
-            Route, //
-        },
         health::{
             Change,
             Health, //
         },
         membership::{
             Action,
-            Membership,
+            Membership, //
+        },
+        message::{
+            Beat,
             Sighting, //
         },
-        message::Beat,
         placement::{
             Obstacle,
             Placement,
@@ -48,6 +46,10 @@
     },
     endpoint::wire::Load,
     prelude::*,
+    record::route::{
+        Quota,
+        Route, //
+    },
     settings::{
         Limits,
         Timing, //
