A failed end places its task again only if it is of the batch that has it

Cause: the failed end of a former coordinator's run took the task out of whatever batch had it, also one that the present coordinator had given out since. The task was placed once more beside the run that was out.

Ruled out: a longer time of doubt. The end waits at its endpoint for as long as a cut lasts, which no span bounds.

Change: the end carries its batch to the entry, where it takes the task out of that batch alone. An end without a known batch places nothing: its batch is taken back as lost, or its task waits already.

Another fault has shown once in random orders, before the change as well: a task runs after its end, across two takeovers. It is not mended here.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -568,10 +568,9 @@
             Message::Ended(end) => {
                 let own = &self.identity.contact.name;
                 let batch = end.batch.as_ref().filter(|(entry, _)| entry == own);
-                let late = self
-                    .entry
-                    .gave_out_again(end.task, batch.map(|(_, serial)| *serial));
-                let act = self.durable.ended(from, &end, late, out);
+                let batch = batch.map(|(_, serial)| *serial);
+                let late = self.entry.gave_out_again(end.task, batch);
+                let act = self.durable.ended(from, &end, batch, late, out);
                 self.act(act.into_iter().collect(), now, out);
                 self.call_store(now, out);
             }
--- a/src/dispatch/coordination.rs
+++ b/src/dispatch/coordination.rs
@@ -36,7 +36,7 @@
                     }
                 }
                 Act::Done(task) => self.entry.task_done(task, now, out),
-                Act::Failed(task) => self.entry.task_failed(task, now),
+                Act::Failed(task, batch) => self.entry.task_failed(task, batch, now),
                 Act::Release(job) => self.entry.release(job, out),
             }
         }
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -315,6 +315,7 @@
         &mut self,
         from: &Contact,
         end: &RunEnd,
+        batch: Option<u64>,
         late: bool,
         out: &mut Effects,
     ) -> Option<Act> {
@@ -359,7 +360,7 @@
             (false, ..) => None,
             (_, State::Failed | State::Cancelled, _) => Some(Act::Release(end.task.job)),
             (_, _, true) => Some(Act::Done(end.task)),
-            (_, _, false) => Some(Act::Failed(end.task)),
+            (_, _, false) => Some(Act::Failed(end.task, batch)),
         }
     }
 
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -23,6 +23,7 @@
     Job,
     Loose,
     Progress,
+    Sent,
     FOREVER, //
 };
 use crate::prelude::*;
@@ -78,7 +79,9 @@
 
     /// Takes note that a task of a stored job is done.
     pub fn task_done(&mut self, task: TaskId, now: Time, out: &mut Effects) {
-        self.take_out(task);
+        if let Some(serial) = self.batch_of(task) {
+            self.take_out_of(serial, task);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -97,14 +100,17 @@
         }
     }
 
-    /// Takes note that a run of a task of a stored job failed: it is placed again.
-    pub fn task_failed(&mut self, task: TaskId, now: Time) {
-        let out_of_batch = self.take_out(task);
+    /// Takes note that a run of a task of a stored job failed: it is placed again, if the run was of the batch that has it.
+    ///
+    /// An end may come long after its run, and be of a batch of a former coordinator. The task may have been given out again
+    /// since: placed once more, it would run beside the run that is out. That run's own end, or the loss of its batch,
+    /// tells when the task may be placed. A task that no batch has waits already, or its step hasn't been placed.
+    pub fn task_failed(&mut self, task: TaskId, batch: Option<u64>, now: Time) {
+        let out_of_batch = batch.is_some_and(|serial| self.take_out_of(serial, task));
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         job.started = true;
-        // One that no batch has waits already, or its step hasn't been placed.
         if out_of_batch {
             job.loose.push(Loose {
                 step: task.step,
@@ -115,26 +121,27 @@
         }
     }
 
-    /// Takes a task out of its batch; returns whether one had it.
-    fn take_out(&mut self, task: TaskId) -> bool {
+    /// Returns the batch that has a task.
+    fn batch_of(&self, task: TaskId) -> Option<u64> {
+        let job = self.jobs.get(&task.job)?;
+        let mut batches = job.batches.iter();
+        let (serial, _) = batches.find(|(_, sent)| sent.has(task))?;
+        Some(*serial)
+    }
+
+    /// Takes a task out of a batch; returns whether the batch had it.
+    fn take_out_of(&mut self, serial: u64, task: TaskId) -> bool {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return false;
         };
-        let has = |sent: &super::Sent| sent.step == task.step && sent.tasks.contains(&task.index);
-        let Some(serial) = job
-            .batches
-            .iter()
-            .find(|(_, sent)| has(sent))
-            .map(|(s, _)| *s)
-        else {
+        let sent = job.batches.get_mut(&serial);
+        let Some(sent) = sent.filter(|sent| sent.has(task)) else {
             return false;
         };
-        if let Some(sent) = job.batches.get_mut(&serial) {
-            sent.tasks.retain(|index| *index != task.index);
-            if sent.tasks.is_empty() {
-                job.batches.remove(&serial);
-                self.by_serial.remove(&serial);
-            }
+        sent.tasks.retain(|index| *index != task.index);
+        if sent.tasks.is_empty() {
+            job.batches.remove(&serial);
+            self.by_serial.remove(&serial);
         }
         true
     }
@@ -167,3 +174,9 @@
         self.forget(id);
     }
 }
+
+impl Sent {
+    fn has(&self, task: TaskId) -> bool {
+        self.step == task.step && self.tasks.contains(&task.index)
+    }
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -4,8 +4,12 @@
 
 use poplarknot::{
     dispatch::{
+        durable::Record,
         entry::Entry,
-        id::JobId,
+        id::{
+            JobId,
+            TaskId, //
+        },
         message::{
             Answer,
             Batch,
@@ -272,3 +276,58 @@
     let audited = out.messages.iter().map(|(to, _)| to.name.as_str());
     assert_eq!(audited.collect::<Vec<_>>(), ["last"]);
 }
+
+/// Gives the only task of a stored job out.
+fn stored(entry: &mut Entry) -> Batch {
+    let step = Step {
+        count: 1,
+        need: Room {
+            cpu: 1_000,
+            memory: 64,
+            gpu: 0,
+        },
+        estimate: Span::millis(60),
+        ..Step::default()
+    };
+    let submission = Submission {
+        id: JobId(7),
+        spec: "cell".to_owned(),
+        steps: vec![step],
+        best_effort: false,
+        unsupported: None,
+    };
+    let record = Record {
+        submission,
+        route: "queue".to_owned(),
+        service: "cells".to_owned(),
+        attempts: 3,
+        objective: Span::seconds(1),
+    };
+    let mut out = Effects::default();
+    entry.run(JobId(7), &record, &record.begin(), NOW, NOW);
+    entry.begin(NOW, &mut out);
+    batches(&out).remove(0)
+}
+
+/// A run fails that a former coordinator gave out. A cut holds its end back until the next coordinator has given the task
+/// out again. The new run goes on: placed once more at the word of the old end, the task would run twice at the same time.
+#[test]
+fn failed_end_of_another_batch_places_nothing() {
+    let task = TaskId {
+        job: JobId(7),
+        step: 0,
+        index: 0,
+    };
+    let (mut entry, _) = entry();
+    let batch = stored(&mut entry);
+    for other in [None, Some(batch.serial + 1)] {
+        let mut out = Effects::default();
+        entry.task_failed(task, other, NOW);
+        entry.work(NOW + Span::seconds(3), &mut out);
+        assert_eq!(batches(&out).len(), 0, "its run goes on");
+    }
+    let mut out = Effects::default();
+    entry.task_failed(task, Some(batch.serial), NOW);
+    entry.work(NOW, &mut out);
+    assert_eq!(batches(&out).len(), 1, "its own run failed");
+}
