An end of a run that isn't out is late, whoever gave its task out again

Cause: an end counted as late only if this coordinator had given the task out before. What former coordinators gave out stands nowhere in the store, so an end heard two takeovers later was forgotten by its endpoint at once, although the task had been started again in between.

Weighed: to store what is given out. That is a write before each start, and a takeover would still not know whether the start left.

Change: an end is late unless its coordinator has the run's batch out. The list of tasks that were given out goes.

What it costs is not measured: after a takeover an endpoint that lists an end of the former coordinator's gets no new task until its lease has passed.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -569,8 +569,8 @@
                 let own = &self.identity.contact.name;
                 let batch = end.batch.as_ref().filter(|(entry, _)| entry == own);
                 let batch = batch.map(|(_, serial)| *serial);
-                let late = self.entry.gave_out_again(end.task, batch);
-                let act = self.durable.ended(from, &end, batch, late, out);
+                let batch = batch.filter(|serial| self.entry.has_out(*serial));
+                let act = self.durable.ended(from, &end, batch, out);
                 self.act(act.into_iter().collect(), now, out);
                 self.call_store(now, out);
             }
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -64,8 +64,7 @@
     Run(JobId, Time),
     /// A task is done.
     Done(TaskId),
-    /// A run of a task failed, and it may run again. The batch is the one that the run was of, if it was of this
-    /// instance's own.
+    /// A run of a task failed, and it may run again. The batch is the run's, if this instance has it out.
     Failed(TaskId, Option<u64>),
     /// Stop all of a job that runs, and forget it.
     Release(JobId),
@@ -212,17 +211,16 @@
 
     /// Takes note of the end of a run, and tells what follows; its endpoint forgets it when that is stored.
     ///
-    /// One is `late` whose task this instance has given out again. `batch` is the run's, if it is one of this instance's.
+    /// `batch` is the run's, if this instance has it out.
     pub fn ended(
         &mut self,
         from: &Contact,
         end: &RunEnd,
         batch: Option<u64>,
-        late: bool,
         out: &mut Effects,
     ) -> Option<Act> {
         let shard = self.shards.get_mut(&end.task.job.shard())?;
-        shard.ended(from, end, batch, late, out)
+        shard.ended(from, end, batch, out)
     }
 
     /// Does what is due: calls the store, forgets jobs that ended long ago, gives shards up that may be another's.
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -316,7 +316,6 @@
         from: &Contact,
         end: &RunEnd,
         batch: Option<u64>,
-        late: bool,
         out: &mut Effects,
     ) -> Option<Act> {
         let noted = |late| Message::Noted {
@@ -352,7 +351,9 @@
         // Of a task that is done already: another run of it was started, unless its job ends for another reason.
         let other = matches!(job.progress.state, State::Open | State::Completed);
         let again = first && !counts && end.done && other;
-        let late = known.unwrap_or(late || again);
+        // Of a run that isn't out, its task may have been given out again, and not by this instance alone: what former
+        // coordinators gave out stands nowhere. Its endpoint keeps it until its lease has passed, after which it means nothing.
+        let late = known.unwrap_or(batch.is_none() || again);
         job.counted.insert(key, late);
         let change = self.changed.entry(end.task.job).or_default();
         change.ends.push((from.clone(), noted(late)));
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -95,8 +95,6 @@
     failed: bool,
     /// Whether it is stored: nobody waits, and the ends of its tasks come one by one.
     stored: bool,
-    /// Tasks that were given out, of a stored job.
-    given: BTreeSet<(u32, u32)>,
     /// The queue that it came by.
     route: String,
 }
@@ -331,7 +329,6 @@
             ending: false,
             failed: false,
             stored: false,
-            given: BTreeSet::new(),
             route: route.name.clone(),
         };
         let record = Record::routine("job_accepted").job(id);
@@ -462,9 +459,6 @@
         };
         self.serial += 1;
         let serial = self.serial;
-        if job.stored {
-            job.given.extend(tasks.iter().map(|index| (step, *index)));
-        }
         let wanted = &job.submission.steps[step as usize];
         let rest = job.submission.chain().0.saturating_sub(wanted.estimate.0);
         let latest = Time(job.due.0.saturating_sub(rest + wanted.estimate.0));
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -2,10 +2,7 @@
 //! their ends come one by one, as they are stored.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeMap,
     rc::Rc, //
 };
 
@@ -55,7 +52,6 @@
             ending: false,
             failed: false,
             stored: true,
-            given: BTreeSet::new(),
             route: accepted.route.clone(),
         };
         self.jobs.insert(id, job);
@@ -146,11 +142,9 @@
         true
     }
 
-    /// Tells whether a task has been given out here, and its end comes from another batch than one of these.
-    pub fn gave_out_again(&self, task: TaskId, batch: Option<u64>) -> bool {
-        let own = batch.is_some_and(|serial| self.by_serial.contains_key(&serial));
-        let job = self.jobs.get(&task.job);
-        !own && job.is_some_and(|job| job.given.contains(&(task.step, task.index)))
+    /// Tells whether an owner has a batch of this instance.
+    pub fn has_out(&self, serial: u64) -> bool {
+        self.by_serial.contains_key(&serial)
     }
 
     /// Takes note that a start of a batch has left.
