--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -315,7 +315,7 @@
         &mut self,
         from: &Contact,
         end: &RunEnd,
-        late: bool,
+        batch: Option<u64>,
         out: &mut Effects,
     ) -> Option<Act> {
         let noted = |late| Message::Noted {
@@ -351,7 +351,9 @@
         // Of a task that is done already: another run of it was started, unless its job ends for another reason.
         let other = matches!(job.progress.state, State::Open | State::Completed);
         let again = first && !counts && end.done && other;
-        let late = known.unwrap_or(late || again);
+        // Of a run that isn't out, its task may have been given out again, and not by this instance alone: what former
+        // coordinators gave out stands nowhere. Its endpoint keeps it until its lease has passed, after which it means nothing.
+        let late = known.unwrap_or(batch.is_none() || again);
         job.counted.insert(key, late);
         let change = self.changed.entry(end.task.job).or_default();
         change.ends.push((from.clone(), noted(late)));
@@ -359,7 +361,7 @@
             (false, ..) => None,
             (_, State::Failed | State::Cancelled, _) => Some(Act::Release(end.task.job)),
             (_, _, true) => Some(Act::Done(end.task)),
-            (_, _, false) => Some(Act::Failed(end.task)),
+            (_, _, false) => Some(Act::Failed(end.task, batch)),
         }
     }
 
