Configuration: reports, audit actions and notifications by their names

The answers to operators were called Told, what an audit entry records Deed, and the changes that peers have still to hear of News.

They are Report, audit::Action and Notification now, a shown record View, the state of a change over the instances Rollout with a Replica for each. The names in JSON stay: "deed" in the audit trail and "force" in answers, which a new test holds.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -17,7 +17,7 @@
 /// What an operator wanted done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Deed {
+pub enum Action {
     /// Submitted a new record.
     Submit,
     /// Amended a record.
@@ -40,7 +40,8 @@
     /// The instance that took it.
     pub instance: Instance,
     /// What was wanted.
-    pub deed: Deed,
+    #[serde(rename = "deed")]
+    pub action: Action,
     /// The record; none where the text didn't tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub record: Option<Name>,
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -62,7 +62,7 @@
 
 use crate::{
     core::{
-        config::Told,
+        config::Report,
         message::{
             self,
             Input,
@@ -206,7 +206,7 @@
     /// Hands an answer to the connection that waits for it.
     fn hand_out(&self, output: Output) {
         let request = match &output {
-            Output::Answer(request, _) | Output::Told(request, _) => *request,
+            Output::Answer(request, _) | Output::Report(request, _) => *request,
             _ => return,
         };
         // A caller that hung up has taken its receiver along.
@@ -463,7 +463,7 @@
     json(status, serde_json::json!({ "detail": detail }).to_string())
 }
 
-fn told(told: &Told) -> Reply {
-    let status = StatusCode::from_u16(told.status()).unwrap_or_default();
-    json(status, told.body())
+fn report(report: &Report) -> Reply {
+    let status = StatusCode::from_u16(report.status()).unwrap_or_default();
+    json(status, report.body())
 }
--- a/src/caller/admin.rs
+++ b/src/caller/admin.rs
@@ -15,7 +15,7 @@
 
 use super::{
     problem,
-    told,
+    report,
     Reply,
     Shared, //
 };
@@ -177,7 +177,7 @@
             }
             ["records", _, _] => Ask::Show(self.record()?),
             ["instances"] => Ask::Instances,
-            ["records", _, _, "in-force"] => Ask::Force(self.record()?),
+            ["records", _, _, "in-force"] => Ask::Rollout(self.record()?),
             ["audit"] => {
                 self.check_query(&["record", "from", "to", "after"])?;
                 let record = self.query.get("record").map(|name| name.parse());
@@ -234,7 +234,7 @@
             Err(fault) => return problem(StatusCode::BAD_REQUEST, &fault),
         };
         match self.ask(|request| Input::Operate { request, ask }).await {
-            Some(Output::Told(_, answer)) => told(&answer),
+            Some(Output::Report(_, answer)) => report(&answer),
             _ => problem(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "the instance has no room; nothing took effect",
--- a/src/core.rs
+++ b/src/core.rs
@@ -407,7 +407,9 @@
     fn configure(&mut self, input: config::Input) {
         for output in self.config.step(self.now, input) {
             match output {
-                config::Output::Told(request, told) => self.out.push(Output::Told(request, told)),
+                config::Output::Report(request, report) => {
+                    self.out.push(Output::Report(request, report));
+                }
                 config::Output::Operate(ticket, operate) => {
                     self.out
                         .push(Output::Operate(Ticket::Config(ticket), operate));
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -16,11 +16,11 @@
 pub mod edit;
 pub mod load;
 pub mod query;
+pub mod report;
 pub mod row;
 pub mod spread;
 pub mod state;
 pub mod sync;
-pub mod told;
 pub mod trail;
 
 use std::{
@@ -35,11 +35,11 @@
         Return, //
     },
     count::Count,
-    told::Told,
+    report::Report,
 };
 use self::{
     edit::Edits,
-    spread::News,
+    spread::Notification,
     state::{
         Applied,
         Pending,
@@ -113,7 +113,7 @@
 #[derive(Debug, Clone)]
 pub enum Output {
     /// Answers an operator.
-    Told(Request, Told),
+    Report(Request, Report),
     /// Operates on the platform.
     Operate(u64, Operate),
     /// Calls a peer.
@@ -138,7 +138,7 @@
     edits: Edits,
     trail: Trail,
     sync: Sync,
-    news: News,
+    notification: Notification,
     pending: BTreeMap<u64, Pending>,
     next: u64,
     now: Time,
@@ -159,7 +159,7 @@
             edits: Edits::default(),
             trail: Trail::default(),
             sync: Sync::new(Span(seed % poll.0.max(1))),
-            news: News::default(),
+            notification: Notification::default(),
             pending: BTreeMap::new(),
             next: 0,
             now: Time::default(),
@@ -216,7 +216,7 @@
         self.proceed_sync();
         self.proceed_edits();
         self.proceed_trail();
-        self.pass_on();
+        self.notify();
         if self.revision() != before {
             let revision = self.revision();
             self.event(Code::ChangeApplied, format!("revision {revision}"));
@@ -247,8 +247,8 @@
         self.outputs.push(Output::Event(Event::new(code, detail)));
     }
 
-    fn tell(&mut self, request: Request, told: Told) {
-        self.outputs.push(Output::Told(request, told));
+    fn report(&mut self, request: Request, report: Report) {
+        self.outputs.push(Output::Report(request, report));
     }
 
     /// Takes a ticket, or none where too much is in progress.
--- a/src/core/config/ask.rs
+++ b/src/core/config/ask.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::{
-    audit::Deed,
+    audit::Action,
     prelude::*,
     record::{
         Kind,
@@ -21,7 +21,7 @@
     /// One record.
     Show(Name),
     /// Where a record is in force.
-    Force(Name),
+    Rollout(Name),
     /// The instances, as this one sees them.
     Instances,
     /// The audit trail.
@@ -99,11 +99,11 @@
     }
 
     /// Returns the word for the audit trail.
-    pub fn deed(&self) -> Deed {
+    pub fn action(&self) -> Action {
         match self {
-            Self::Submit { .. } => Deed::Submit,
-            Self::Amend { .. } => Deed::Amend,
-            Self::Withdraw { .. } => Deed::Withdraw,
+            Self::Submit { .. } => Action::Submit,
+            Self::Amend { .. } => Action::Amend,
+            Self::Withdraw { .. } => Action::Withdraw,
         }
     }
 }
--- a/src/core/config/edit.rs
+++ b/src/core/config/edit.rs
@@ -10,6 +10,7 @@
 
 use super::{
     ask,
+    report::Report,
     row::{
         self,
         End,
@@ -17,7 +18,6 @@
         Settled, //
     },
     state::Purpose,
-    told::Told,
     Config,
 };
 use crate::{
@@ -104,10 +104,10 @@
             return;
         };
         if !self.ready() || self.workers.is_none() {
-            return self.tell(request, Told::Unready);
+            return self.report(request, Report::Unready);
         }
         if self.edits.queue.len() >= MOST_WAITING {
-            return self.tell(request, Told::Busy);
+            return self.report(request, Report::Busy);
         }
         self.edits.queue.push_back(Job {
             request,
@@ -145,16 +145,16 @@
         let now = self.now;
         while let Some(job) = self.edits.queue.front().filter(|job| job.until <= now) {
             let out = matches!(job.stage, Stage::Commit(..)) && !job.edit.dry_run;
-            let told = match job.uncertain || out {
-                true => Told::Unknown,
-                false => Told::Unavailable,
+            let report = match job.uncertain || out {
+                true => Report::Unknown,
+                false => Report::Unavailable,
             };
-            self.end(told);
+            self.end(report);
         }
     }
 
     /// Ends the change in front.
-    fn end(&mut self, told: Told) {
+    fn end(&mut self, report: Report) {
         let Some(job) = self.edits.queue.pop_front() else {
             return;
         };
@@ -164,23 +164,23 @@
                 job.name, job.edit.operation, job.edit.operator
             )
         };
-        match &told {
-            Told::Accepted { revision, .. } => {
+        match &report {
+            Report::Accepted { revision, .. } => {
                 self.event(
                     Code::ChangeAccepted,
                     format!("revision {revision}: {}", what()),
                 );
             }
-            Told::Refused(_) | Told::Reused { .. } => self.event(Code::ChangeRefused, what()),
+            Report::Refused(_) | Report::Reused { .. } => self.event(Code::ChangeRefused, what()),
             _ => {}
         }
-        self.tell(job.request, told);
+        self.report(job.request, report);
     }
 
     fn confirm_head(&mut self) {
         let read = Operate::Read(row::HEAD.to_owned());
         let Some(ticket) = self.operate(Purpose::Edit, read) else {
-            return self.end(Told::Busy);
+            return self.end(Report::Busy);
         };
         if let Some(job) = self.edits.queue.front_mut() {
             job.stage = Stage::Head(ticket);
@@ -193,7 +193,7 @@
         };
         job.tries += 1;
         if job.tries > MOST_TRIES {
-            return self.end(Told::Busy);
+            return self.end(Report::Busy);
         }
         let workers = self.workers.as_ref();
         let judged = judge::judge(&self.applied, workers, job);
@@ -240,12 +240,12 @@
             }
         }
         let judged = judge::judge(&self.applied, self.workers.as_ref(), job);
-        let told = Told::Trial {
+        let report = Report::Trial {
             revision: self.applied.revision(),
             refusal: judged.err(),
             confirmed: head.is_some(),
         };
-        self.end(told);
+        self.end(report);
     }
 
     fn catch_up(&mut self, revision: Revision) {
@@ -283,7 +283,7 @@
             self.sync.outward = self.sync.outward.max(change.revision);
             self.apply(change);
         }
-        self.end(told(plan.end));
+        self.end(report(plan.end));
     }
 
     /// Finds out from the rows whose conditions failed why a commit didn't take effect.
@@ -301,7 +301,7 @@
         let head = row(row::HEAD).and_then(row::read::<Head>);
         match head {
             Some(head) if head.revision > self.applied.revision() => self.catch_up(head.revision),
-            _ => self.end(Told::Unavailable),
+            _ => self.end(Report::Unavailable),
         }
     }
 
@@ -311,21 +311,21 @@
         };
         if settled.digest != job.digest {
             let operation = job.edit.operation;
-            return self.end(Told::Reused { operation });
+            return self.end(Report::Reused { operation });
         }
         if let End::Accepted { revision, .. } = settled.end {
             // It may be this instance's own commit whose answer was lost, which nobody has been told of.
             self.sync.outward = self.sync.outward.max(revision);
             self.aim(revision);
         }
-        self.end(told(settled.end));
+        self.end(report(settled.end));
     }
 }
 
-fn told(end: End) -> Told {
+fn report(end: End) -> Report {
     match end {
-        End::Accepted { record, revision } => Told::Accepted { record, revision },
-        End::Refused(refusal) => Told::Refused(refusal),
+        End::Accepted { record, revision } => Report::Accepted { record, revision },
+        End::Refused(refusal) => Report::Refused(refusal),
     }
 }
 
--- a/src/core/config/edit/judge.rs
+++ b/src/core/config/edit/judge.rs
@@ -12,6 +12,7 @@
             Act,
             Edit, //
         },
+        report::Refusal,
         row::{
             self,
             Change,
@@ -21,7 +22,6 @@
             Stored, //
         },
         state::Applied,
-        told::Refusal,
         trail,
     },
     prelude::*,
--- a/src/core/config/query.rs
+++ b/src/core/config/query.rs
@@ -7,14 +7,14 @@
         self,
         Ask, //
     },
+    report::{
+        Replica,
+        Report,
+        Rollout,
+        View, //
+    },
     row,
     state::Purpose,
-    told::{
-        Force,
-        Place,
-        Shown,
-        Told, //
-    },
     Config,
 };
 use crate::{
@@ -37,56 +37,58 @@
 
 impl Config {
     pub(super) fn ask(&mut self, request: Request, ask: Ask) {
-        let told = match ask {
+        let report = match ask {
             Ask::Edit(edit) => return self.submit(request, edit),
             Ask::Audit(audit) => return self.ask_audit(request, audit),
-            _ if !self.ready() => Told::Unready,
+            _ if !self.ready() => Report::Unready,
             Ask::List(kind) => self.list(kind),
             Ask::Show(record) => match self.applied.set().get(&record) {
-                Some(entry) => Told::Record(shown(entry)),
-                None => Told::Absent { record },
+                Some(entry) => Report::Record(view(entry)),
+                None => Report::Absent { record },
             },
-            Ask::Force(record) => self.force(record),
-            Ask::Instances => Told::Instances {
-                instances: self.places(self.revision()),
+            Ask::Rollout(record) => self.rollout(record),
+            Ask::Instances => Report::Instances {
+                instances: self.replicas(self.revision()),
             },
         };
-        self.tell(request, told);
+        self.report(request, report);
     }
 
-    fn list(&self, kind: Option<Kind>) -> Told {
+    fn list(&self, kind: Option<Kind>) -> Report {
         let entries = self.applied.set().iter().map(|(_, entry)| entry);
         let wanted = entries.filter(|e| kind.is_none_or(|kind| e.record.name.kind == kind));
-        Told::Records {
+        Report::Records {
             revision: self.revision(),
-            records: wanted.map(shown).collect(),
+            records: wanted.map(view).collect(),
         }
     }
 
-    fn force(&self, record: Name) -> Told {
+    fn rollout(&self, record: Name) -> Report {
         let Some(entry) = self.applied.set().get(&record) else {
-            return Told::Absent { record };
+            return Report::Absent { record };
         };
         let since = entry.revision;
-        let instances = self.places(since);
-        Told::Force(Force {
+        let instances = self.replicas(since);
+        Report::Rollout(Rollout {
             record,
             revision: since,
-            everywhere: instances.iter().all(|place| place.in_force || !place.alive),
+            everywhere: instances
+                .iter()
+                .all(|replica| replica.in_force || !replica.alive),
             instances,
         })
     }
 
     /// Returns what each instance applies, and whether that holds a revision.
-    fn places(&self, since: Revision) -> Vec<Place> {
-        let own = Place {
+    fn replicas(&self, since: Revision) -> Vec<Replica> {
+        let own = Replica {
             instance: self.name.clone(),
             centre: self.centre.clone(),
             revision: self.revision(),
             alive: true,
             in_force: self.revision() >= since,
         };
-        let others = self.peers.values().map(|peer| Place {
+        let others = self.peers.values().map(|peer| Replica {
             instance: peer.name.clone(),
             centre: peer.centre.clone(),
             revision: peer.revision,
@@ -106,13 +108,13 @@
             limit: PAGE,
         };
         if self.operate(Purpose::Audit(request, audit), scan).is_none() {
-            self.tell(request, Told::Busy);
+            self.report(request, Report::Busy);
         }
     }
 
     pub(super) fn audited(&mut self, request: Request, audit: &ask::Audit, result: Result) {
         let Result::Rows(rows) = result else {
-            return self.tell(request, Told::Unavailable);
+            return self.report(request, Report::Unavailable);
         };
         let wanted = |entry: &audit::Entry| audit.to_ms.is_none_or(|to| entry.at_ms <= to);
         let mut entries: Vec<audit::Entry> = rows.iter().filter_map(row::read).collect();
@@ -121,14 +123,14 @@
         entries.retain(wanted);
         let last = entries.last().filter(|_| more);
         let after = last.map(|entry| audit::mark(entry.at_ms, Some(entry.operation)));
-        self.tell(request, Told::Audit { entries, after });
+        self.report(request, Report::Audit { entries, after });
     }
 }
 
-fn shown(entry: &Entry) -> Shown {
+fn view(entry: &Entry) -> View {
     let record = Arc::clone(&entry.record);
     let value = serde_json::from_str(&record.text);
-    Shown {
+    View {
         name: record.name.clone(),
         revision: entry.revision,
         known: record.known(),
--- a/src/core/config/told.rs
+++ b/src/core/config/report.rs
@@ -1,4 +1,4 @@
-//! What operators are told.
+//! Reports to operators: what became of what they asked.
 
 use serde::{
     Deserialize,
@@ -16,10 +16,10 @@
     },
 };
 
-/// What an operator is told.
+/// What became of an operator's request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "answer", rename_all = "kebab-case")]
-pub enum Told {
+pub enum Report {
     /// The change is durable and takes effect everywhere.
     Accepted {
         /// The record.
@@ -48,16 +48,17 @@
         /// The revision that this instance applies.
         revision: Revision,
         /// The records.
-        records: Vec<Shown>,
+        records: Vec<View>,
     },
     /// One record.
-    Record(Shown),
+    Record(View),
     /// Where a record is in force.
-    Force(Force),
+    #[serde(rename = "force")]
+    Rollout(Rollout),
     /// The instances.
     Instances {
         /// What each applies.
-        instances: Vec<Place>,
+        instances: Vec<Replica>,
     },
     /// Entries of the audit trail.
     Audit {
@@ -121,7 +122,7 @@
 
 /// A record as it is shown.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Shown {
+pub struct View {
     /// Its name.
     pub name: Name,
     /// The revision that wrote it.
@@ -134,7 +135,7 @@
 
 /// Where a record is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Force {
+pub struct Rollout {
     /// The record.
     pub record: Name,
     /// The revision that wrote it.
@@ -142,12 +143,12 @@
     /// Whether every instance that is alive applies it.
     pub everywhere: bool,
     /// The instances.
-    pub instances: Vec<Place>,
+    pub instances: Vec<Replica>,
 }
 
 /// What one instance applies, as this instance last heard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Place {
+pub struct Replica {
     /// The instance.
     pub instance: Instance,
     /// Its data centre.
@@ -164,12 +165,12 @@
 #[derive(Serialize)]
 struct Described<'a> {
     #[serde(flatten)]
-    told: &'a Told,
+    report: &'a Report,
     #[serde(skip_serializing_if = "str::is_empty")]
     detail: &'static str,
 }
 
-impl Told {
+impl Report {
     /// Returns the status of the answer in HTTP.
     pub fn status(&self) -> u16 {
         match self {
@@ -189,9 +190,9 @@
     ///
     /// Panics where the answer can't be written as JSON, which its type rules out.
     pub fn body(&self) -> String {
-        let told = self;
+        let report = self;
         let detail = self.detail();
-        let body = Described { told, detail };
+        let body = Described { report, detail };
         serde_json::to_string(&body).expect("an answer is plain data")
     }
 
--- a/src/core/config/row.rs
+++ b/src/core/config/row.rs
@@ -16,7 +16,7 @@
     Serialize, //
 };
 
-use super::told::Refusal;
+use super::report::Refusal;
 use crate::{
     prelude::*,
     record::Name, //
@@ -91,7 +91,7 @@
 pub struct Settled {
     /// The digest of what was asked.
     pub digest: Digest,
-    /// What was told.
+    /// What was reported.
     pub end: End,
 }
 
--- a/src/core/config/spread.rs
+++ b/src/core/config/spread.rs
@@ -30,9 +30,9 @@
 /// How many instances of another data centre are tried, one after another.
 const TRIES: usize = 3;
 
-/// News that are to be passed on.
+/// Changes of which peers are still to be notified.
 #[derive(Debug, Default)]
-pub(super) struct News {
+pub(super) struct Notification {
     /// The revision before them; none where there are none.
     after: Option<Revision>,
     /// Whether they go to the other data centres too.
@@ -51,19 +51,19 @@
 
 impl Config {
     /// Notes that what came after `revision` is to be passed on inside the data centre.
-    pub(super) fn note_news(&mut self, revision: Revision) {
-        self.news.after.get_or_insert(revision);
+    pub(super) fn note_change(&mut self, revision: Revision) {
+        self.notification.after.get_or_insert(revision);
     }
 
-    /// Notes that a change was committed here, which is to be told everywhere.
+    /// Notes that a change was committed here, of which all are to be notified.
     pub(super) fn note_commit(&mut self, revision: Revision) {
-        self.note_news(revision);
-        self.news.outward = true;
+        self.note_change(revision);
+        self.notification.outward = true;
     }
 
-    pub(super) fn pass_on(&mut self) {
-        let news = std::mem::take(&mut self.news);
-        let Some(after) = news.after else {
+    pub(super) fn notify(&mut self) {
+        let notification = std::mem::take(&mut self.notification);
+        let Some(after) = notification.after else {
             return;
         };
         let head = self.revision();
@@ -75,7 +75,7 @@
             let outward = None;
             self.announce(Sent { to, after, outward });
         }
-        for centre in centres.into_iter().filter(|_| news.outward) {
+        for centre in centres.into_iter().filter(|_| notification.outward) {
             self.announce_outward(centre, after, 0);
         }
     }
@@ -124,7 +124,7 @@
     pub(super) fn called(&mut self, caller: Caller, call: Call) {
         self.count.returns += 1;
         let value = match call {
-            Call::Announce(announce) => self.told_of(announce),
+            Call::Announce(announce) => self.notified(announce),
             _ if !self.ready() => Return::Unready,
             Call::Fetch { after } => match self.applied.since(after, MOST_BYTES) {
                 Some(changes) => Return::Changes(changes),
@@ -135,7 +135,7 @@
         self.outputs.push(Output::Return(caller, value));
     }
 
-    fn told_of(&mut self, announce: Announce) -> Return {
+    fn notified(&mut self, announce: Announce) -> Return {
         self.heard();
         self.note_peer(&announce.from, announce.head);
         self.aim(announce.head);
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -44,7 +44,7 @@
     pub(super) target: Revision,
     /// The newest revision that is to be passed on inside the data centre.
     pub(super) relay: Revision,
-    /// The newest revision that is to be told to the other data centres too.
+    /// The newest revision of which the other data centres are to be notified too.
     pub(super) outward: Revision,
     /// Whether changes are missing that can't be had one by one any more.
     pub(super) gap: bool,
@@ -261,7 +261,7 @@
         if change.revision <= self.sync.outward {
             self.note_commit(before);
         } else if change.revision <= self.sync.relay {
-            self.note_news(before);
+            self.note_change(before);
         }
         let known = |entry: &crate::record::set::Entry| entry.record.known();
         if !self.applied.set().get(&change.name).is_none_or(known) {
--- a/src/core/config/trail.rs
+++ b/src/core/config/trail.rs
@@ -6,11 +6,11 @@
 
 use super::{
     ask,
-    state::Purpose,
-    told::{
+    report::{
         Refusal,
-        Told, //
+        Report, //
     },
+    state::Purpose,
     Config,
 };
 use crate::{
@@ -53,12 +53,12 @@
         let refusal = Refusal::Faulty { faults };
         let revision = self.revision();
         if edit.dry_run {
-            let told = Told::Trial {
+            let report = Report::Trial {
                 revision,
                 refusal: Some(refusal),
                 confirmed: false,
             };
-            return self.tell(request, told);
+            return self.report(request, report);
         }
         match self.trail.entries.len() < MOST_ENTRIES {
             true => {
@@ -73,7 +73,7 @@
             Code::ChangeRefused,
             format!("{} by {}", edit.operation, edit.operator),
         );
-        self.tell(request, Told::Refused(refusal));
+        self.report(request, Report::Refused(refusal));
     }
 
     pub(super) fn proceed_trail(&mut self) {
@@ -123,7 +123,7 @@
         operator: edit.operator.clone(),
         from: edit.from.clone(),
         instance: instance.clone(),
-        deed: edit.act.deed(),
+        action: edit.act.action(),
         record,
         revision,
         before,
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -11,7 +11,7 @@
     core::config::{
         ask::Ask,
         call,
-        told::Told, //
+        report::Report, //
     },
     endpoint::wire::{
         Reply,
@@ -285,7 +285,7 @@
     /// Answers a caller.
     Answer(Request, Answer),
     /// Answers an operator.
-    Told(Request, Told),
+    Report(Request, Report),
     /// Operates on the platform.
     Operate(Ticket, Operate),
     /// Starts a task at an endpoint.
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -210,7 +210,7 @@
                 None
             }
             // Answers wait for a place: the callers' thread never waits for this one.
-            output @ (Output::Answer(..) | Output::Told(..)) => {
+            output @ (Output::Answer(..) | Output::Report(..)) => {
                 self.outlets.callers.send(output).await;
                 None
             }
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -27,16 +27,16 @@
                     Audit,
                     Edit, //
                 },
+                report::Refusal,
                 row,
-                told::Refusal,
                 Ask,
                 Call,
                 Config,
                 Input,
                 Output,
                 Peer,
+                Report, //
                 Return,
-                Told, //
             },
             message::{
                 Caller,
--- a/tests/records/cluster.rs
+++ b/tests/records/cluster.rs
@@ -37,7 +37,7 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) flight: Vec<Flight>,
     pub(crate) now: Time,
-    pub(crate) told: BTreeMap<u64, Told>,
+    pub(crate) told: BTreeMap<u64, Report>,
     pub(crate) asked: BTreeMap<u64, Operation>,
     pub(crate) outage: bool,
     /// Data centres that are cut off from the others.
@@ -104,7 +104,7 @@
         cluster.settle(1_000);
         for text in texts {
             let told = cluster.change(0, submit(text));
-            assert!(matches!(told, Told::Accepted { .. }), "{told:?}");
+            assert!(matches!(told, Report::Accepted { .. }), "{told:?}");
         }
         cluster
     }
@@ -173,7 +173,7 @@
 
     fn output(&mut self, i: usize, epoch: u64, output: Output) {
         match output {
-            Output::Told(request, told) => {
+            Output::Report(request, told) => {
                 let before = self.told.insert(request.0, told);
                 assert!(before.is_none(), "answered twice");
             }
@@ -283,14 +283,14 @@
     }
 
     /// Asks, and lets time pass until the answer is there.
-    pub(crate) fn answer(&mut self, i: usize, ask: Ask) -> Told {
+    pub(crate) fn answer(&mut self, i: usize, ask: Ask) -> Report {
         let request = self.ask(i, ask);
         self.run();
         self.settle(6_000 * u64::from(!self.told.contains_key(&request)));
         self.told[&request].clone()
     }
 
-    pub(crate) fn change(&mut self, i: usize, act: Act) -> Told {
+    pub(crate) fn change(&mut self, i: usize, act: Act) -> Report {
         let edit = self.edit(act);
         self.answer(i, Ask::Edit(edit))
     }
--- a/tests/records/edits.rs
+++ b/tests/records/edits.rs
@@ -23,8 +23,8 @@
     }
 }
 
-fn accepted(told: &Told, at: u64) -> bool {
-    matches!(told, Told::Accepted { revision, .. } if revision.0 == at)
+fn accepted(told: &Report, at: u64) -> bool {
+    matches!(told, Report::Accepted { revision, .. } if revision.0 == at)
 }
 
 #[test]
@@ -44,7 +44,7 @@
         "{:?}",
         cluster.told[&first]
     );
-    let Told::Refused(Refusal::Conflict {
+    let Report::Refused(Refusal::Conflict {
         current,
         differences,
         ..
@@ -122,7 +122,7 @@
     cluster.outage = true;
     cluster.input(i, Input::Operated(ticket, Result::Unknown));
     cluster.settle(6_000);
-    assert_eq!(cluster.told[&request], Told::Unknown);
+    assert_eq!(cluster.told[&request], Report::Unknown);
     assert_eq!(cluster.told[&request].status(), 504);
     cluster.outage = false;
     assert!(accepted(&cluster.answer(1, Ask::Edit(edit)), 3));
@@ -134,7 +134,7 @@
     let mut cluster = cluster(1);
     cluster.outage = true;
     let told = cluster.change(0, amend("service/notebook", 2, SHORTER));
-    assert_eq!(told, Told::Unavailable);
+    assert_eq!(told, Report::Unavailable);
     cluster.outage = false;
     cluster.settle(10_000);
     assert_eq!(cluster.table.head(), 2);
@@ -163,7 +163,7 @@
     other.operation = edit.operation;
     assert!(matches!(
         cluster.answer(1, Ask::Edit(other)),
-        Told::Reused { .. }
+        Report::Reused { .. }
     ));
     assert_eq!(cluster.table.head(), 5);
 }
@@ -192,7 +192,7 @@
         let mut edit = cluster.edit(act);
         edit.dry_run = true;
         let told = cluster.answer(0, Ask::Edit(edit));
-        assert!(matches!(told, Told::Trial { .. }));
+        assert!(matches!(told, Report::Trial { .. }));
         assert_eq!(told.status(), status);
     }
     assert_eq!(cluster.table.rows, rows);
@@ -221,7 +221,7 @@
             after: None,
         };
         match cluster.answer(0, Ask::Audit(audit)) {
-            Told::Audit { entries, .. } => entries,
+            Report::Audit { entries, .. } => entries,
             told => panic!("{told:?}"),
         }
     };
@@ -238,6 +238,22 @@
     assert_eq!(read(None, since, Some(since)).len(), 1);
 }
 
+/// Operators' scripts read the names in reports, and the entries of the audit trail outlive the version that wrote them.
+#[test]
+fn reports_and_audit_entries_keep_their_names_in_json() {
+    let mut cluster = cluster(1);
+    cluster.change(0, amend("service/notebook", 2, SHORTER));
+    let mut body = |ask| -> serde_json::Value {
+        serde_json::from_str(&cluster.answer(0, ask).body()).unwrap()
+    };
+    let rollout = body(Ask::Rollout("service/notebook".parse().unwrap()));
+    assert_eq!(rollout["answer"], "force");
+    assert_eq!(rollout["instances"][0]["in_force"], true);
+    let audit = body(Ask::Audit(Audit::default()));
+    let entries = audit["entries"].as_array().unwrap();
+    assert_eq!(entries.last().unwrap()["deed"], "amend");
+}
+
 #[test]
 fn the_audit_trail_is_read_page_by_page() {
     let mut cluster = cluster(1);
@@ -250,7 +266,7 @@
     };
     let mut sizes = Vec::new();
     loop {
-        let Told::Audit { entries, after } = cluster.answer(0, Ask::Audit(page.clone())) else {
+        let Report::Audit { entries, after } = cluster.answer(0, Ask::Audit(page.clone())) else {
             panic!("it is a page");
         };
         sizes.push(entries.len());
@@ -275,7 +291,7 @@
         .collect();
     let busy = asked
         .iter()
-        .filter(|request| cluster.told.get(request) == Some(&Told::Busy));
+        .filter(|request| cluster.told.get(request) == Some(&Report::Busy));
     assert_eq!(busy.count(), 8);
     cluster.run();
     assert_eq!(cluster.table.head(), 34);
--- a/tests/records/orders.rs
+++ b/tests/records/orders.rs
@@ -3,7 +3,7 @@
 use poplarknot::core::{
     config::{
         Ask,
-        Told, //
+        Report, //
     },
     message::{
         Operate,
@@ -162,11 +162,11 @@
             .count();
         assert!(made <= 1, "{operation} took effect {made} times");
         match told {
-            Told::Accepted { revision, .. } => {
+            Report::Accepted { revision, .. } => {
                 let at = cluster.table.operations[revision.0 as usize - 1];
                 assert_eq!(at, operation, "told a revision that is another's");
             }
-            Told::Refused(_) => assert_eq!(made, 0, "told refused, and took effect: {told:?}"),
+            Report::Refused(_) => assert_eq!(made, 0, "told refused, and took effect: {told:?}"),
             _ => {}
         }
     }
--- a/tests/records/rules.rs
+++ b/tests/records/rules.rs
@@ -1,9 +1,9 @@
 //! Checks across records: references, workers, capacity, schemas side by side.
 
 /// Lists the faults for which a change was refused.
-pub(crate) fn faults(told: Told) -> Vec<(String, Code)> {
+pub(crate) fn faults(told: Report) -> Vec<(String, Code)> {
     match told {
-        Told::Refused(Refusal::Faulty { faults }) => faults
+        Report::Refused(Refusal::Faulty { faults }) => faults
             .into_iter()
             .map(|fault| (fault.path, fault.code))
             .collect(),
@@ -33,15 +33,15 @@
     assert_eq!(faults(told), one("", Code::Referred));
     assert!(matches!(
         cluster.change(0, withdraw("rule/home", 5)),
-        Told::Accepted { .. }
+        Report::Accepted { .. }
     ));
     assert!(matches!(
         cluster.change(0, withdraw("service/matching", 4)),
-        Told::Accepted { .. }
+        Report::Accepted { .. }
     ));
     assert!(matches!(
         cluster.change(0, withdraw("pool/spare", 2)),
-        Told::Accepted { .. }
+        Report::Accepted { .. }
     ));
 }
 
@@ -88,7 +88,7 @@
     let mut edit = cluster.edit(submit(rule));
     edit.confirmed = true;
     let told = cluster.answer(0, Ask::Edit(edit));
-    assert!(matches!(told, Told::Accepted { .. }), "{told:?}");
+    assert!(matches!(told, Report::Accepted { .. }), "{told:?}");
 }
 
 #[test]
@@ -112,10 +112,10 @@
     let new = r#"{"schema":2,"kind":"service","name":"notebook","pools":["compute"],"deadline_ms":20000}"#;
     assert!(matches!(
         cluster.change(0, amend("service/notebook", 3, new)),
-        Told::Accepted { .. }
+        Report::Accepted { .. }
     ));
     let told = cluster.change(0, amend("service/notebook", 6, sample::NOTEBOOK));
-    assert!(matches!(told, Told::Accepted { .. }), "{told:?}");
+    assert!(matches!(told, Report::Accepted { .. }), "{told:?}");
 }
 
 #[test]
--- a/tests/records/spread.rs
+++ b/tests/records/spread.rs
@@ -165,7 +165,7 @@
     cluster.stop(2);
     cluster.cut.insert(id("b"));
     let told = cluster.change(0, submit(OPEN));
-    assert!(matches!(told, Told::Accepted { .. }));
+    assert!(matches!(told, Report::Accepted { .. }));
     cluster.outage = true;
     cluster.cut.clear();
     cluster.flight.clear();
@@ -174,7 +174,7 @@
     cluster.run();
     assert!(!cluster.config(2).ready());
     let told = cluster.answer(2, Ask::List(None));
-    assert_eq!(told, Told::Unready);
+    assert_eq!(told, Report::Unready);
     cluster.settle(1_000);
     assert!(cluster.config(2).ready());
     assert_eq!(cluster.revisions(), [2, 2, 2]);
@@ -245,10 +245,10 @@
     cluster.cut.clear();
     let force = |cluster: &mut Cluster| {
         cluster.beat();
-        let ask = Ask::Force("pool/spare".parse().unwrap());
+        let ask = Ask::Rollout("pool/spare".parse().unwrap());
         let request = cluster.ask(0, ask);
         match &cluster.told[&request] {
-            Told::Force(force) => {
+            Report::Rollout(force) => {
                 let places = force
                     .instances
                     .iter()
