Membership: drop the election that nothing used

Membership::elected was called by a test and a benchmark only. The instance that polls for its data centre is elected by the configuration over the same living peers (config::spread::ranked).

It goes, with what only it read (the draining flags of the instance and its peers; heartbeats still carry theirs), and its benchmark and figure. The test stays: views_converge asks whether instances of a data centre elect alike, now by the configuration's ranking.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -262,9 +262,6 @@
         group.bench_function(BenchmarkId::new("list", count), |bench| {
             bench.iter(|| view.listed(now, black_box(&list)));
         });
-        group.bench_function(BenchmarkId::new("election", count), |bench| {
-            bench.iter(|| view.elected("head", black_box(&list[0].centre)));
-        });
     }
     group.finish();
 }
--- a/src/core.rs
+++ b/src/core.rs
@@ -366,7 +366,6 @@
     fn drain(&mut self) {
         if self.draining.is_none() {
             self.draining = Some(self.now);
-            self.membership.drain();
             self.event(
                 Code::Draining,
                 format!("{} jobs in progress", self.jobs.len()),
--- a/src/core/config/spread.rs
+++ b/src/core/config/spread.rs
@@ -40,7 +40,7 @@
 }
 
 /// Ranks instances for a duty in a data centre by rendezvous hashing: all who know the same ones agree on the order.
-pub(super) fn ranked<'a>(
+pub fn ranked<'a>(
     centre: &Centre,
     names: impl IntoIterator<Item = &'a Instance>,
 ) -> Vec<&'a Instance> {
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -22,7 +22,6 @@
     SeedableRng, //
 };
 
-use self::peer::rank;
 pub use self::peer::Peer;
 use crate::{
     core::message::{
@@ -31,10 +30,7 @@
     },
     prelude::*,
     settings::Timing,
-    table::wire::{
-        Member,
-        State, //
-    },
+    table::wire::Member,
 };
 
 /// The most peers that are known at once.
@@ -79,7 +75,6 @@
     next: Time,
     /// The peer that was passed on last; the first is another for each instance.
     cursor: Instance,
-    draining: bool,
     /// Whether there are peers that not everybody calls, so that what is seen of them is passed on.
     passes: bool,
 }
@@ -107,7 +102,6 @@
             gone_order: VecDeque::new(),
             live: 1,
             next: Time::default(),
-            draining: false,
             passes: true,
         }
     }
@@ -157,7 +151,6 @@
         peer.seen = Some(now);
         peer.forgive();
         peer.revision = beat.revision;
-        peer.draining = beat.draining;
         self.embody(&beat.name, beat.incarnation);
         self.judge(now, &beat.name);
     }
@@ -296,22 +289,6 @@
         1 + self.peers.values().filter(near).count()
     }
 
-    /// Marks this instance as draining: it elects itself no more.
-    pub fn drain(&mut self) {
-        self.draining = true;
-    }
-
-    /// Returns the instance of a data centre that is in charge of a topic, by rendezvous hash over those alive.
-    pub fn elected(&self, topic: &str, centre: &Centre) -> Option<Instance> {
-        let me = (*centre == self.centre && !self.draining).then_some(&self.me);
-        let peers = self.peers.values().filter(|peer| {
-            let stays = !peer.draining && peer.listed != Some(State::Leaving);
-            peer.alive && stays && peer.centre == *centre
-        });
-        let names = peers.map(|peer| &peer.name).chain(me);
-        names.max_by_key(|name| rank(topic, name)).cloned()
-    }
-
     /// Iterates over the other instances.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
--- a/src/core/membership/peer.rs
+++ b/src/core/membership/peer.rs
@@ -43,8 +43,6 @@
     pub incarnation: Option<Incarnation>,
     /// Whether it is taken to be there.
     pub alive: bool,
-    /// Whether it said that it is draining.
-    pub draining: bool,
     pub(super) listed: Option<State>,
     /// When it was first listed or heard.
     pub(super) known: Time,
@@ -75,7 +73,6 @@
             revision: Revision::default(),
             incarnation: None,
             alive: false,
-            draining: false,
             listed: None,
             known: now,
             heard: None,
@@ -141,7 +138,7 @@
 }
 
 /// Ranks an instance for a topic; all instances and versions rank alike.
-pub(super) fn rank(topic: &str, name: &Instance) -> [u8; 32] {
+fn rank(topic: &str, name: &Instance) -> [u8; 32] {
     let hash = sha2::Sha256::new();
     let hash = hash.chain_update(topic).chain_update([0]);
     hash.chain_update(name.as_str()).finalize().into()
--- a/tests/policy/membership.rs
+++ b/tests/policy/membership.rs
@@ -115,13 +115,22 @@
         self.views[to].0.sighted(self.now, &sightings);
     }
 
+    /// Returns the instance that this one takes for the one that polls for its data centre, as its configuration does.
+    fn elected(&self, own: usize, place: &Centre) -> Option<Instance> {
+        let near = |peer: &&Peer| peer.alive && peer.centre == *place;
+        let peers = self.views[own].0.peers().filter(near);
+        let me = instance(own);
+        let names = peers.map(|peer| &peer.name).chain([&me]);
+        ranked(place, names).first().map(|name| (*name).clone())
+    }
+
     /// Tells whether the instances of each data centre that are up elect the same one of them.
     fn elect_alike(&self) -> bool {
         (0..self.centres).all(|number| {
             let place = centre(number, self.centres);
             let near = |own: usize| centre(own, self.centres) == place && self.views[own].2;
             let views = (0..self.views.len()).filter(|own| near(*own));
-            let choices = views.map(|own| self.views[own].0.elected("head", &place));
+            let choices = views.map(|own| self.elected(own, &place));
             let choices: BTreeSet<_> = choices.collect();
             let up = |choice: &Option<Instance>| {
                 (0..self.views.len()).any(|own| near(own) && *choice == Some(instance(own)))
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -18,13 +18,15 @@
             Ask,
             Usage, //
         },
+        config::spread::ranked,
         health::{
             Change,
             Health, //
         },
         membership::{
             Action,
-            Membership, //
+            Membership,
+            Peer, //
         },
         message::{
             Beat,
