Leave time between looks that fail

Cause: an endpoint that refuses connections answers each look at once, and it was looked at again without a pause until it counted as silent: 3,100 to 3,400 log lines from one endpoint's death, which used up the log's bound for other lines.

Change: the first look that fails is made again at once, the next ones after 50 ms, as at a silent endpoint.

failed_looks_leave_time_between_them: 100 looks in 100 ms before, at most 4 after.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -214,6 +214,8 @@
     /// Whether a look is wanted although nothing seems to run.
     unsure: bool,
     look: Option<CallId>,
+    /// Whether the last look failed.
+    failed_look: bool,
     next_look: Time,
     answered: Time,
 }
@@ -241,6 +243,7 @@
             told: 0,
             unsure: false,
             look: None,
+            failed_look: false,
             next_look: now,
             answered: Time::default(),
         }
@@ -441,6 +444,7 @@
         if self.look == Some(call) {
             self.look = None;
         }
+        self.failed_look = false;
         let mut events = Vec::new();
         for end in ended {
             if end.serial > self.seen {
@@ -580,11 +584,13 @@
     pub fn silent(&mut self, call: CallId, now: Time) {
         if self.look == Some(call) {
             self.look = None;
-            // The first one that fails may be the connection's fault.
+            // The first one that fails may be the connection's fault. The next ones wait: an endpoint that refuses connections
+            // answers at once, and would be called thousands of times until it counts as silent.
             self.next_look = match self.standing {
-                Standing::Open => now,
+                Standing::Open if !self.failed_look => now,
                 _ => now + LOOK_AGAIN,
             };
+            self.failed_look = true;
             let heard = now.since(self.answered) < HEARD;
             self.standing = match self.standing {
                 Standing::Open if !heard => Standing::Silent,
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -3,6 +3,7 @@
 use poplarknot::{
     dispatch::{
         endpoint::{
+            Execution,
             Standing,
             State, //
         },
@@ -35,6 +36,7 @@
             Effects,
             Owner, //
         },
+        queue::Handle,
         task::Room,
         Dispatcher,
         Identity, //
@@ -175,6 +177,33 @@
     assert!(state.takes(later));
 }
 
+/// An endpoint refuses connections. The first look that fails may be its connection's fault and is made again at once; the
+/// next ones leave time between them. Each is refused at once, so that they came thousands of times a second otherwise.
+#[test]
+fn failed_looks_leave_time_between_them() {
+    let mut state = State::claim(listing(4), Token(5), START);
+    state.look(CallId(1), START).unwrap();
+    state.answered(7, START, START);
+    state.looked(CallId(1), START, Vec::new(), Vec::new(), START);
+    assert_eq!(state.standing, Standing::Open);
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    let execution = Execution::new(Handle(1), Run::FIRST, listing(1).capacity);
+    state.start(task, execution, String::new(), START).unwrap();
+    let mut looks = 0;
+    for n in 0..100 {
+        let now = START + Span::millis(n);
+        if state.next_look() <= now && state.look(CallId(n + 2), now).is_some() {
+            looks += 1;
+            state.silent(CallId(n + 2), now);
+        }
+    }
+    assert!(looks <= 4, "{looks} looks in 100 ms");
+}
+
 /// A batch comes from an entry that the owner doesn't hear: the message may have lain in a buffer while the entry gave the
 /// owner up and placed its tasks elsewhere. Nothing starts until the entry is heard.
 #[test]
