--- a/tests/dispatch/stored.rs
+++ b/tests/dispatch/stored.rs
@@ -135,6 +135,25 @@
     holds(2000115, vec![44, 44, 0]);
 }
 
+/// Two instances don't reach each other, and all others reach both. A rack goes to one of them with batches of the other,
+/// which hears so from the former owner. The new owner drops them and can't say so, and their entry would ask it in vain for
+/// as long as the cut lasts: it had given that instance up before, and would not do so again. The jobs hung.
+#[test]
+fn rack_moves_to_an_instance_that_is_lost() {
+    for seed in [0, 5, 10, 15, 20] {
+        let mut world = World::new(seed, 6, 4, CALM);
+        world.store_jobs();
+        world.load(80, Span::millis(30));
+        world.part_at(Span::millis(200), 0, 1, Span::seconds(200));
+        for (n, instance) in [2, 3, 4].into_iter().enumerate() {
+            let at = 1_000 + 450 * n as u64 + 7 * seed % 400;
+            world.drain_at(Span::millis(at), instance);
+        }
+        world.run(Span::seconds(9));
+        world.settle_stored();
+    }
+}
+
 /// Answers of the store are lost, and some of its writes are made seconds later, over newer ones if nothing bars them:
 /// progress would go back, and tasks run again.
 #[test]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -100,6 +100,7 @@
     Start(usize),
     Freeze(usize, Span),
     Cut(HashSet<usize>, bool),
+    Part(usize, usize, bool),
     Silence(usize, bool),
     Crash(usize),
     Drain(usize),
@@ -152,6 +153,8 @@
     needs: HashMap<TaskId, Room>,
     takes: HashMap<JobId, Span>,
     cut: HashSet<usize>,
+    /// Pairs of instances that don't reach each other, the lower one in front.
+    parted: HashSet<(usize, usize)>,
     silent: HashSet<usize>,
     tickets: u64,
     roster: Roster,
@@ -194,6 +197,7 @@
             needs: HashMap::new(),
             takes: HashMap::new(),
             cut: HashSet::new(),
+            parted: HashSet::new(),
             silent: HashSet::new(),
             tickets: 0,
             roster: Roster::default(),
@@ -436,7 +440,7 @@
 
     fn post(&mut self, i: usize, to: usize, delay: Span, delivery: Box<Delivery>) {
         let apart = self.cut.contains(&i) != self.cut.contains(&to);
-        if apart {
+        if apart || self.parted.contains(&(i.min(to), i.max(to))) {
             return;
         }
         let life = self.hosts[to].life;
@@ -581,6 +585,12 @@
                     false => HashSet::new(),
                 };
             }
+            Event::Part(one, other, on) => {
+                match on {
+                    true => self.parted.insert((one, other)),
+                    false => self.parted.remove(&(one, other)),
+                };
+            }
             Event::Silence(w, on) => {
                 match on {
                     true => self.silent.insert(w),
@@ -867,6 +877,12 @@
         self.at(after + span, Event::Cut(HashSet::new(), false));
     }
 
+    /// Keeps two instances from reaching each other; the first has the lower number.
+    pub(crate) fn part_at(&mut self, after: Span, one: usize, other: usize, span: Span) {
+        self.at(after, Event::Part(one, other, true));
+        self.at(after + span, Event::Part(one, other, false));
+    }
+
     pub(crate) fn silence_at(&mut self, after: Span, w: usize, span: Span) {
         self.at(after, Event::Silence(w, true));
         self.at(after + span, Event::Silence(w, false));
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -314,6 +314,30 @@
     assert!(receiver.idle());
 }
 
+/// A batch comes with a rack from an entry that has begun a new session with the next owner, and one of its tasks has ended.
+/// The next owner drops it, and tells which task had ended: it would be run again.
+#[test]
+fn unwanted_batch_tells_what_had_ended() {
+    let mut bench = Bench::new(1);
+    let (entry, next) = (contact("entry"), contact("next"));
+    let mut out = Effects::default();
+    bench.owner.hear(&entry.name);
+    bench
+        .owner
+        .accept(&entry, batch(1, vec![1]), START, &mut out);
+    let handover = bench.owner.hand_over(bench.rack, &next, START, &mut out);
+    let mut handover = handover.unwrap();
+    handover.batches[0].done = vec![0];
+    let mut receiver = Owner::new(&next.name);
+    receiver.hear(&entry.name);
+    receiver.abandon(&entry.name, &mut out);
+    let token = Token::new(Epoch(2), 2);
+    let mut out = Effects::default();
+    receiver.take_over(handover, token, &[listing(1)], START, &mut out);
+    let told = |(_, message): &(Contact, Message)| matches!(message, Message::Report { done, .. } if done == &[0]);
+    assert!(out.messages.iter().any(told), "{:?}", out.messages);
+}
+
 /// A task that waits is sent back, the rack goes to another owner, and the other task of the batch ends there. The entry
 /// may hear the next owner first: its report names the task that ended, and no other.
 #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -31,9 +31,17 @@
         Client, //
     },
     until,
-    Result, //
+    Result,
+    PATIENCE, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    net::TcpStream,
+    time::Instant, //
 };
-use tokio::time::Instant;
 
 const SHORT: Duration = Duration::from_millis(60);
 const LONG: Duration = Duration::from_millis(900);
@@ -148,8 +156,15 @@
         .into_iter()
         .map(|mut client| {
             tokio::spawn(async move {
-                let answer = client.send(Method::GET, PREFIX, &headers, Vec::new());
-                answer.await.is_ok_and(|answer| answer.status == 200)
+                // A connection that was used again isn't idle any more.
+                for _ in 0..5 {
+                    let answer = client.send(Method::GET, PREFIX, &headers, Vec::new());
+                    if !answer.await.is_ok_and(|answer| answer.status == 200) {
+                        return false;
+                    }
+                    tokio::time::sleep(Duration::from_millis(8)).await;
+                }
+                true
             })
         })
         .collect();
@@ -163,6 +178,24 @@
     Ok(())
 }
 
+/// A caller sends half of a request's head and no more. Its connection is closed like an idle one, some seconds later: kept
+/// for good, such connections would take the places of all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_request_keeps_no_connection() -> Result {
+    let fleet = Fleet::start(program(), 1, 1, SHORT).await?;
+    let node = &fleet.nodes[0];
+    configure_idle(&fleet.store, 9, 4_000, 400);
+    until("the configuration is in force", || async {
+        node.log().contains("\"version\":9").then_some(())
+    })
+    .await?;
+    let mut stream = TcpStream::connect(node.front()).await?;
+    stream.write_all(b"GET /q/ HTT").await?;
+    let mut rest = Vec::new();
+    tokio::time::timeout(PATIENCE, stream.read_to_end(&mut rest)).await??;
+    Ok(())
+}
+
 /// An instance is killed while tasks of its callers run. They come again elsewhere after 1.3 s; what ran for the first
 /// attempt has been stopped by then, so that no task runs twice at a time, and the second attempt completes.
 #[tokio::test(flavor = "multi_thread")]
