--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -542,7 +542,13 @@
             } => self.owner.spare(rack, to, rooms, out),
             Message::Handover(handover) => self.take_over(*handover, now, out),
             Message::Moved { serial, to, moves } => {
-                self.entry.moved(serial, to, moves, now, out);
+                let lost = to != self.identity.contact.name
+                    && self.members.get(&to).is_none_or(|member| !member.live);
+                self.entry.moved(serial, to.clone(), moves, now, out);
+                if lost {
+                    // It can't be asked for the batch, nor will it be given up once more.
+                    self.entry.lost(&to, now, out);
+                }
             }
             Message::Configuration(configuration) => {
                 self.configure(*configuration, from.name.as_str(), out);
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -653,8 +653,8 @@
         self.take_back(|_, sent| sent.owner == *owner, now + DOUBT, now, out);
     }
 
-    /// Takes batches back that their owner doesn't know: one that was asked for, or that it was to drop. A rack may still
-    /// be on its way to a new owner, so that only what has been out for long is taken for lost.
+    /// Takes batches back that their owner doesn't know. A rack may still be on its way to it, so that only what has been out
+    /// for long is taken for lost; what was given up isn't run again and is taken back at once.
     pub fn unknown(&mut self, from: &Instance, serials: &[u64], now: Time, out: &mut Effects) {
         let ending: BTreeSet<u64> = serials
             .iter()
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -102,7 +102,7 @@
 /// The racks that an instance owns, and the batches that it runs there.
 #[derive(Debug, Default)]
 pub struct Owner {
-    /// The instance.
+    /// Its instance, which it names to the entries of batches that come with a rack.
     own: Option<Instance>,
     racks: BTreeMap<RackId, Rack>,
     endpoints: BTreeMap<Endpoint, State>,
@@ -223,26 +223,8 @@
     }
 
     fn give_back(&mut self, handle: Handle, out: &mut Effects) {
-        let Some(load) = self.remove_load(handle) else {
-            return;
-        };
-        let serial = load.batch.serial;
-        let message = Message::Returned {
-            serial,
-            tasks: load.tasks.keys().copied().collect(),
-            started: load.started,
-            hint: None,
-        };
-        out.tell(&load.entry, message);
-        if !load.done.is_empty() {
-            // What had ended would be run again.
-            let message = Message::Report {
-                serial,
-                outcome: Outcome::Done,
-                done: load.done,
-                started: true,
-            };
-            out.tell(&load.entry, message);
+        if let Some(load) = self.remove_load(handle) {
+            load.send_back(out);
         }
     }
 
@@ -544,6 +526,27 @@
 }
 
 impl Load {
+    /// Tells its entry that it isn't run here any more, and what of it has ended: that would be run again.
+    fn send_back(&self, out: &mut Effects) {
+        let serial = self.batch.serial;
+        let message = Message::Returned {
+            serial,
+            tasks: self.tasks.keys().copied().collect(),
+            started: self.started,
+            hint: None,
+        };
+        out.tell(&self.entry, message);
+        if !self.done.is_empty() {
+            let message = Message::Report {
+                serial,
+                outcome: Outcome::Done,
+                done: self.done.clone(),
+                started: true,
+            };
+            out.tell(&self.entry, message);
+        }
+    }
+
     fn task(&self, index: u32) -> TaskId {
         TaskId {
             job: self.batch.job,
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -173,13 +173,7 @@
             let record = Record::new("batch_abandoned").job(load.batch.job);
             out.log(record.with("entry", key.0.as_str()));
             // The entry may live, and only have begun a new session with this instance.
-            let message = Message::Returned {
-                serial: load.batch.serial,
-                tasks: load.tasks.keys().copied().collect(),
-                started: true,
-                hint: None,
-            };
-            out.tell(&load.entry, message);
+            load.send_back(out);
             self.drop_load(handle, out);
         }
     }
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -224,17 +224,35 @@
                 _ = connection.as_mut() => return,
                 reason = self.due(state) => reason,
             };
+            let since = state.idle.get();
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return,
                 () = last_read() => {}
             }
-            state.chosen.set(false);
-            if state.idle.get().is_some() {
+            // One that was used meanwhile isn't due any more, also if it is idle again: its caller, which has an answer that
+            // doesn't say otherwise, goes on using it.
+            if since.is_some() && state.idle.get() == since {
                 self.log_close(state, reason);
                 connection.as_mut().graceful_shutdown();
-                // It ends when it is polled next, and is not due again.
-                state.idle.set(None);
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => {}
+                    () = self.unfinished(state, since) => {}
+                }
+                return;
+            }
+            state.chosen.set(false);
+        }
+    }
+
+    /// Waits until a connection that is being closed has had its time for the rest of a request whose head it has in part;
+    /// kept until that came, it might stay for good. A request that has come whole is served first.
+    async fn unfinished(&self, state: &Connection, since: Option<Time>) {
+        loop {
+            sleep(self.limits().receive.duration()).await;
+            if state.idle.get() == since {
+                return;
             }
         }
     }
@@ -252,7 +270,12 @@
                 None => idle,
             };
             tokio::select! {
-                () = state.close.notified() => return "there are too many",
+                () = state.close.notified() => {
+                    // It may have been chosen before a request came.
+                    if state.chosen.get() {
+                        return "there are too many";
+                    }
+                }
                 () = self.hub.closing.notified() => {}
                 () = sleep(rest.duration().max(Duration::from_millis(1))) => {
                     let over = |since| now().since(since) >= idle;
