Membership: heartbeat, observation and call id in place of names of our own

Cause: Beat, Sighting, Stranger and Line (a call in progress) had to be explained before the code that uses them could be read; so had embody, bury, forgive and believed.

Change: Heartbeat, Observation, Return::StaleIncarnation and CallId; set_incarnation, mark_gone, clear_failures and is_alive; the passing on of new incarnations counts retransmissions. The schema of calls between instances keeps its names, since the generated code holds them encoded; they are translated in src/peer.rs alone. No behaviour changes.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -25,7 +25,7 @@
             Action,
             Membership, //
         },
-        message::Beat,
+        message::Heartbeat,
         placement::{
             Placement,
             Slot,
@@ -234,27 +234,27 @@
         let (me, centre) = (list[0].name.clone(), list[0].centre.clone());
         let mut view = Membership::new(me, centre, Incarnation(0), &timing, 1);
         view.listed(Time(0), &list);
-        let beat = |number: usize| Beat {
+        let heartbeat = |number: usize| Heartbeat {
             name: list[number].name.clone(),
             centre: list[number].centre.clone(),
             incarnation: Incarnation(number as u128),
             revision: Revision(1),
             draining: false,
-            sightings: Vec::new(),
+            observations: Vec::new(),
         };
-        let mut beats: Vec<Beat> = (1..count).map(beat).collect();
-        beats.sort_by(|one, other| one.name.cmp(&other.name));
+        let mut heartbeats: Vec<Heartbeat> = (1..count).map(heartbeat).collect();
+        heartbeats.sort_by(|one, other| one.name.cmp(&other.name));
         let mut now = Time(0);
         group.bench_function(BenchmarkId::new("period", count), |bench| {
             bench.iter(|| {
                 now = now + Span::seconds(2);
                 for action in view.tick(now) {
-                    if let Action::Beat { to, .. } = action {
-                        black_box(view.sightings(now));
-                        let number = beats
-                            .binary_search_by(|beat| beat.name.cmp(&to))
+                    if let Action::Heartbeat { to, .. } = action {
+                        black_box(view.observations(now));
+                        let number = heartbeats
+                            .binary_search_by(|heartbeat| heartbeat.name.cmp(&to))
                             .expect("a peer");
-                        view.heard(now, &beats[number]);
+                        view.heard(now, &heartbeats[number]);
                     }
                 }
             });
--- a/src/core.rs
+++ b/src/core.rs
@@ -51,8 +51,8 @@
 mod timer;
 
 use message::{
+    CallId,
     Input,
-    Line,
     Output,
     Ticket, //
 };
@@ -136,8 +136,8 @@
     config: config::Config,
     store: store::Store,
     tickets: HashMap<u64, store::Purpose>,
-    lines: HashMap<u64, peering::Pending>,
-    peers_told: Time,
+    calls: HashMap<u64, peering::Pending>,
+    peers_reported: Time,
     timers: Timers,
     out: Vec<Output>,
 }
@@ -183,8 +183,8 @@
             config: config::Config::new(name, centre, timing.poll, seed),
             store: store::Store::default(),
             tickets: HashMap::new(),
-            lines: HashMap::new(),
-            peers_told: Time::default(),
+            calls: HashMap::new(),
+            peers_reported: Time::default(),
             timers: Timers::default(),
             out: Vec::new(),
             identity,
@@ -234,7 +234,7 @@
             Input::Ended(attempt, end) => self.ended(attempt, end),
             Input::Looked(attempt, status) => self.looked(attempt, status),
             Input::Called(caller, call) => self.called(caller, call),
-            Input::Returned(line, result) => self.returned(line, result),
+            Input::Returned(id, result) => self.returned(id, result),
             Input::Listed(list) => self.take_list(&list),
             Input::Tick => self.tick(),
             Input::Wake => {}
@@ -261,8 +261,8 @@
         let Some(listed) = self.listed else {
             return false;
         };
-        let acquainted = self.membership.acquainted(self.now, listed);
-        acquainted && self.config.ready() && self.draining.is_none()
+        let converged = self.membership.converged(self.now, listed);
+        converged && self.config.ready() && self.draining.is_none()
     }
 
     /// Returns counts of what the core holds.
@@ -412,8 +412,8 @@
                     self.out
                         .push(Output::Operate(Ticket::Config(ticket), operate));
                 }
-                config::Output::Call(to, line, call) => {
-                    self.call(to, Line::Config(line), message::Call::Config(call), None);
+                config::Output::Call(to, id, call) => {
+                    self.call(to, CallId::Config(id), message::Call::Config(call), None);
                 }
                 config::Output::Return(caller, result) => {
                     let result = message::Return::Config(result);
--- a/src/core/claiming.rs
+++ b/src/core/claiming.rs
@@ -13,8 +13,8 @@
     message::{
         self,
         Call,
+        CallId,
         Forward,
-        Line,
         Operate,
         Return, //
     },
@@ -178,12 +178,11 @@
             left: Span(job.deadline.since(self.now).0),
         };
         job.stage.wait = Wait::Owner(peer.clone());
-        let line = self.next();
-        self.lines
-            .insert(line, Pending::of(peer.clone(), job.number));
+        let id = self.next();
+        self.calls.insert(id, Pending::of(peer.clone(), job.number));
         let wait = forward.left;
         self.jobs.insert(job.number, Any::Received(job));
-        self.call(peer, Line::Submit(line), Call::Submit(forward), Some(wait));
+        self.call(peer, CallId::Submit(id), Call::Submit(forward), Some(wait));
     }
 
     /// Reads the recorded outcome of a key whose owner can't be asked.
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -24,11 +24,11 @@
 use sha2::Digest as _;
 
 pub use self::peer::{
+    Observation, //
     Peer,
-    Sighting, //
 };
 use crate::{
-    core::message::Beat,
+    core::message::Heartbeat,
     prelude::*,
     settings::Timing,
     table::wire::{
@@ -50,7 +50,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
     /// A heartbeat is due.
-    Beat {
+    Heartbeat {
         /// The peer.
         to: Instance,
         /// Where it listens.
@@ -77,11 +77,11 @@
     gone_order: VecDeque<Incarnation>,
     live: usize,
     next: Time,
-    /// The peer that was passed on last; the first is another for each instance.
+    /// The peer whose observation was passed on last; the first is another for each instance.
     cursor: Instance,
     draining: bool,
-    /// Whether there are peers that not everybody calls, so that what is seen of them is passed on.
-    passes: bool,
+    /// Whether observations are passed on, since there are peers that not everybody calls.
+    gossips: bool,
 }
 
 impl Membership {
@@ -108,7 +108,7 @@
             live: 1,
             next: Time::default(),
             draining: false,
-            passes: true,
+            gossips: true,
         }
     }
 
@@ -128,38 +128,39 @@
             peer.centre.clone_from(&member.centre);
             if peer.address != member.address {
                 peer.address.clone_from(&member.address);
-                peer.forgive();
+                peer.clear_failures();
             }
         }
-        self.refresh(now);
+        self.update_all(now);
     }
 
     /// Takes in a heartbeat, whichever side called.
     ///
     /// A new incarnation under a known name replaces the old one for good.
-    pub fn heard(&mut self, now: Time, beat: &Beat) {
-        if beat.name == self.me {
+    pub fn heard(&mut self, now: Time, heartbeat: &Heartbeat) {
+        if heartbeat.name == self.me {
             return;
         }
-        if self.peers.len() >= PEERS && !self.peers.contains_key(&beat.name) {
+        if self.peers.len() >= PEERS && !self.peers.contains_key(&heartbeat.name) {
             return;
         }
         // A heartbeat of the old incarnation may come late, after the new one's. It is told from a wrong view of
         // which is the newer by the silence of the one that is taken for it.
         let silence = self.silence;
-        let gone = self.gone.contains(&beat.incarnation);
-        let peer = self.peers.entry(beat.name.clone());
-        let peer = peer.or_insert_with(|| Peer::new(now, &beat.name, &beat.centre, &self.me));
+        let gone = self.gone.contains(&heartbeat.incarnation);
+        let peer = self.peers.entry(heartbeat.name.clone());
+        let peer =
+            peer.or_insert_with(|| Peer::new(now, &heartbeat.name, &heartbeat.centre, &self.me));
         if gone && peer.heard.is_some_and(|heard| now.since(heard) < silence) {
             return;
         }
         peer.heard = Some(now);
         peer.seen = Some(now);
-        peer.forgive();
-        peer.revision = beat.revision;
-        peer.draining = beat.draining;
-        self.embody(&beat.name, beat.incarnation);
-        self.judge(now, &beat.name);
+        peer.clear_failures();
+        peer.revision = heartbeat.revision;
+        peer.draining = heartbeat.draining;
+        self.set_incarnation(&heartbeat.name, heartbeat.incarnation);
+        self.update_liveness(now, &heartbeat.name);
     }
 
     /// Takes in that a call to a peer failed: it counts as gone until it is heard, or for a while.
@@ -167,58 +168,60 @@
         if let Some(peer) = self.peers.get_mut(name) {
             peer.lost = Some(now);
         }
-        self.judge(now, name);
+        self.update_liveness(now, name);
     }
 
-    /// Takes in what a peer passed on. It can't outweigh what this instance saw itself.
-    pub fn sighted(&mut self, now: Time, sightings: &[Sighting]) {
-        for sighting in sightings {
-            let Some(peer) = self.peers.get_mut(&sighting.name) else {
+    /// Takes in the observations of a peer. They can't outweigh what this instance saw itself.
+    pub fn observed(&mut self, now: Time, observations: &[Observation]) {
+        for observation in observations {
+            let Some(peer) = self.peers.get_mut(&observation.name) else {
                 continue;
             };
-            let seen = Time(now.0.saturating_sub(sighting.age.0));
+            let seen = Time(now.0.saturating_sub(observation.age.0));
             let known = peer.incarnation;
             let newer = peer.seen.is_none_or(|known| seen > known);
-            if known != Some(sighting.incarnation) {
-                if known.is_some() && !newer || self.gone.contains(&sighting.incarnation) {
+            if known != Some(observation.incarnation) {
+                if known.is_some() && !newer || self.gone.contains(&observation.incarnation) {
                     continue;
                 }
-                self.embody(&sighting.name, sighting.incarnation);
+                self.set_incarnation(&observation.name, observation.incarnation);
             }
-            if let Some(peer) = self.peers.get_mut(&sighting.name).filter(|_| newer) {
+            if let Some(peer) = self.peers.get_mut(&observation.name).filter(|_| newer) {
                 peer.seen = Some(seen);
             }
-            self.judge(now, &sighting.name);
+            self.update_liveness(now, &observation.name);
         }
     }
 
-    /// Returns what is to be passed on with the next heartbeat or its return: news first, then all in turn.
-    pub fn sightings(&mut self, now: Time) -> Vec<Sighting> {
-        let mut sightings = Vec::new();
+    /// Returns the observations that go with the next heartbeat or its return: new incarnations first, then others.
+    pub fn observations(&mut self, now: Time) -> Vec<Observation> {
+        let mut observations = Vec::new();
         let start = (Bound::Excluded(&self.cursor), Bound::Unbounded);
-        let news = self.peers.range(start).chain(&self.peers);
-        let news = news.filter(|(_, peer)| peer.news > 0).take(peer::NEWS);
-        let news: Vec<Instance> = news.map(|(name, _)| name.clone()).collect();
-        for name in news {
+        let new = self.peers.range(start).chain(&self.peers);
+        let new = new
+            .filter(|(_, peer)| peer.retransmissions > 0)
+            .take(peer::NEW_OBSERVATIONS);
+        let names: Vec<Instance> = new.map(|(name, _)| name.clone()).collect();
+        for name in names {
             if let Some(peer) = self.peers.get_mut(&name) {
-                peer.news = peer.news.saturating_sub(1);
-                sightings.extend(peer.sighting(now));
+                peer.retransmissions = peer.retransmissions.saturating_sub(1);
+                observations.extend(peer.observation(now));
             }
         }
-        let most = sightings.len() + if self.passes { peer::SIGHTINGS } else { 0 };
+        let most = observations.len() + if self.gossips { peer::OBSERVATIONS } else { 0 };
         let rest = self.peers.range(start).chain(&self.peers);
         let mut last = None;
         for (name, peer) in rest.take(self.peers.len()) {
-            if sightings.len() >= most {
+            if observations.len() >= most {
                 break;
             }
-            sightings.extend(peer.sighting(now));
+            observations.extend(peer.observation(now));
             last = Some(name);
         }
         if let Some(last) = last.cloned() {
             self.cursor = last;
         }
-        sightings
+        observations
     }
 
     /// Returns the heartbeats that are due, and which peers were found or lost since the last call.
@@ -227,10 +230,10 @@
             return Vec::new();
         }
         self.forget(now);
-        self.refresh(now);
+        self.update_all(now);
         let mut actions = self.changes();
         let (targets, crowded) = self.targets(now);
-        self.passes = crowded || self.uncalled();
+        self.gossips = crowded || self.has_uncalled();
         let period = self
             .heartbeat
             .times(if crowded { target::STRETCH } else { 1 });
@@ -240,9 +243,9 @@
             let Some(peer) = self.peers.get_mut(&name) else {
                 continue;
             };
-            peer.ask(now);
+            peer.note_heartbeat(now);
             let address = peer.address.clone();
-            actions.push(Action::Beat { to: name, address });
+            actions.push(Action::Heartbeat { to: name, address });
         }
         actions
     }
@@ -257,9 +260,9 @@
     /// Tells whether this instance and the peers that it knows of have heard one another, or had the time to.
     ///
     /// Until then neither side knows the other's incarnation, and would call the owner of a key gone that is there.
-    pub fn acquainted(&self, now: Time, since: Time) -> bool {
-        let met = |peer: &Peer| peer.heard.is_some() || !peer.believed(now, self.silence);
-        now.since(since) >= self.silence || self.peers.values().all(met)
+    pub fn converged(&self, now: Time, since: Time) -> bool {
+        let known = |peer: &Peer| peer.heard.is_some() || !peer.is_alive(now, self.silence);
+        now.since(since) >= self.silence || self.peers.values().all(known)
     }
 
     /// Returns where a peer listens, as far as the list has told.
@@ -273,13 +276,13 @@
         self.gone.contains(&incarnation)
     }
 
-    /// Tells whether a peer is taken to be there.
+    /// Tells whether a peer counts as alive.
     pub fn alive(&self, now: Time, name: &Instance) -> bool {
         *name == self.me
             || self
                 .peers
                 .get(name)
-                .is_some_and(|peer| peer.believed(now, self.silence))
+                .is_some_and(|peer| peer.is_alive(now, self.silence))
     }
 
     /// Returns how many instances share the endpoints and the platform, this one included.
@@ -287,7 +290,7 @@
         self.live
     }
 
-    /// Returns how many instances in these data centres are there, this one included; in all where none is named.
+    /// Returns how many instances in these data centres are alive, this one included; in all where none is named.
     pub fn live_in(&self, centres: &[Centre]) -> usize {
         if centres.is_empty() {
             return self.live;
@@ -317,8 +320,8 @@
         self.peers.values()
     }
 
-    /// Notes the incarnation under which a peer runs.
-    fn embody(&mut self, name: &Instance, incarnation: Incarnation) {
+    /// Notes the incarnation under which a peer runs; the one before has ended.
+    fn set_incarnation(&mut self, name: &Instance, incarnation: Incarnation) {
         if incarnation == self.incarnation {
             return;
         }
@@ -328,15 +331,15 @@
         if peer.incarnation == Some(incarnation) {
             return;
         }
-        peer.news = peer::PASSES;
+        peer.retransmissions = peer::RETRANSMISSIONS;
         if let Some(old) = peer.incarnation.replace(incarnation) {
-            self.bury(old);
+            self.mark_gone(old);
         }
         self.gone.remove(&incarnation);
         self.owners.insert(incarnation, name.clone());
     }
 
-    fn bury(&mut self, incarnation: Incarnation) {
+    fn mark_gone(&mut self, incarnation: Incarnation) {
         self.owners.remove(&incarnation);
         if self.gone.insert(incarnation) {
             self.gone_order.push_back(incarnation);
@@ -362,31 +365,31 @@
         });
     }
 
-    /// Judges one peer anew.
-    fn judge(&mut self, now: Time, name: &Instance) {
+    /// Updates whether one peer is alive.
+    fn update_liveness(&mut self, now: Time, name: &Instance) {
         if let Some(peer) = self.peers.get_mut(name) {
             self.live -= usize::from(peer.alive);
-            peer.alive = peer.believed(now, self.silence);
+            peer.alive = peer.is_alive(now, self.silence);
             self.live += usize::from(peer.alive);
         }
     }
 
-    /// Judges all peers anew.
-    fn refresh(&mut self, now: Time) {
+    /// Updates whether each peer is alive.
+    fn update_all(&mut self, now: Time) {
         self.live = 1;
         for peer in self.peers.values_mut() {
-            peer.alive = peer.believed(now, self.silence);
+            peer.alive = peer.is_alive(now, self.silence);
             self.live += usize::from(peer.alive);
         }
     }
 
-    /// Returns what has changed since the last call.
+    /// Returns which peers were found or lost since the last call.
     fn changes(&mut self) -> Vec<Action> {
-        let changed = |peer: &&mut Peer| peer.told != peer.alive;
+        let changed = |peer: &&mut Peer| peer.reported_alive != peer.alive;
         let peers = self.peers.values_mut().filter(changed);
         peers
             .map(|peer| {
-                peer.told = peer.alive;
+                peer.reported_alive = peer.alive;
                 match peer.alive {
                     true => Action::Found(peer.name.clone()),
                     false => Action::Lost(peer.name.clone()),
--- a/src/core/membership/peer.rs
+++ b/src/core/membership/peer.rs
@@ -11,29 +11,29 @@
     table::wire::State,
 };
 
-/// Sightings that go along with each heartbeat, all peers in turn.
-pub(super) const SIGHTINGS: usize = 4;
+/// Observations that go along with each heartbeat, all peers in turn.
+pub(super) const OBSERVATIONS: usize = 4;
 
-/// The most that go along besides while there are new incarnations.
-pub(super) const NEWS: usize = 8;
+/// The most observations of new incarnations that go along besides.
+pub(super) const NEW_OBSERVATIONS: usize = 8;
 
-/// How often a new incarnation is passed on ahead of its turn.
-pub(super) const PASSES: u8 = 4;
+/// How often a new incarnation is passed on ahead of its turn, so that it spreads faster than its turn comes.
+pub(super) const RETRANSMISSIONS: u8 = 4;
 
-/// The age past which a sighting is not passed on.
+/// The age past which an observation is not passed on.
 const OLDEST: Span = Span::seconds(120);
 
-/// How many spans of silence a failed call speaks against a peer that is not called any more.
-const FORGIVEN: u64 = 15;
+/// How many spans of silence a failed call counts against a peer that is not called any more.
+const FAILURE_EXPIRY: u64 = 15;
 
 /// After so many spans of silence, a peer that nobody has seen any more counts as gone, whatever the list says.
 ///
-/// Sightings grow old on their way over several instances: in a trial with 320 of them to about two minutes.
+/// Observations grow old on their way over several instances: in a trial with 320 of them to about two minutes.
 const STALE: u64 = 90;
 
-/// Tells that somebody heard from an instance, and under which incarnation it runs.
+/// An instance as some peer observed it: its incarnation, and how long ago it was heard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sighting {
+pub struct Observation {
     /// The instance.
     pub name: Instance,
     /// Its incarnation.
@@ -55,7 +55,7 @@
     pub revision: Revision,
     /// Its incarnation, as far as known.
     pub incarnation: Option<Incarnation>,
-    /// Whether it is taken to be there.
+    /// Whether it counts as alive.
     pub alive: bool,
     /// Whether it said that it is draining.
     pub draining: bool,
@@ -66,16 +66,16 @@
     pub(super) heard: Option<Time>,
     /// When anybody heard it, as far as known.
     pub(super) seen: Option<Time>,
-    /// When it was last called with a heartbeat.
-    pub(super) asked: Option<Time>,
-    /// The first heartbeat since it was heard.
+    /// When the last heartbeat went to it.
+    pub(super) heartbeat_sent: Option<Time>,
+    /// When the first heartbeat went to it since it was heard.
     pub(super) unanswered: Option<Time>,
     /// When a call to it failed, unless it was heard since.
     pub(super) lost: Option<Time>,
     /// How often its incarnation is still to be passed on ahead of its turn.
-    pub(super) news: u8,
-    /// Whether it was last told as found.
-    pub(super) told: bool,
+    pub(super) retransmissions: u8,
+    /// Whether it was alive when a change was last reported.
+    pub(super) reported_alive: bool,
     /// Its rank among those of its data centre that this instance may choose.
     pub(super) rank: [u8; 32],
 }
@@ -94,40 +94,40 @@
             known: now,
             heard: None,
             seen: None,
-            asked: None,
+            heartbeat_sent: None,
             unanswered: None,
             lost: None,
-            news: 0,
-            told: false,
+            retransmissions: 0,
+            reported_alive: false,
             rank: rank(me.as_str(), name),
         }
     }
 
     /// Notes that a heartbeat goes to it.
-    pub(super) fn ask(&mut self, now: Time) {
-        self.asked = Some(now);
+    pub(super) fn note_heartbeat(&mut self, now: Time) {
+        self.heartbeat_sent = Some(now);
         self.unanswered.get_or_insert(now);
     }
 
-    /// Drops what speaks against it.
-    pub(super) fn forgive(&mut self) {
+    /// Forgets heartbeats without an answer and failed calls.
+    pub(super) fn clear_failures(&mut self) {
         self.unanswered = None;
         self.lost = None;
     }
 
-    /// Tells whether it is taken to be there.
+    /// Tells whether it counts as alive.
     ///
     /// One that is called counts until it has been silent for long enough or a call failed. One that is not called
     /// counts as the list says, unless it was seen by others and is not any more.
-    pub(super) fn believed(&self, now: Time, silence: Span) -> bool {
-        let forgiven = silence.times(FORGIVEN);
-        let recent = |time: &Time| now.since(*time) < forgiven;
+    pub(super) fn is_alive(&self, now: Time, silence: Span) -> bool {
+        let expiry = silence.times(FAILURE_EXPIRY);
+        let recent = |time: &Time| now.since(*time) < expiry;
         if self.lost.as_ref().is_some_and(recent) {
             return false;
         }
-        let asked_lately = self.asked.as_ref().is_some_and(recent);
+        let called_lately = self.heartbeat_sent.as_ref().is_some_and(recent);
         let silent = |since: Time| now.since(since) >= silence;
-        if asked_lately && self.unanswered.is_some_and(silent) {
+        if called_lately && self.unanswered.is_some_and(silent) {
             return false;
         }
         let stale = |seen: Time| now.since(seen) >= silence.times(STALE);
@@ -138,15 +138,15 @@
     }
 
     /// Returns the last contact between it and this instance.
-    pub(super) fn contact(&self) -> Option<Time> {
-        self.asked.max(self.heard)
+    pub(super) fn last_contact(&self) -> Option<Time> {
+        self.heartbeat_sent.max(self.heard)
     }
 
-    /// Returns what can be passed on of it.
-    pub(super) fn sighting(&self, now: Time) -> Option<Sighting> {
+    /// Returns the observation that can be passed on of it.
+    pub(super) fn observation(&self, now: Time) -> Option<Observation> {
         let age = now.since(self.seen?);
         let incarnation = self.incarnation?;
-        (age < OLDEST).then(|| Sighting {
+        (age < OLDEST).then(|| Observation {
             name: self.name.clone(),
             incarnation,
             age,
--- a/src/core/membership/target.rs
+++ b/src/core/membership/target.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 
 /// The most heartbeats in one period, however many peers there are.
-const BEATS: usize = 6;
+const HEARTBEATS: usize = 6;
 
 /// The least of them that go to the own data centre, while it has so many peers.
 const OWN_CENTRE: usize = 4;
@@ -21,8 +21,8 @@
 pub(super) const STRETCH: u64 = 2;
 
 impl Membership {
-    /// Tells whether there are more peers in any other data centre than are chosen there.
-    pub(super) fn uncalled(&self) -> bool {
+    /// Tells whether some peers get no heartbeat from here, since another data centre has more than are chosen there.
+    pub(super) fn has_uncalled(&self) -> bool {
         let mut counts = BTreeMap::<&Centre, usize>::new();
         for peer in self
             .peers
@@ -48,16 +48,19 @@
             }
         }
         let mut other: Vec<&Peer> = other.into_values().flat_map(chosen).collect();
-        let crowded = own.len() + other.len() > BEATS;
+        let crowded = own.len() + other.len() > HEARTBEATS;
         let due = |peer: &&Peer| {
             let lately = |contact| now.since(contact).0 < self.heartbeat.0 / 2;
-            !peer.contact().is_some_and(lately)
+            !peer.last_contact().is_some_and(lately)
         };
         own.retain(due);
         other.retain(due);
-        let first = OWN_CENTRE.max(BEATS.saturating_sub(other.len()));
-        let mut targets = longest_ago(own, first);
-        targets.extend(longest_ago(other, BEATS - targets.len().min(BEATS)));
+        let first = OWN_CENTRE.max(HEARTBEATS.saturating_sub(other.len()));
+        let mut targets = least_recent(own, first);
+        targets.extend(least_recent(
+            other,
+            HEARTBEATS - targets.len().min(HEARTBEATS),
+        ));
         (targets, crowded)
     }
 }
@@ -70,8 +73,8 @@
     peers
 }
 
-fn longest_ago(mut peers: Vec<&Peer>, count: usize) -> Vec<Instance> {
-    peers.sort_by_key(|peer| peer.contact());
+fn least_recent(mut peers: Vec<&Peer>, count: usize) -> Vec<Instance> {
+    peers.sort_by_key(|peer| peer.last_contact());
     peers.truncate(count);
     peers.into_iter().map(|peer| peer.name.clone()).collect()
 }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -10,7 +10,7 @@
 use crate::{
     core::{
         config,
-        membership::Sighting, //
+        membership::Observation, //
     },
     endpoint::wire::{
         Reply,
@@ -42,11 +42,11 @@
 
 /// Names a call to a peer until its end is told, and which part of the core made it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Line {
+pub enum CallId {
     /// A forwarded submission.
     Submit(u64),
     /// A heartbeat.
-    Beat(u64),
+    Heartbeat(u64),
     /// A call of the configuration.
     Config(u64),
 }
@@ -105,7 +105,7 @@
 
 /// Tells that an instance is alive, and where its configuration stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Its name.
     pub name: Instance,
     /// Its data centre.
@@ -116,14 +116,14 @@
     pub revision: Revision,
     /// Whether it is draining.
     pub draining: bool,
-    /// What it knows of others.
-    pub sightings: Vec<Sighting>,
+    /// What it observed of others, and was passed on to it.
+    pub observations: Vec<Observation>,
 }
 
 /// A submission on its way to the instance that owns its key.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Forward {
-    /// The incarnation that owns the key; any other returns [`Return::Stranger`].
+    /// The incarnation that owns the key; any other returns [`Return::StaleIncarnation`].
     pub owner: Incarnation,
     /// The submission, with its key.
     pub submission: Submission,
@@ -140,7 +140,7 @@
     /// Runs a submission, joins it or gives its kept answer.
     Submit(Forward),
     /// A heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// A call of the configuration.
     Config(config::Call),
 }
@@ -150,10 +150,10 @@
 pub enum Return {
     /// The answer to a submission.
     Answer(Answer),
-    /// The peer is not the incarnation that was meant.
-    Stranger,
+    /// The peer runs under another incarnation than the one that was called.
+    StaleIncarnation,
     /// The peer's own heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// The return of a call of the configuration.
     Config(config::Return),
     /// The call never left.
@@ -254,7 +254,7 @@
     /// A peer calls.
     Called(Caller, Call),
     /// A call to a peer ended.
-    Returned(Line, Return),
+    Returned(CallId, Return),
     /// The platform's list was read.
     Listed(Arc<List>),
     /// Time has passed: the regular duties are due.
@@ -306,8 +306,8 @@
         to: Instance,
         /// Where it listens.
         address: String,
-        /// The line on which the return comes.
-        line: Line,
+        /// Names the call when it returns.
+        id: CallId,
         /// The call.
         call: Call,
         /// How long to wait for the return.
--- a/src/core/peering.rs
+++ b/src/core/peering.rs
@@ -1,12 +1,12 @@
-//! Calls between instances, and what is seen of them.
+//! Calls between instances, and the heartbeats among them.
 
 use super::{
     config, membership,
     message::{
-        Beat,
         Call,
+        CallId,
         Caller,
-        Line,
+        Heartbeat,
         Output,
         Return, //
     },
@@ -38,14 +38,14 @@
 
 impl Core {
     /// Calls a peer, or tells at once that it isn't known.
-    pub(super) fn call(&mut self, to: Instance, line: Line, call: Call, wait: Option<Span>) {
+    pub(super) fn call(&mut self, to: Instance, id: CallId, call: Call, wait: Option<Span>) {
         let Some(address) = self.membership.address(&to) else {
-            return self.returned(line, Return::Refused);
+            return self.returned(id, Return::Refused);
         };
         self.out.push(Output::Call {
             to,
             address,
-            line,
+            id,
             call,
             wait: wait.unwrap_or(self.timing.silence),
         });
@@ -54,7 +54,8 @@
     pub(super) fn called(&mut self, caller: Caller, call: Call) {
         match call {
             Call::Submit(forward) if forward.owner != self.identity.incarnation => {
-                self.out.push(Output::Return(caller, Return::Stranger));
+                self.out
+                    .push(Output::Return(caller, Return::StaleIncarnation));
             }
             Call::Submit(forward) => self.submit(Arrival {
                 waiter: Waiter::Peer(caller),
@@ -64,44 +65,45 @@
                 first: false,
                 left: Some(forward.left),
             }),
-            Call::Beat(beat) => {
-                self.heard(&beat);
-                let own = self.beat();
-                self.out.push(Output::Return(caller, Return::Beat(own)));
+            Call::Heartbeat(heartbeat) => {
+                self.heard(&heartbeat);
+                let own = self.heartbeat();
+                self.out
+                    .push(Output::Return(caller, Return::Heartbeat(own)));
             }
             Call::Config(call) => self.configure(config::Input::Called(caller, call)),
         }
     }
 
-    pub(super) fn returned(&mut self, line: Line, result: Return) {
-        match line {
-            Line::Submit(line) => {
-                let pending = self.lines.remove(&line);
+    pub(super) fn returned(&mut self, id: CallId, result: Return) {
+        match id {
+            CallId::Submit(id) => {
+                let pending = self.calls.remove(&id);
                 if let Some(job) = pending.and_then(|pending| pending.job) {
                     self.owner_returned(job, result);
                 }
             }
-            Line::Beat(line) => {
-                let pending = self.lines.remove(&line);
+            CallId::Heartbeat(id) => {
+                let pending = self.calls.remove(&id);
                 match (result, pending) {
-                    (Return::Beat(beat), _) => self.heard(&beat),
+                    (Return::Heartbeat(heartbeat), _) => self.heard(&heartbeat),
                     (_, Some(pending)) => self.membership.lost(self.now, &pending.to),
                     (_, None) => {}
                 }
             }
-            Line::Config(line) => {
+            CallId::Config(id) => {
                 let result = match result {
                     Return::Config(result) => Ok(result),
                     _ => Err(()),
                 };
-                self.configure(config::Input::Returned(line, result));
+                self.configure(config::Input::Returned(id, result));
             }
         }
     }
 
-    fn beat(&mut self) -> Beat {
-        Beat {
-            sightings: self.membership.sightings(self.now),
+    fn heartbeat(&mut self) -> Heartbeat {
+        Heartbeat {
+            observations: self.membership.observations(self.now),
             name: self.identity.name.clone(),
             centre: self.identity.centre.clone(),
             incarnation: self.identity.incarnation,
@@ -110,16 +112,16 @@
         }
     }
 
-    fn heard(&mut self, beat: &Beat) {
-        self.membership.heard(self.now, beat);
-        self.membership.sighted(self.now, &beat.sightings);
+    fn heard(&mut self, heartbeat: &Heartbeat) {
+        self.membership.heard(self.now, heartbeat);
+        self.membership.observed(self.now, &heartbeat.observations);
     }
 
     pub(super) fn tick_membership(&mut self) {
         let actions = self.membership.tick(self.now);
         for action in actions {
             match action {
-                membership::Action::Beat { to, address } => self.send_beat(to, address),
+                membership::Action::Heartbeat { to, address } => self.send_heartbeat(to, address),
                 membership::Action::Found(name) => {
                     self.event(Code::PeerFound, name.to_string());
                     self.share();
@@ -127,14 +129,14 @@
                 membership::Action::Lost(name) => {
                     self.event(Code::PeerLost, name.to_string());
                     self.share();
-                    self.fail_lines(&name);
+                    self.fail_calls(&name);
                 }
             }
         }
-        if self.now.since(self.peers_told) < PEERS {
+        if self.now.since(self.peers_reported) < PEERS {
             return;
         }
-        self.peers_told = self.now;
+        self.peers_reported = self.now;
         let peers = self.membership.peers().map(|peer| config::Peer {
             name: peer.name.clone(),
             centre: peer.centre.clone(),
@@ -146,18 +148,18 @@
         self.configure(config::Input::Peers(peers));
     }
 
-    fn send_beat(&mut self, to: Instance, address: String) {
-        let line = self.next();
+    fn send_heartbeat(&mut self, to: Instance, address: String) {
+        let id = self.next();
         let pending = Pending {
             to: to.clone(),
             job: None,
         };
-        self.lines.insert(line, pending);
-        let call = Call::Beat(self.beat());
+        self.calls.insert(id, pending);
+        let call = Call::Heartbeat(self.heartbeat());
         self.out.push(Output::Call {
             to,
             address,
-            line: Line::Beat(line),
+            id: CallId::Heartbeat(id),
             call,
             wait: self.timing.silence,
         });
@@ -175,16 +177,16 @@
     ///
     /// A connection to a frozen or cut-off instance stays open and silent. Without this its forwarded
     /// submissions would hold their callers to the deadline.
-    fn fail_lines(&mut self, peer: &Instance) {
-        let mut lines: Vec<_> = self
-            .lines
+    fn fail_calls(&mut self, peer: &Instance) {
+        let mut calls: Vec<_> = self
+            .calls
             .iter()
             .filter(|(_, pending)| pending.job.is_some() && pending.to == *peer)
-            .map(|(line, _)| *line)
+            .map(|(id, _)| *id)
             .collect();
-        lines.sort_unstable();
-        for line in lines {
-            self.returned(Line::Submit(line), Return::Lost);
+        calls.sort_unstable();
+        for id in calls {
+            self.returned(CallId::Submit(id), Return::Lost);
         }
     }
 }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -286,7 +286,7 @@
         Output::Start { start, .. } => Some(Input::Ended(start.attempt, End::Withheld)),
         Output::Look { attempt, .. } => Some(Input::Looked(attempt, None)),
         Output::Operate(ticket, _) => Some(Input::Operated(ticket, Operated::Refused)),
-        Output::Call { line, .. } => Some(Input::Returned(line, Return::Refused)),
+        Output::Call { id, .. } => Some(Input::Returned(id, Return::Refused)),
         _ => None,
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,9 @@
 //! The side towards the other instances: calls over capnp-rpc, both ways.
 //!
 //! Capabilities of capnp-rpc can't leave their thread, so they live in a local task set of this one.
+//!
+//! The schema has short names of its own: its `Beat` is a [`Heartbeat`], its `Sighting` an [`Observation`], and its
+//! `stranger` [`Return::StaleIncarnation`]. They are translated here and used nowhere else.
 
 use std::{
     cell::{
@@ -31,12 +34,12 @@
 
 use crate::{
     core::{
-        membership::Sighting,
+        membership::Observation,
         message::{
-            Beat,
             Call,
             Caller,
             Forward,
+            Heartbeat,
             Input,
             Output,
             Return, //
@@ -112,7 +115,7 @@
             Output::Call {
                 to,
                 address,
-                line,
+                id,
                 call,
                 wait,
             } => {
@@ -120,7 +123,7 @@
                 spawn_local(async move {
                     shared.metrics.message(Message::PeerCall);
                     let result = shared.call(&to, &address, call, wait.duration()).await;
-                    shared.back.send(Input::Returned(line, result)).await;
+                    shared.back.send(Input::Returned(id, result)).await;
                 });
             }
             Output::Return(caller, result) => {
@@ -225,11 +228,13 @@
     async fn call(&self, call: Call) -> Result<Return, capnp::Error> {
         match call {
             Call::Submit(forward) => self.submit(forward).await,
-            Call::Beat(own) => {
+            Call::Heartbeat(own) => {
                 let mut request = self.client.beat_request();
-                write_beat(&own, request.get().init_beat());
+                write_heartbeat(&own, request.get().init_beat());
                 let response = request.send().promise.await?;
-                Ok(Return::Beat(read_beat(response.get()?.get_beat()?)?))
+                Ok(Return::Heartbeat(read_heartbeat(
+                    response.get()?.get_beat()?,
+                )?))
             }
             Call::Config(call) => {
                 let mut request = self.client.config_request();
@@ -255,7 +260,7 @@
         let response = request.send().promise.await?;
         let response = response.get()?;
         if response.get_stranger() {
-            return Ok(Return::Stranger);
+            return Ok(Return::StaleIncarnation);
         }
         let answer = serde_json::from_slice(response.get_answer()?).map_err(failed)?;
         Ok(Return::Answer(answer))
@@ -292,11 +297,14 @@
         params: peer::BeatParams,
         mut results: peer::BeatResults,
     ) -> impl std::future::Future<Output = Result<(), capnp::Error>> + 'static {
-        let beat = pry!(params.get().and_then(|p| p.get_beat()).and_then(read_beat));
-        let returned = self.shared.ask(Call::Beat(beat));
+        let heartbeat = pry!(params
+            .get()
+            .and_then(|p| p.get_beat())
+            .and_then(read_heartbeat));
+        let returned = self.shared.ask(Call::Heartbeat(heartbeat));
         Promise::from_future(async move {
-            if let Return::Beat(beat) = returned.await.map_err(failed)? {
-                write_beat(&beat, results.get().init_beat());
+            if let Return::Heartbeat(own) = returned.await.map_err(failed)? {
+                write_heartbeat(&own, results.get().init_beat());
             }
             Ok(())
         })
@@ -331,39 +339,39 @@
     })
 }
 
-fn write_beat(from: &Beat, mut to: beat::Builder<'_>) {
+fn write_heartbeat(from: &Heartbeat, mut to: beat::Builder<'_>) {
     to.set_name(from.name.as_str());
     to.set_centre(from.centre.as_str());
     to.set_incarnation(&from.incarnation.0.to_be_bytes());
     to.set_revision(from.revision.0);
     to.set_draining(from.draining);
-    let mut sightings = to.init_sightings(from.sightings.len() as u32);
-    for (i, sighting) in from.sightings.iter().enumerate() {
-        let mut to = sightings.reborrow().get(i as u32);
-        to.set_name(sighting.name.as_str());
-        to.set_high((sighting.incarnation.0 >> 64) as u64);
-        to.set_low(sighting.incarnation.0 as u64);
-        to.set_age(u32::try_from(sighting.age.as_millis()).unwrap_or(u32::MAX));
+    let mut observations = to.init_sightings(from.observations.len() as u32);
+    for (i, observation) in from.observations.iter().enumerate() {
+        let mut to = observations.reborrow().get(i as u32);
+        to.set_name(observation.name.as_str());
+        to.set_high((observation.incarnation.0 >> 64) as u64);
+        to.set_low(observation.incarnation.0 as u64);
+        to.set_age(u32::try_from(observation.age.as_millis()).unwrap_or(u32::MAX));
     }
 }
 
-fn read_beat(from: beat::Reader<'_>) -> Result<Beat, capnp::Error> {
-    Ok(Beat {
+fn read_heartbeat(from: beat::Reader<'_>) -> Result<Heartbeat, capnp::Error> {
+    Ok(Heartbeat {
         name: parse(from.get_name()?)?,
         centre: parse(from.get_centre()?)?,
         incarnation: read_incarnation(from.get_incarnation()?)?,
         revision: Revision(from.get_revision()),
         draining: from.get_draining(),
-        sightings: from
+        observations: from
             .get_sightings()?
             .iter()
-            .map(read_sighting)
+            .map(read_observation)
             .collect::<Result<_, _>>()?,
     })
 }
 
-fn read_sighting(from: sighting::Reader<'_>) -> Result<Sighting, capnp::Error> {
-    Ok(Sighting {
+fn read_observation(from: sighting::Reader<'_>) -> Result<Observation, capnp::Error> {
+    Ok(Observation {
         name: parse(from.get_name()?)?,
         incarnation: Incarnation(u128::from(from.get_high()) << 64 | u128::from(from.get_low())),
         age: Span::millis(u64::from(from.get_age())),
--- a/tests/orders/world.rs
+++ b/tests/orders/world.rs
@@ -16,10 +16,10 @@
         },
         message::{
             Call,
+            CallId,
             Caller,
             End,
             Input,
-            Line,
             Operate,
             Output,
             Request,
@@ -126,7 +126,7 @@
     Again(Run, usize, u128, Start),
     Look(Run, usize, Attempt, bool),
     Operate(Run, Ticket, Operate),
-    Call(Run, Instance, Line, Call),
+    Call(Run, Instance, CallId, Call),
     Input(Run, Input),
     /// A write whose answer nobody waits for any more.
     Late(Group),
@@ -157,8 +157,8 @@
     /// Attempts that any run of an endpoint has barred.
     barred: BTreeSet<Attempt>,
     messages: Vec<Message>,
-    /// Calls that peers wait for: who called, and on which line.
-    calls: BTreeMap<u64, (Run, Line)>,
+    /// Calls that peers wait for: who called, and the id of the call.
+    calls: BTreeMap<u64, (Run, CallId)>,
     serial: u64,
     requests: BTreeMap<u64, (Run, u8)>,
     cancels: BTreeSet<u64>,
@@ -505,7 +505,7 @@
                 ));
                 return;
             }
-            Message::Call(run, _, line, _) => (run, Input::Returned(line, Return::Lost)),
+            Message::Call(run, _, id, _) => (run, Input::Returned(id, Return::Lost)),
             Message::Input(run, Input::Ended(attempt, _)) => {
                 (run, Input::Ended(attempt, End::Broken))
             }
@@ -517,9 +517,7 @@
                 ));
                 return;
             }
-            Message::Input(run, Input::Returned(line, _)) => {
-                (run, Input::Returned(line, Return::Lost))
-            }
+            Message::Input(run, Input::Returned(id, _)) => (run, Input::Returned(id, Return::Lost)),
             other => return self.messages.push(other),
         };
         if told {
@@ -548,9 +546,9 @@
             Message::Late(group) => {
                 self.commit(&group);
             }
-            Message::Call(run, to, line, call) => {
+            Message::Call(run, to, id, call) => {
                 self.serial += 1;
-                self.calls.insert(self.serial, (run, line));
+                self.calls.insert(self.serial, (run, id));
                 let to = (0..INSTANCES).find(|i| format!("entry-{i}") == to.as_str());
                 let input = Input::Called(Caller(self.serial), call);
                 self.step(self.run(to.expect("a known peer")), input);
@@ -708,12 +706,12 @@
             Output::Operate(ticket, operate) => {
                 self.messages.push(Message::Operate(run, ticket, operate));
             }
-            Output::Call { to, line, call, .. } => {
-                self.messages.push(Message::Call(run, to, line, call));
+            Output::Call { to, id, call, .. } => {
+                self.messages.push(Message::Call(run, to, id, call));
             }
             Output::Return(Caller(call), result) => {
-                if let Some((run, line)) = self.calls.remove(&call) {
-                    let input = Input::Returned(line, result);
+                if let Some((run, id)) = self.calls.remove(&call) {
+                    let input = Input::Returned(id, result);
                     self.messages.push(Message::Input(run, input));
                 }
             }
--- a/tests/policy/membership.rs
+++ b/tests/policy/membership.rs
@@ -33,14 +33,14 @@
     )
 }
 
-fn beat(number: usize, incarnation: u128) -> Beat {
-    Beat {
+fn heartbeat(number: usize, incarnation: u128) -> Heartbeat {
+    Heartbeat {
         name: instance(number),
         centre: centre(number, TODAY),
         incarnation: Incarnation(incarnation),
         revision: Revision(1),
         draining: false,
-        sightings: Vec::new(),
+        observations: Vec::new(),
     }
 }
 
@@ -92,7 +92,7 @@
 
     fn tick(&mut self, from: usize) {
         for action in self.views[from].0.tick(self.now) {
-            let Action::Beat { to, .. } = action else {
+            let Action::Heartbeat { to, .. } = action else {
                 continue;
             };
             self.calls += 1;
@@ -108,11 +108,11 @@
     }
 
     fn tell(&mut self, from: usize, to: usize) {
-        let sightings = self.views[from].0.sightings(self.now);
-        let mut beat = beat(from, self.views[from].1);
-        beat.centre = centre(from, self.centres);
-        self.views[to].0.heard(self.now, &beat);
-        self.views[to].0.sighted(self.now, &sightings);
+        let observations = self.views[from].0.observations(self.now);
+        let mut heartbeat = heartbeat(from, self.views[from].1);
+        heartbeat.centre = centre(from, self.centres);
+        self.views[to].0.heard(self.now, &heartbeat);
+        self.views[to].0.observed(self.now, &observations);
     }
 
     /// Tells whether the instances of each data centre that are up elect the same one of them.
@@ -195,18 +195,18 @@
     let mut view = view(0, 1, TODAY);
     view.listed(Time(0), &[member(1, TODAY)]);
     let (old, new) = (Incarnation(10), Incarnation(11));
-    view.heard(Time(0), &beat(1, old.0));
-    view.heard(Time(1_000), &beat(1, new.0));
-    view.heard(Time(2_000), &beat(1, old.0));
-    let sighting = Sighting {
+    view.heard(Time(0), &heartbeat(1, old.0));
+    view.heard(Time(1_000), &heartbeat(1, new.0));
+    view.heard(Time(2_000), &heartbeat(1, old.0));
+    let observation = Observation {
         name: instance(1),
         incarnation: old,
         age: Span(0),
     };
-    view.sighted(Time(3_000), &[sighting]);
+    view.observed(Time(3_000), &[observation]);
     assert_eq!((view.owner(old), view.gone(old)), (None, true));
     assert!(view.owner(new).is_some());
-    view.heard(Time(0) + Span::seconds(5), &beat(1, old.0));
+    view.heard(Time(0) + Span::seconds(5), &heartbeat(1, old.0));
     assert_eq!((view.gone(old), view.gone(new)), (false, true));
 }
 
@@ -228,7 +228,7 @@
     assert!(actions.contains(&Action::Lost(peer.clone())), "{actions:?}");
     let now = Time(0) + Span::seconds(3);
     assert!(!view.alive(now, &peer) && view.live() == 1);
-    view.heard(now, &beat(3, 10));
+    view.heard(now, &heartbeat(3, 10));
     assert!(view.alive(now, &peer) && view.live() == 2);
     view.lost(now, &peer);
     assert!(!view.alive(now, &peer) && view.live() == 1);
@@ -254,14 +254,14 @@
     // end. Peers and the incarnations that are gone must stay bounded.
     let mut view = view(0, 1, TODAY);
     for number in 1..10_000 {
-        view.heard(Time(number as u64), &beat(number, number as u128));
+        view.heard(Time(number as u64), &heartbeat(number, number as u128));
     }
     assert!(view.peers().count() <= 4_096);
     let late = Time(0) + Span::seconds(120);
     view.tick(late);
     assert_eq!((view.peers().count(), view.live()), (0, 1));
     for number in 0..10_000 {
-        view.heard(late, &beat(1, number));
+        view.heard(late, &heartbeat(1, number));
     }
     assert!(view.gone(Incarnation(9_998)) && !view.gone(Incarnation(0)));
 }
@@ -285,9 +285,9 @@
     // It must wait for the peers that it knows of, but not for longer than a silent peer is waited for.
     let mut view = view(0, 1, TODAY);
     view.listed(Time(0), &[member(3, TODAY)]);
-    assert!(!view.acquainted(Time(0), Time(0)));
+    assert!(!view.converged(Time(0), Time(0)));
     let silence = Timing::default().silence;
-    assert!(view.acquainted(Time(0) + silence, Time(0)));
-    view.heard(Time(1), &beat(3, 10));
-    assert!(view.acquainted(Time(1), Time(0)));
+    assert!(view.converged(Time(0) + silence, Time(0)));
+    view.heard(Time(1), &heartbeat(3, 10));
+    assert!(view.converged(Time(1), Time(0)));
 }
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -29,9 +29,9 @@
         membership::{
             Action,
             Membership,
-            Sighting, //
+            Observation, //
         },
-        message::Beat,
+        message::Heartbeat,
         placement::{
             Obstacle,
             Placement,
--- a/tests/records/cluster.rs
+++ b/tests/records/cluster.rs
@@ -239,7 +239,7 @@
     }
 
     /// Tells everyone who is alive, as far as it is reachable, and which revision it applies.
-    pub(crate) fn beat(&mut self) {
+    pub(crate) fn heartbeat(&mut self) {
         for i in 0..self.nodes.len() {
             let peers = (0..self.nodes.len()).filter(|j| *j != i).map(|j| {
                 let node = &self.nodes[j];
@@ -265,7 +265,7 @@
     /// Lets time pass with heartbeats, everything being delivered.
     pub(crate) fn settle(&mut self, millis: u64) {
         for _ in 0..millis / 100 {
-            self.beat();
+            self.heartbeat();
             self.tick(100);
             self.run();
         }
--- a/tests/records/loads.rs
+++ b/tests/records/loads.rs
@@ -50,7 +50,7 @@
     cluster.run();
     let changes = row::change(Revision(3));
     let kept = cluster.table.rows.remove(&changes).unwrap();
-    cluster.beat();
+    cluster.heartbeat();
     let mut last = None;
     while let Some(flight) = cluster.flight.pop() {
         let read = matches!(&flight, Flight::Operate(1, _, _, Operate::Read(_)));
@@ -87,7 +87,7 @@
     cluster.start(0);
     cluster.run();
     cluster.cut.clear();
-    cluster.beat();
+    cluster.heartbeat();
     cluster.tick(300);
     let page = take(&mut cluster, |f| matches!(f, Flight::Call(0, ..)));
     cluster.deliver(page);
--- a/tests/records/orders.rs
+++ b/tests/records/orders.rs
@@ -25,7 +25,7 @@
     Cut(usize),
     Heal,
     Outage(bool),
-    Beat,
+    Heartbeat,
     Tick(u16),
 }
 
@@ -43,7 +43,7 @@
             33 => Self::Cut(n),
             34 => Self::Heal,
             35 => Self::Outage(n % 3 == 0),
-            36..=37 => Self::Beat,
+            36..=37 => Self::Heartbeat,
             _ => Self::Tick(u16::arbitrary(g) % 1_500),
         }
     }
@@ -145,7 +145,7 @@
         Step::Cut(n) => drop(cluster.cut.insert(id(["a", "b", "c"][n % 3]))),
         Step::Heal => cluster.cut.clear(),
         Step::Outage(outage) => cluster.outage = outage,
-        Step::Beat => cluster.beat(),
+        Step::Heartbeat => cluster.heartbeat(),
         Step::Tick(millis) => cluster.tick(u64::from(millis)),
     }
 }
--- a/tests/records/spread.rs
+++ b/tests/records/spread.rs
@@ -235,7 +235,7 @@
 fn it_is_told_where_a_record_is_in_force() {
     let mut cluster = Cluster::with(3, &[sample::COMPUTE]);
     cluster.cut.insert(id("b"));
-    cluster.beat();
+    cluster.heartbeat();
     let edit = cluster.edit(submit(OPEN));
     cluster.ask(0, Ask::Edit(edit));
     cluster
@@ -244,7 +244,7 @@
     cluster.run();
     cluster.cut.clear();
     let force = |cluster: &mut Cluster| {
-        cluster.beat();
+        cluster.heartbeat();
         let ask = Ask::Force("pool/spare".parse().unwrap());
         let request = cluster.ask(0, ask);
         match &cluster.told[&request] {
