Configuration: notification, delivery and audit action in place of News, Sent and Deed

Cause: News, Sent and Deed are odd words for what a peer is still to be notified of, an announcement on its way, and the action in an entry of the audit trail; met, know, heard and told_of said little of what they do.

Change: Notification, Delivery, Announcement and audit::Action; update_peers, update_centres, note_notified and take_announcement. The field of an audit entry keeps its name in the table and in answers, deed, by an attribute, since entries of older versions stand there and scripts read it; a test holds that. No behaviour changes.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -14,10 +14,10 @@
     table::wire::Write,
 };
 
-/// What an operator wanted done.
+/// What an operator asked to be done to a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Deed {
+pub enum Action {
     /// Submitted a new record.
     Submit,
     /// Amended a record.
@@ -39,8 +39,9 @@
     pub from: String,
     /// The instance that took it.
     pub instance: Instance,
-    /// What was wanted.
-    pub deed: Deed,
+    /// What was asked for. Entries that stand in the table have it under this name, and operators read it there.
+    #[serde(rename = "deed")]
+    pub action: Action,
     /// The record; none where the text didn't tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub record: Option<Name>,
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -6,7 +6,7 @@
 //! | [`trail`] | keeps what is to be written into the audit trail later |
 //! | [`sync`] | catches up with the table or a peer |
 //! | [`load`] | loads everything from the table or a peer |
-//! | [`spread`] | tells peers of changes, and answers their calls |
+//! | [`spread`] | notifies peers of changes, and answers their calls |
 //! | [`query`] | answers the questions of operators |
 //! | [`row`] | the rows of the table |
 
@@ -44,7 +44,7 @@
 };
 use self::{
     edit::Edits,
-    spread::News,
+    spread::Notification,
     state::{
         Applied,
         Pending,
@@ -182,7 +182,7 @@
     edits: Edits,
     trail: Trail,
     sync: Sync,
-    news: News,
+    notification: Notification,
     pending: BTreeMap<u64, Pending>,
     next: u64,
     now: Time,
@@ -203,7 +203,7 @@
             edits: Edits::default(),
             trail: Trail::default(),
             sync: Sync::new(Span(seed % poll.0.max(1))),
-            news: News::default(),
+            notification: Notification::default(),
             pending: BTreeMap::new(),
             next: 0,
             now: Time::default(),
@@ -250,17 +250,17 @@
             Input::Operated(ticket, result) => self.operated(ticket, result),
             Input::Called(caller, call) => self.called(caller, call),
             Input::Returned(ticket, result) => self.returned(ticket, result.ok()),
-            Input::Peers(peers) => self.met(peers),
+            Input::Peers(peers) => self.update_peers(peers),
             Input::Workers(workers) => {
                 self.workers = Some(Capacity::of(&workers));
-                self.know();
+                self.update_centres();
             }
             Input::Tick => self.expire(),
         }
         self.proceed_sync();
         self.proceed_edits();
         self.proceed_trail();
-        self.pass_on();
+        self.notify_peers();
         if self.revision() != before {
             let revision = self.revision();
             self.event(Code::ChangeApplied, format!("revision {revision}"));
@@ -269,17 +269,17 @@
         std::mem::take(&mut self.outputs)
     }
 
-    fn met(&mut self, peers: Vec<Peer>) {
+    fn update_peers(&mut self, peers: Vec<Peer>) {
         let others = peers.into_iter().filter(|peer| peer.name != self.name);
         self.peers = others.map(|peer| (peer.name.clone(), peer)).collect();
-        self.know();
+        self.update_centres();
         let alive = self.peers.values().filter(|peer| peer.alive);
         if let Some(highest) = alive.map(|peer| peer.revision).max() {
             self.aim(highest);
         }
     }
 
-    fn know(&mut self) {
+    fn update_centres(&mut self) {
         let centres = self.peers.values().map(|peer| peer.centre.clone());
         let centres = centres.chain([self.centre.clone()]);
         if let Some(workers) = &mut self.workers {
@@ -353,7 +353,7 @@
             return;
         };
         match pending.purpose {
-            Purpose::Announce(sent) => self.announced(sent, result),
+            Purpose::Announce(delivery) => self.announced(delivery, result),
             Purpose::Peer => self.fetched(result),
             _ => {}
         }
--- a/src/core/config/ask.rs
+++ b/src/core/config/ask.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::{
-    audit::Deed,
+    audit::Action,
     prelude::*,
     record::{
         Kind,
@@ -98,12 +98,12 @@
         }
     }
 
-    /// Returns the word for the audit trail.
-    pub fn deed(&self) -> Deed {
+    /// Returns the action as the audit trail names it.
+    pub fn action(&self) -> Action {
         match self {
-            Self::Submit { .. } => Deed::Submit,
-            Self::Amend { .. } => Deed::Amend,
-            Self::Withdraw { .. } => Deed::Withdraw,
+            Self::Submit { .. } => Action::Submit,
+            Self::Amend { .. } => Action::Amend,
+            Self::Withdraw { .. } => Action::Withdraw,
         }
     }
 }
--- a/src/core/config/call.rs
+++ b/src/core/config/call.rs
@@ -21,8 +21,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Call {
-    /// Tells of changes; returns [`Return::Applied`].
-    Announce(Announce),
+    /// Notifies of changes; returns [`Return::Applied`].
+    Announce(Announcement),
     /// Asks for the changes after a revision; returns [`Return::Changes`] or [`Return::Gap`].
     Fetch {
         /// The revision.
@@ -35,9 +35,9 @@
     },
 }
 
-/// Tells of changes.
+/// Notifies a peer of changes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announce {
+pub struct Announcement {
     /// The caller.
     pub from: Instance,
     /// The newest revision that the caller applies.
--- a/src/core/config/load.rs
+++ b/src/core/config/load.rs
@@ -122,7 +122,7 @@
         let before = self.revision();
         let installed = self.applied.install(load.revision, load.set);
         if installed && before < self.sync.relay {
-            self.note_news(before);
+            self.note_change(before);
         }
         if installed {
             self.warn_unknown();
--- a/src/core/config/spread.rs
+++ b/src/core/config/spread.rs
@@ -1,13 +1,13 @@
-//! Tells peers of changes, and answers their calls.
+//! Notifies peers of changes, and answers their calls.
 //!
-//! The instance that commits a change tells every instance that is alive in its own data centre, and one in each
+//! The instance that commits a change notifies every instance that is alive in its own data centre, and one in each
 //! other, which passes it on inside.
 
 use std::collections::BTreeSet;
 
 use super::{
     call::{
-        Announce,
+        Announcement,
         Call,
         Page,
         Return,
@@ -27,9 +27,9 @@
 /// How many instances of another data centre are tried, one after another.
 const TRIES: usize = 3;
 
-/// An announcement on its way.
+/// An announcement on its way to one peer.
 #[derive(Debug, Clone)]
-pub(super) struct Sent {
+pub(super) struct Delivery {
     to: Instance,
     /// The revision before the changes that it tells of.
     after: Revision,
@@ -37,12 +37,12 @@
     outward: Option<(Centre, usize)>,
 }
 
-/// News that are to be passed on.
+/// What the peers are still to be notified of.
 #[derive(Debug, Default)]
-pub(super) struct News {
-    /// The revision before them; none where there are none.
+pub(super) struct Notification {
+    /// The revision before the changes; none where there are none.
     after: Option<Revision>,
-    /// Whether they go to the other data centres too.
+    /// Whether the other data centres are to be notified too.
     outward: bool,
 }
 
@@ -57,20 +57,20 @@
 }
 
 impl Config {
-    /// Notes that what came after `revision` is to be passed on inside the data centre.
-    pub(super) fn note_news(&mut self, revision: Revision) {
-        self.news.after.get_or_insert(revision);
+    /// Notes that the peers inside the data centre are to be notified of what came after `revision`.
+    pub(super) fn note_change(&mut self, revision: Revision) {
+        self.notification.after.get_or_insert(revision);
     }
 
-    /// Notes that a change was committed here, which is to be told everywhere.
+    /// Notes that a change was committed here, of which all data centres are to be notified.
     pub(super) fn note_commit(&mut self, revision: Revision) {
-        self.note_news(revision);
-        self.news.outward = true;
+        self.note_change(revision);
+        self.notification.outward = true;
     }
 
-    pub(super) fn pass_on(&mut self) {
-        let news = std::mem::take(&mut self.news);
-        let Some(after) = news.after else {
+    pub(super) fn notify_peers(&mut self) {
+        let notification = std::mem::take(&mut self.notification);
+        let Some(after) = notification.after else {
             return;
         };
         let head = self.revision();
@@ -80,9 +80,9 @@
         let centres: BTreeSet<Centre> = outside.into_iter().map(|p| p.centre.clone()).collect();
         for to in inside {
             let outward = None;
-            self.announce(Sent { to, after, outward });
+            self.announce(Delivery { to, after, outward });
         }
-        for centre in centres.into_iter().filter(|_| news.outward) {
+        for centre in centres.into_iter().filter(|_| notification.outward) {
             self.announce_outward(centre, after, 0);
         }
     }
@@ -95,28 +95,32 @@
         let ranked = ranked(&centre, alive.map(|peer| &peer.name));
         if let Some(to) = ranked.get(tried).map(|name| (*name).clone()) {
             let outward = Some((centre, tried));
-            self.announce(Sent { to, after, outward });
+            self.announce(Delivery { to, after, outward });
         }
     }
 
-    fn announce(&mut self, sent: Sent) {
-        let changes = self.applied.since(sent.after, MOST_BYTES);
-        let announce = Announce {
+    fn announce(&mut self, delivery: Delivery) {
+        let changes = self.applied.since(delivery.after, MOST_BYTES);
+        let announcement = Announcement {
             from: self.name.clone(),
             head: self.revision(),
             changes: changes.unwrap_or_default(),
-            relay: sent.outward.is_some(),
+            relay: delivery.outward.is_some(),
         };
-        let to = sent.to.clone();
+        let to = delivery.to.clone();
         // What can't be sent now is found by the peer's poll, or by the heartbeats.
-        let _ = self.call(Purpose::Announce(sent), to, Call::Announce(announce));
+        let _ = self.call(
+            Purpose::Announce(delivery),
+            to,
+            Call::Announce(announcement),
+        );
     }
 
-    pub(super) fn announced(&mut self, sent: Sent, result: Option<Return>) {
-        match (result, sent.outward) {
-            (Some(Return::Applied(revision)), _) => self.note_peer(&sent.to, revision),
+    pub(super) fn announced(&mut self, delivery: Delivery, result: Option<Return>) {
+        match (result, delivery.outward) {
+            (Some(Return::Applied(revision)), _) => self.note_peer(&delivery.to, revision),
             (_, Some((centre, tried))) if tried + 1 < TRIES => {
-                self.announce_outward(centre, sent.after, tried + 1);
+                self.announce_outward(centre, delivery.after, tried + 1);
             }
             _ => {}
         }
@@ -131,7 +135,7 @@
     pub(super) fn called(&mut self, caller: Caller, call: Call) {
         self.count.returns += 1;
         let value = match call {
-            Call::Announce(announce) => self.told_of(announce),
+            Call::Announce(announcement) => self.take_announcement(announcement),
             _ if !self.ready() => Return::Unready,
             Call::Fetch { after } => match self.applied.since(after, MOST_BYTES) {
                 Some(changes) => Return::Changes(changes),
@@ -142,14 +146,14 @@
         self.outputs.push(Output::Return(caller, value));
     }
 
-    fn told_of(&mut self, announce: Announce) -> Return {
-        self.heard();
-        self.note_peer(&announce.from, announce.head);
-        self.aim(announce.head);
-        if announce.relay && announce.head > self.revision() {
-            self.sync.relay = self.sync.relay.max(announce.head);
+    fn take_announcement(&mut self, announcement: Announcement) -> Return {
+        self.note_notified();
+        self.note_peer(&announcement.from, announcement.head);
+        self.aim(announcement.head);
+        if announcement.relay && announcement.head > self.revision() {
+            self.sync.relay = self.sync.relay.max(announcement.head);
         }
-        self.apply_all(announce.changes);
+        self.apply_all(announcement.changes);
         Return::Applied(self.revision())
     }
 
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -11,7 +11,7 @@
 use super::{
     ask,
     row::Change,
-    spread::Sent,
+    spread::Delivery,
     Missing,
     Route, //
 };
@@ -43,7 +43,7 @@
     /// For catching up with the table.
     Sync,
     /// An announcement.
-    Announce(Sent),
+    Announce(Delivery),
     /// For catching up with a peer.
     Peer,
 }
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -31,7 +31,7 @@
 const BACKOFF: Span = Span::millis(100);
 /// How often the wait doubles at most.
 const DOUBLINGS: u32 = 4;
-/// After how many polls without news an instance that isn't elected polls for itself.
+/// After how many polls without a notification an instance that isn't elected polls for itself.
 const SILENT_POLLS: u64 = 3;
 
 /// How far the instance has got with catching up.
@@ -42,7 +42,7 @@
     pub(super) target: Revision,
     /// The newest revision that is to be passed on inside the data centre.
     pub(super) relay: Revision,
-    /// The newest revision that is to be told to the other data centres too.
+    /// The newest revision of which the other data centres are to be notified too.
     pub(super) outward: Revision,
     /// Whether changes are missing that can't be had one by one any more.
     pub(super) gap: bool,
@@ -50,7 +50,7 @@
     retry: Time,
     polling: bool,
     polled: Time,
-    heard: Time,
+    notified: Time,
 }
 
 /// What is in progress, one thing at a time.
@@ -85,7 +85,7 @@
             retry: Time::default(),
             polling: false,
             polled: Time::default() + offset,
-            heard: Time::default() + offset,
+            notified: Time::default() + offset,
         }
     }
 }
@@ -96,9 +96,9 @@
         self.sync.target = self.sync.target.max(revision);
     }
 
-    /// Notes that there was news.
-    pub(super) fn heard(&mut self) {
-        self.sync.heard = self.now;
+    /// Notes that a peer sent an announcement, so that this instance is not cut off.
+    pub(super) fn note_notified(&mut self) {
+        self.sync.notified = self.now;
     }
 
     pub(super) fn proceed_sync(&mut self) {
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Tells whether the head is to be polled: by one instance in each data centre, and by one that hears nothing.
+    /// Tells whether the head is to be polled: by one instance in each data centre, and by one that is not notified.
     fn due(&self) -> bool {
         let since = |time| self.now.since(time);
         let silent = self.poll.times(SILENT_POLLS);
@@ -126,7 +126,7 @@
         }
         // The elected instance may be cut off without anyone's noticing, and announcements may be lost. An instance
         // that trusted in both would then apply an old configuration for good; so it looks for itself after a while.
-        since(self.sync.polled.max(self.sync.heard)) >= silent || self.elected()
+        since(self.sync.polled.max(self.sync.notified)) >= silent || self.elected()
     }
 
     fn elected(&self) -> bool {
@@ -206,7 +206,7 @@
     pub(super) fn polled(&mut self, result: Result) {
         self.sync.polling = false;
         if let Result::Row(row) = result {
-            self.sync.heard = self.now;
+            self.sync.notified = self.now;
             // A poll that was slow may carry an older head than what is applied: nothing is to be done then.
             match head(row.as_ref()) {
                 Some(head) if head > self.revision() => {
@@ -279,7 +279,7 @@
         if change.revision <= self.sync.outward {
             self.note_commit(before);
         } else if change.revision <= self.sync.relay {
-            self.note_news(before);
+            self.note_change(before);
         }
         let known = |entry: &crate::record::set::Entry| entry.record.known();
         if !self.applied.set().get(&change.name).is_none_or(known) {
--- a/src/core/config/trail.rs
+++ b/src/core/config/trail.rs
@@ -123,7 +123,7 @@
         operator: edit.operator.clone(),
         from: edit.from.clone(),
         instance: instance.clone(),
-        deed: edit.act.deed(),
+        action: edit.act.action(),
         record,
         revision,
         before,
--- a/tests/records/texts.rs
+++ b/tests/records/texts.rs
@@ -164,3 +164,15 @@
 use quickcheck::quickcheck;
 
 use crate::prelude::*;
+
+#[test]
+fn an_audit_entry_keeps_the_names_of_its_fields() {
+    // An operator reads the trail of last month with a script of that time. The entries stand in the table as JSON,
+    // and instances of both versions write to it. A field under another name would be missing for either reader.
+    let text = r#"{"at_ms":7,"operation":"000000000000000000000000000000ab","operator":"ops","from":"10.0.0.1:9",
+        "instance":"entry-1","deed":"amend","record":"pool/compute","revision":3,"before":"{}","after":"{}"}"#;
+    let entry: poplarknot::audit::Entry = serde_json::from_str(text).unwrap();
+    assert_eq!(entry.action, poplarknot::audit::Action::Amend);
+    let value: serde_json::Value = serde_json::from_str(text).unwrap();
+    assert_eq!(serde_json::to_value(&entry).unwrap(), value);
+}
