Placement, health, queue: eligibility, contribution, requirement and flow

Cause: Standing, Held, Wanted, Crowd and Line (the tasks of a team that wait) are words of our own. Line stood for a call as well, and Standing for the gauges of the metrics.

Change: placement::Eligibility, Requirement and Contribution; health compares a Group; a team's waiting tasks are a Flow, as start-time fair queueing calls it. An endpoint reports a load or that it is leaving. The states that the log prints keep their names. No behaviour changes.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -28,8 +28,8 @@
         message::Heartbeat,
         placement::{
             Placement,
+            Requirement, //
             Slot,
-            Wanted, //
         },
         queue::Queue,
     },
@@ -122,17 +122,17 @@
 
 fn place_and_end(bench: &mut Bencher<'_>, placement: &mut Placement, count: usize) {
     let route = route();
-    let wanted = Wanted {
+    let requirement = Requirement {
         route: &route,
         need: Need::default(),
         class: Class::Once,
         avoid: &[],
     };
-    let place = |_| placement.place(&wanted).expect("room");
+    let place = |_| placement.place(&requirement).expect("room");
     let mut placed: Vec<Slot> = (0..count * OUTSTANDING).map(place).collect();
     let mut next = 0;
     bench.iter(|| {
-        let slot = placement.place(black_box(&wanted)).expect("room");
+        let slot = placement.place(black_box(&requirement)).expect("room");
         let old = std::mem::replace(&mut placed[next], slot);
         let load = Load {
             running: next as u32 % 8,
--- a/examples/measure/policy.rs
+++ b/examples/measure/policy.rs
@@ -18,8 +18,8 @@
         placement::{
             Placement,
             Policy,
+            Requirement, //
             Slot,
-            Wanted, //
         },
     },
     endpoint::wire::Load,
@@ -133,14 +133,14 @@
 
     fn dispatch(&mut self, now: u64, number: usize) {
         while let Some((job, sleep)) = self.instances[number].queue.front().copied() {
-            let wanted = Wanted {
+            let requirement = Requirement {
                 route: &self.route,
                 need: Need::default(),
                 class: Class::Once,
                 avoid: &[],
             };
             let instance = &mut self.instances[number];
-            let Ok(Slot(worker)) = instance.placement.place(&wanted) else {
+            let Ok(Slot(worker)) = instance.placement.place(&requirement) else {
                 return;
             };
             instance.queue.pop_front();
--- a/src/core/execution.rs
+++ b/src/core/execution.rs
@@ -12,8 +12,8 @@
     },
     placement::{
         Obstacle,
+        Requirement, //
         Slot,
-        Wanted, //
     },
     retry,
     stage::{
@@ -170,13 +170,13 @@
         if progress.result.is_some() {
             return None;
         }
-        let wanted = Wanted {
+        let requirement = Requirement {
             route: &job.stage.admitted.route,
             need: job.submission.tasks[item.task as usize].need,
             class: job.stage.admitted.class,
             avoid: &progress.avoid,
         };
-        Some(self.placement.place(&wanted))
+        Some(self.placement.place(&requirement))
     }
 
     fn start(&mut self, item: Item, slot: Slot) {
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     core::placement::{
+        Eligibility, //
         Slot,
-        Standing, //
     },
     prelude::*,
     table::wire::Worker,
@@ -23,23 +23,23 @@
 /// Failures one after the other that eject an endpoint, when they are from several jobs.
 const FAILURES: u32 = 3;
 
-/// The part of a crowd that may be out at once, as its divisor.
+/// The part of a group that may be out at once, as its divisor.
 const CAP: u32 = 3;
 
 /// How long the first ejection lasts; each further one doubles it.
-const FIRST: Span = Span::seconds(5);
+const FIRST_EJECTION: Span = Span::seconds(5);
 
 /// The most often that the span is doubled.
 const DOUBLINGS: u32 = 6;
 
-/// Time in good standing that makes up for one ejection.
-const HEALING: Span = Span::seconds(60);
+/// Time without an ejection that makes up for one.
+const RECOVERY: Span = Span::seconds(60);
 
 /// How long an endpoint on probation waits for an idempotent task before any task will do.
 ///
 /// Where all work is non-idempotent, an endpoint would stay out for good otherwise. At worst one task fails for
 /// each ejection, which the caller is told.
-const PATIENCE: Span = Span::seconds(30);
+const PROBATION_TIMEOUT: Span = Span::seconds(30);
 
 /// What has changed for an endpoint.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -57,26 +57,26 @@
 }
 
 impl Change {
-    /// Returns the endpoint and its new standing, as placement is to be told.
-    pub fn standing(self) -> (Slot, Standing) {
+    /// Returns the endpoint and its new eligibility, to be passed to placement.
+    pub fn eligibility(self) -> (Slot, Eligibility) {
         match self {
-            Self::Ejected(slot) => (slot, Standing::Ejected),
-            Self::Probation(slot) => (slot, Standing::Probation),
-            Self::Trial(slot) => (slot, Standing::Trial),
-            Self::Suspected(slot) => (slot, Standing::Suspect),
-            Self::Returned(slot) => (slot, Standing::Good),
+            Self::Ejected(slot) => (slot, Eligibility::Ejected),
+            Self::Probation(slot) => (slot, Eligibility::Probation),
+            Self::Trial(slot) => (slot, Eligibility::Trial),
+            Self::Suspected(slot) => (slot, Eligibility::Suspect),
+            Self::Returned(slot) => (slot, Eligibility::Good),
         }
     }
 }
 
-/// The endpoints among which an outlier is told: one pool in one data centre.
+/// The endpoints that are compared to find outliers: one pool in one data centre.
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
-struct Crowd {
+struct Group {
     pool: Pool,
     centre: Centre,
 }
 
-/// How many endpoints a crowd has, and how many of them are out.
+/// How many endpoints a group has, and how many of them are out.
 #[derive(Default, Debug)]
 struct Count {
     members: u32,
@@ -96,8 +96,8 @@
 /// What is known of one endpoint.
 #[derive(Debug)]
 struct Record {
-    crowd: Crowd,
-    standing: Standing,
+    group: Group,
+    eligibility: Eligibility,
     failures: u32,
     job: u64,
     several: bool,
@@ -124,7 +124,7 @@
 pub struct Health {
     random: SmallRng,
     records: HashMap<Slot, Record>,
-    crowds: HashMap<Crowd, Count>,
+    groups: HashMap<Group, Count>,
     due: BTreeSet<(Time, Slot)>,
 }
 
@@ -134,25 +134,25 @@
         Self {
             random: SmallRng::seed_from_u64(seed),
             records: HashMap::new(),
-            crowds: HashMap::new(),
+            groups: HashMap::new(),
             due: BTreeSet::new(),
         }
     }
 
-    /// Takes up an endpoint, or moves it to the crowd where the list has it now.
+    /// Takes up an endpoint, or moves it to the group where the list has it now.
     pub fn added(&mut self, slot: Slot, worker: &Worker) {
-        let crowd = Crowd {
+        let group = Group {
             pool: worker.pool.clone(),
             centre: worker.centre.clone(),
         };
         match self.records.get(&slot) {
-            Some(record) if record.crowd == crowd => return,
+            Some(record) if record.group == group => return,
             _ => self.dropped(slot),
         }
-        self.crowds.entry(crowd.clone()).or_default().members += 1;
+        self.groups.entry(group.clone()).or_default().members += 1;
         let record = Record {
-            crowd,
-            standing: Standing::Good,
+            group,
+            eligibility: Eligibility::Good,
             failures: 0,
             job: 0,
             several: false,
@@ -171,13 +171,13 @@
         if let Some(due) = record.due {
             self.due.remove(&(due, slot));
         }
-        let Some(count) = self.crowds.get_mut(&record.crowd) else {
+        let Some(count) = self.groups.get_mut(&record.group) else {
             return;
         };
         count.members -= 1;
-        count.out -= u32::from(out(record.standing));
+        count.out -= u32::from(out(record.eligibility));
         if count.members == 0 {
-            self.crowds.remove(&record.crowd);
+            self.groups.remove(&record.group);
         }
     }
 
@@ -187,10 +187,10 @@
     /// out of the pool with its tasks. The cap holds where several jobs are wrong.
     pub fn failed(&mut self, now: Time, slot: Slot, job: u64) -> Option<Change> {
         let record = self.records.get_mut(&slot)?;
-        match record.standing {
-            Standing::Good | Standing::Suspect => {
+        match record.eligibility {
+            Eligibility::Good | Eligibility::Suspect => {
                 let outlier = record.count(job);
-                let count = self.crowds.get_mut(&record.crowd)?;
+                let count = self.groups.get_mut(&record.group)?;
                 if !outlier {
                     return None;
                 }
@@ -200,8 +200,8 @@
                 count.out += 1;
                 self.eject(now, slot)
             }
-            Standing::Probation | Standing::Trial => self.eject(now, slot),
-            Standing::Ejected => None,
+            Eligibility::Probation | Eligibility::Trial => self.eject(now, slot),
+            Eligibility::Ejected => None,
         }
     }
 
@@ -209,18 +209,18 @@
     pub fn succeeded(&mut self, now: Time, slot: Slot) -> Option<Change> {
         let record = self.records.get_mut(&slot)?;
         record.failures = 0;
-        match record.standing {
-            Standing::Good => None,
-            Standing::Suspect => {
-                self.turn(slot, Standing::Good, None);
+        match record.eligibility {
+            Eligibility::Good => None,
+            Eligibility::Suspect => {
+                self.transition(slot, Eligibility::Good, None);
                 Some(Change::Returned(slot))
             }
             // Work from before the ejection: it does not fail everything, so it is tried at once.
-            Standing::Ejected => {
-                self.turn(slot, Standing::Probation, Some(now + PATIENCE));
+            Eligibility::Ejected => {
+                self.transition(slot, Eligibility::Probation, Some(now + PROBATION_TIMEOUT));
                 Some(Change::Probation(slot))
             }
-            Standing::Probation | Standing::Trial => self.restore(now, slot),
+            Eligibility::Probation | Eligibility::Trial => self.restore(now, slot),
         }
     }
 
@@ -231,21 +231,21 @@
             self.due.remove(&(due, slot));
             changes.extend(self.next_phase(now, slot));
         }
-        changes.extend(self.relieve(now));
+        changes.extend(self.enforce_cap(now));
         changes
     }
 
     /// Returns how many endpoints are ejected or on probation.
     pub fn ejected(&self) -> usize {
-        self.crowds.values().map(|count| count.out as usize).sum()
+        self.groups.values().map(|count| count.out as usize).sum()
     }
 
     /// Tells whether an endpoint may get a task of this class.
     pub fn may(&self, slot: Slot, class: Class) -> bool {
-        match self.records.get(&slot).map(|record| record.standing) {
-            Some(Standing::Good | Standing::Suspect | Standing::Trial) => true,
-            Some(Standing::Probation) => class.repeatable(),
-            Some(Standing::Ejected) | None => false,
+        match self.records.get(&slot).map(|record| record.eligibility) {
+            Some(Eligibility::Good | Eligibility::Suspect | Eligibility::Trial) => true,
+            Some(Eligibility::Probation) => class.repeatable(),
+            Some(Eligibility::Ejected) | None => false,
         }
     }
 
@@ -253,15 +253,15 @@
         let record = self.records.get_mut(&slot)?;
         record.due = None;
         // It is tried again; its next failure makes it a suspect at once.
-        if record.standing == Standing::Suspect {
-            self.turn(slot, Standing::Good, None);
+        if record.eligibility == Eligibility::Suspect {
+            self.transition(slot, Eligibility::Good, None);
             return Some(Change::Returned(slot));
         }
-        if record.standing == Standing::Ejected {
-            self.turn(slot, Standing::Probation, Some(now + PATIENCE));
+        if record.eligibility == Eligibility::Ejected {
+            self.transition(slot, Eligibility::Probation, Some(now + PROBATION_TIMEOUT));
             return Some(Change::Probation(slot));
         }
-        self.turn(slot, Standing::Trial, None);
+        self.transition(slot, Eligibility::Trial, None);
         Some(Change::Trial(slot))
     }
 
@@ -270,68 +270,68 @@
     /// An endpoint that fails at once is idle again before all others, and would draw most of the tasks. Where more of
     /// a pool fail than may be ejected, nearly every job would meet one of them.
     fn suspect(&mut self, now: Time, slot: Slot) -> Option<Change> {
-        let known = self.records.get(&slot)?.standing == Standing::Suspect;
-        self.turn(slot, Standing::Suspect, Some(now + FIRST));
+        let known = self.records.get(&slot)?.eligibility == Eligibility::Suspect;
+        self.transition(slot, Eligibility::Suspect, Some(now + FIRST_EJECTION));
         (!known).then_some(Change::Suspected(slot))
     }
 
     fn eject(&mut self, now: Time, slot: Slot) -> Option<Change> {
         let record = self.records.get_mut(&slot)?;
-        if !out(record.standing) {
-            let healed = now.since(record.since).0 / HEALING.0;
-            let healed = u32::try_from(healed).unwrap_or(u32::MAX);
-            record.ejections = record.ejections.saturating_sub(healed);
+        if !out(record.eligibility) {
+            let recovered = now.since(record.since).0 / RECOVERY.0;
+            let recovered = u32::try_from(recovered).unwrap_or(u32::MAX);
+            record.ejections = record.ejections.saturating_sub(recovered);
         }
-        let span = FIRST.times(1 << record.ejections.min(DOUBLINGS));
+        let span = FIRST_EJECTION.times(1 << record.ejections.min(DOUBLINGS));
         record.ejections = (record.ejections + 1).min(DOUBLINGS);
         // The jitter keeps endpoints that were ejected together from coming back together.
         let jitter = self.random.random_range(0..=span.0 / 5);
-        self.turn(slot, Standing::Ejected, Some(now + span + Span(jitter)));
+        self.transition(slot, Eligibility::Ejected, Some(now + span + Span(jitter)));
         Some(Change::Ejected(slot))
     }
 
     fn restore(&mut self, now: Time, slot: Slot) -> Option<Change> {
-        self.turn(slot, Standing::Good, None);
+        self.transition(slot, Eligibility::Good, None);
         let record = self.records.get_mut(&slot)?;
         record.since = now;
         record.failures = 0;
-        let count = self.crowds.get_mut(&record.crowd)?;
+        let count = self.groups.get_mut(&record.group)?;
         count.out -= 1;
         Some(Change::Returned(slot))
     }
 
-    fn turn(&mut self, slot: Slot, standing: Standing, due: Option<Time>) {
+    fn transition(&mut self, slot: Slot, eligibility: Eligibility, due: Option<Time>) {
         let Some(record) = self.records.get_mut(&slot) else {
             return;
         };
         if let Some(due) = record.due {
             self.due.remove(&(due, slot));
         }
-        record.standing = standing;
+        record.eligibility = eligibility;
         record.due = due;
         if let Some(due) = due {
             self.due.insert((due, slot));
         }
     }
 
-    /// Returns endpoints of crowds that have shrunk, so that the cap holds for those that are left.
-    fn relieve(&mut self, now: Time) -> Vec<Change> {
+    /// Returns endpoints of groups that have shrunk, so that the cap holds for those that are left.
+    fn enforce_cap(&mut self, now: Time) -> Vec<Change> {
         let over = |count: &Count| count.out > count.cap();
-        if !self.crowds.values().any(over) {
+        if !self.groups.values().any(over) {
             return Vec::new();
         }
         let mut slots: Vec<(Option<Time>, Slot)> = self
             .records
             .iter()
-            .filter(|(_, record)| out(record.standing))
+            .filter(|(_, record)| out(record.eligibility))
             .map(|(slot, record)| (record.due, *slot))
             .collect();
         slots.sort_unstable();
         let mut changes = Vec::new();
         for (_, slot) in slots {
             if self
-                .crowds
-                .get(&self.records[&slot].crowd)
+                .groups
+                .get(&self.records[&slot].group)
                 .is_some_and(over)
             {
                 changes.extend(self.restore(now, slot));
@@ -342,6 +342,6 @@
 }
 
 /// Tells whether an endpoint counts against the cap.
-fn out(standing: Standing) -> bool {
-    !matches!(standing, Standing::Good | Standing::Suspect)
+fn out(eligibility: Eligibility) -> bool {
+    !matches!(eligibility, Eligibility::Good | Eligibility::Suspect)
 }
--- a/src/core/look.rs
+++ b/src/core/look.rs
@@ -184,14 +184,17 @@
         let Some(change) = change else {
             return;
         };
-        let (slot, standing) = change.standing();
-        self.placement.standing(slot, standing);
+        let (slot, eligibility) = change.eligibility();
+        self.placement.set_eligibility(slot, eligibility);
         let code = match change {
             health::Change::Ejected(_) => Code::EndpointEjected,
             health::Change::Suspected(_) => Code::EndpointSuspected,
             _ => Code::EndpointReturned,
         };
         let name = self.placement.endpoint(slot).map(|w| w.name.to_string());
-        self.event(code, format!("{} ({standing:?})", name.unwrap_or_default()));
+        self.event(
+            code,
+            format!("{} ({eligibility:?})", name.unwrap_or_default()),
+        );
     }
 }
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: which endpoint gets a task.
 //!
 //! The endpoint with the fewest tasks of this instance for each of its slots gets the next one, weighted by how
-//! slow the endpoint has been lately; ties go by the load that its last answer told, then at random.
+//! slow the endpoint has been lately; ties go by the load that its last answer reported, then at random.
 //! Endpoints that have room are kept in order, so a decision takes the first that fits.
 
 mod index;
@@ -21,8 +21,8 @@
         Score, //
     },
     table::{
+        Contribution,
         Entry,
-        Held,
         STEPS, //
     },
 };
@@ -41,8 +41,8 @@
 /// Their loads vary, so that the endpoint is seldom full for as long as each has no more than this part.
 const BUSY: u64 = 3;
 
-/// What puts a suspect endpoint behind all others in a score.
-const LAST: u64 = 1 << 40;
+/// What is added to the score of a suspect endpoint, which puts it behind all others.
+const SUSPECT_PENALTY: u64 = 1 << 40;
 
 /// An endpoint's index in the table; never reused for another endpoint while work is outstanding.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
@@ -55,16 +55,16 @@
     Random,
     /// Fewest own outstanding tasks, ties at random.
     Own,
-    /// Fewest own outstanding tasks, ties by the load last told, then at random.
+    /// Fewest own outstanding tasks, ties by the load last reported, then at random.
     #[default]
     Ties,
-    /// Own outstanding tasks and the load last told added up.
+    /// Own outstanding tasks and the load last reported added up.
     Sum,
 }
 
 /// What a task asks of its endpoint.
 #[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
+pub struct Requirement<'a> {
     /// The route of its service.
     pub route: &'a Route,
     /// What it needs.
@@ -88,7 +88,7 @@
 
 /// What health allows an endpoint to get.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub enum Standing {
+pub enum Eligibility {
     /// Everything.
     #[default]
     Good,
@@ -173,17 +173,17 @@
     /// # Errors
     ///
     /// Tells what stands in the way; nothing is counted then.
-    pub fn place(&mut self, wanted: &Wanted<'_>) -> Result<Slot, Obstacle> {
-        let slot = match self.pick(wanted, wanted.avoid) {
+    pub fn place(&mut self, requirement: &Requirement<'_>) -> Result<Slot, Obstacle> {
+        let slot = match self.pick(requirement, requirement.avoid) {
             Some(slot) => slot,
-            None => self.pick_avoided(wanted)?,
+            None => self.pick_avoided(requirement)?,
         };
         self.placed += 1;
         self.change(slot, |entry| entry.outstanding += 1);
         Ok(slot)
     }
 
-    /// Frees a place at an endpoint, and learns from the load that it told and from how long the task took.
+    /// Frees a place at an endpoint, and learns from the load that it reported and from how long the task took.
     ///
     /// A task that failed is to give no time: an endpoint that fails at once would look fast.
     pub fn ended(&mut self, slot: Slot, took: Option<Span>, load: Option<Load>) {
@@ -209,27 +209,27 @@
         }
     }
 
-    /// Marks an endpoint that says itself that it is leaving.
+    /// Marks an endpoint that reported that it is leaving.
     pub fn leaving(&mut self, slot: Slot) {
         let list = self.list;
-        self.change(slot, |entry| entry.said = Some(list));
+        self.change(slot, |entry| entry.leaving_since = Some(list));
     }
 
     /// Ejects an endpoint, or returns it.
     pub fn eligible(&mut self, slot: Slot, yes: bool) {
-        self.standing(
+        self.set_eligibility(
             slot,
             if yes {
-                Standing::Good
+                Eligibility::Good
             } else {
-                Standing::Ejected
+                Eligibility::Ejected
             },
         );
     }
 
     /// Sets what health allows an endpoint to get.
-    pub fn standing(&mut self, slot: Slot, standing: Standing) {
-        self.change(slot, |entry| entry.standing = standing);
+    pub fn set_eligibility(&mut self, slot: Slot, eligibility: Eligibility) {
+        self.change(slot, |entry| entry.eligibility = eligibility);
     }
 
     /// Returns what the list tells of an endpoint.
@@ -276,25 +276,30 @@
     /// The own data centre goes first while one of its endpoints is likely to start the task at once. Once none is, a
     /// task would wait there, mostly for longer than the way to another data centre takes; so one that goes to
     /// another whose endpoints have less to do is ahead.
-    fn pick(&mut self, wanted: &Wanted<'_>, avoid: &[Slot]) -> Option<Slot> {
+    fn pick(&mut self, requirement: &Requirement<'_>, avoid: &[Slot]) -> Option<Slot> {
         let own = self.centre.clone();
-        let near = self.pick_in(wanted, avoid, |centre| *centre == own);
-        if !wanted.route.spill || near.is_some_and(|near| self.idle(near)) {
+        let near = self.pick_in(requirement, avoid, |centre| *centre == own);
+        if !requirement.route.spill || near.is_some_and(|near| self.idle(near)) {
             return near.map(|(_, slot)| slot);
         }
         let mut far = None;
-        if wanted.route.centres.is_empty() {
-            far = self.pick_in(wanted, avoid, |centre| *centre != own);
+        if requirement.route.centres.is_empty() {
+            far = self.pick_in(requirement, avoid, |centre| *centre != own);
         }
-        for other in wanted.route.centres.iter().filter(|other| **other != own) {
-            let found = self.pick_in(wanted, avoid, |centre| centre == other);
+        for other in requirement
+            .route
+            .centres
+            .iter()
+            .filter(|other| **other != own)
+        {
+            let found = self.pick_in(requirement, avoid, |centre| centre == other);
             if found.is_some_and(|found| self.idle(found)) {
                 far = found;
                 break;
             }
             far = far.or(found);
         }
-        let last = near.is_none_or(|(score, _)| score.work >= LAST);
+        let last = near.is_none_or(|(score, _)| score.work >= SUSPECT_PENALTY);
         let far = far.filter(|far| last || self.idle(*far));
         far.or(near).map(|(_, slot)| slot)
     }
@@ -303,26 +308,26 @@
     /// its part of what keeps the slots busy.
     fn idle(&self, (score, slot): (Score, Slot)) -> bool {
         let part = (STEPS * BUSY / u64::from(self.instances)).min(STEPS);
-        score.work <= part || score.work < LAST && self.outstanding(slot) == 0
+        score.work <= part || score.work < SUSPECT_PENALTY && self.outstanding(slot) == 0
     }
 
     /// Returns the best endpoint of the first pool that has room in the data centres that `allowed` names.
     fn pick_in(
         &mut self,
-        wanted: &Wanted<'_>,
+        requirement: &Requirement<'_>,
         avoid: &[Slot],
         allowed: impl Fn(&Centre) -> bool,
     ) -> Option<(Score, Slot)> {
-        for pool in &wanted.route.pools {
+        for pool in &requirement.route.pools {
             let Some(groups) = self.pools.get(pool) else {
                 continue;
             };
             let mut best = None;
             for group in groups.iter().map(|group| &self.groups[*group]) {
-                if !allowed(&group.centre) || !fits(&wanted.need, &group.has) {
+                if !allowed(&group.centre) || !fits(&requirement.need, &group.has) {
                     continue;
                 }
-                if let Some(slot) = group.trial(wanted.class, avoid) {
+                if let Some(slot) = group.trial(requirement.class, avoid) {
                     let score = Score { work: 0, load: 0 };
                     return Some((score, slot));
                 }
@@ -341,11 +346,11 @@
     }
 
     /// Goes back to an endpoint that was to be avoided, when there is no other that is eligible.
-    fn pick_avoided(&mut self, wanted: &Wanted<'_>) -> Result<Slot, Obstacle> {
+    fn pick_avoided(&mut self, requirement: &Requirement<'_>) -> Result<Slot, Obstacle> {
         let (mut known, mut fit, mut eligible) = (false, false, 0);
-        for group in self.reach(wanted.route) {
+        for group in self.reach(requirement.route) {
             known = true;
-            if fits(&wanted.need, &group.has) {
+            if fits(&requirement.need, &group.has) {
                 fit = true;
                 eligible += group.count.eligible;
             }
@@ -356,18 +361,20 @@
         if eligible == 0 {
             return Err(Obstacle::Gone);
         }
-        let avoided = wanted.avoid.iter().filter(|slot| {
+        let avoided = requirement.avoid.iter().filter(|slot| {
             self.entry(**slot).is_some_and(|entry| {
                 let group = &self.groups[entry.group];
-                entry.held.is_some_and(|held| held.eligible)
-                    && fits(&wanted.need, &group.has)
-                    && self.reaches(wanted.route, group)
+                entry
+                    .contribution
+                    .is_some_and(|contribution| contribution.eligible)
+                    && fits(&requirement.need, &group.has)
+                    && self.reaches(requirement.route, group)
             })
         });
         if avoided.count() < eligible as usize {
             return Err(Obstacle::Full);
         }
-        self.pick(wanted, &[]).ok_or(Obstacle::Full)
+        self.pick(requirement, &[]).ok_or(Obstacle::Full)
     }
 
     /// Iterates over the groups that a route may use.
@@ -394,12 +401,12 @@
             return;
         };
         change(entry);
-        let held = Held::of(entry, self.policy, self.outstanding, self.instances);
-        if held == entry.held {
+        let contribution = Contribution::of(entry, self.policy, self.outstanding, self.instances);
+        if contribution == entry.contribution {
             return;
         }
         let group = &mut self.groups[entry.group];
-        let moved = group.replace(slot, entry, held);
+        let moved = group.replace(slot, entry, contribution);
         if let Some((other, position)) = moved {
             if let Some(Some(entry)) = self.entries.get_mut(other.0 as usize) {
                 entry.position = position;
--- a/src/core/placement/index.rs
+++ b/src/core/placement/index.rs
@@ -10,8 +10,8 @@
 use super::{
     speed::Speeds,
     table::{
+        Contribution, //
         Entry,
-        Held, //
     },
     Slot,
 };
@@ -22,7 +22,7 @@
 pub(super) struct Score {
     /// Its work for each slot.
     pub(super) work: u64,
-    /// The load that it told last.
+    /// The load that it reported last.
     pub(super) load: u32,
 }
 
@@ -115,36 +115,44 @@
         &mut self,
         slot: Slot,
         entry: &mut Entry,
-        new: Option<Held>,
+        new: Option<Contribution>,
     ) -> Option<(Slot, usize)> {
         let moved = entry
-            .held
-            .and_then(|held| self.take(slot, entry.position, held));
-        if let Some(held) = new {
-            entry.position = self.put(slot, held);
+            .contribution
+            .and_then(|contribution| self.take(slot, entry.position, contribution));
+        if let Some(contribution) = new {
+            entry.position = self.put(slot, contribution);
         }
-        entry.held = new;
+        entry.contribution = new;
         moved.filter(|(other, _)| *other != slot)
     }
 
-    fn take(&mut self, slot: Slot, position: usize, held: Held) -> Option<(Slot, usize)> {
-        self.count.eligible -= u32::from(held.eligible);
-        self.count.slots -= held.slots;
-        self.count.free -= held.free;
-        if held.trial.is_some() {
+    fn take(
+        &mut self,
+        slot: Slot,
+        position: usize,
+        contribution: Contribution,
+    ) -> Option<(Slot, usize)> {
+        self.count.eligible -= u32::from(contribution.eligible);
+        self.count.slots -= contribution.slots;
+        self.count.free -= contribution.free;
+        if contribution.trial.is_some() {
             self.trials.retain(|(other, _)| *other != slot);
         }
-        held.score
+        contribution
+            .score
             .and_then(|score| self.index.remove(score, position))
     }
 
-    fn put(&mut self, slot: Slot, held: Held) -> usize {
-        self.count.eligible += u32::from(held.eligible);
-        self.count.slots += held.slots;
-        self.count.free += held.free;
-        if let Some(any) = held.trial {
+    fn put(&mut self, slot: Slot, contribution: Contribution) -> usize {
+        self.count.eligible += u32::from(contribution.eligible);
+        self.count.slots += contribution.slots;
+        self.count.free += contribution.free;
+        if let Some(any) = contribution.trial {
             self.trials.push((slot, any));
         }
-        held.score.map_or(0, |score| self.index.insert(score, slot))
+        contribution
+            .score
+            .map_or(0, |score| self.index.insert(score, slot))
     }
 }
--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -11,12 +11,12 @@
         Speed,
         UNIT, //
     },
-    Change, Placement, Policy, Slot, Standing, State, Worker, LAST,
+    Change, Eligibility, Placement, Policy, Slot, State, Worker, SUSPECT_PENALTY,
 };
 /// The steps into which one task at one slot is divided in a score.
 pub(super) const STEPS: u64 = 1 << 10;
 
-/// Lists that must show an endpoint as live before its own word that it is leaving is forgotten.
+/// Lists that must show an endpoint as live before its own report that it is leaving expires.
 ///
 /// An endpoint that restarts under its old name and address, between two lists, would get nothing for good. An
 /// endpoint that is still leaving by then refuses the start, which costs one message and marks it again.
@@ -34,19 +34,19 @@
     pub(super) load: u32,
     pub(super) speed: Speed,
     pub(super) factor: u64,
-    pub(super) standing: Standing,
-    /// The list at which it said itself that it is leaving.
-    pub(super) said: Option<u64>,
+    pub(super) eligibility: Eligibility,
+    /// The list that was the newest when it reported that it is leaving.
+    pub(super) leaving_since: Option<u64>,
     /// The last list that had it.
     pub(super) list: u64,
     pub(super) absent: bool,
-    pub(super) held: Option<Held>,
+    pub(super) contribution: Option<Contribution>,
     pub(super) position: usize,
 }
 
 /// What an entry adds to its group; none where it gets nothing new.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(super) struct Held {
+pub(super) struct Contribution {
     pub(super) eligible: bool,
     pub(super) slots: u32,
     pub(super) free: u32,
@@ -56,7 +56,7 @@
     pub(super) trial: Option<bool>,
 }
 
-impl Held {
+impl Contribution {
     /// Works out what an entry adds to its group.
     pub(super) fn of(
         entry: &Entry,
@@ -65,17 +65,17 @@
         instances: u32,
     ) -> Option<Self> {
         let worker = &entry.worker;
-        let live = worker.state == State::Live && entry.said.is_none() && !entry.absent;
+        let live = worker.state == State::Live && entry.leaving_since.is_none() && !entry.absent;
         if !live || worker.slots == 0 {
             return None;
         }
-        let any = match entry.standing {
-            Standing::Good | Standing::Suspect => {
+        let any = match entry.eligibility {
+            Eligibility::Good | Eligibility::Suspect => {
                 return Some(Self::good(entry, policy, outstanding, instances));
             }
-            Standing::Probation => false,
-            Standing::Trial => true,
-            Standing::Ejected => return None,
+            Eligibility::Probation => false,
+            Eligibility::Trial => true,
+            Eligibility::Ejected => return None,
         };
         Some(Self {
             eligible: false,
@@ -109,12 +109,12 @@
         Policy::Ties => (work(next), entry.load),
         Policy::Sum => (work(next + u64::from(entry.load)), 0),
     };
-    let last = match entry.standing {
-        Standing::Suspect => LAST,
+    let penalty = match entry.eligibility {
+        Eligibility::Suspect => SUSPECT_PENALTY,
         _ => 0,
     };
     Score {
-        work: work + last,
+        work: work + penalty,
         load,
     }
 }
@@ -162,11 +162,11 @@
             load: 0,
             speed: Speed::default(),
             factor: UNIT,
-            standing: Standing::Good,
-            said: None,
+            eligibility: Eligibility::Good,
+            leaving_since: None,
             list: self.list,
             absent: false,
-            held: None,
+            contribution: None,
             position: 0,
         });
         self.change(slot, |_| ());
@@ -180,8 +180,10 @@
             return None; // The list names it twice: the first line counts.
         }
         entry.list = list;
-        let said_long_ago = entry.said.is_some_and(|said| list - said >= LISTS);
-        if entry.worker == *worker && !entry.absent && !said_long_ago {
+        let expired = entry
+            .leaving_since
+            .is_some_and(|since| list - since >= LISTS);
+        if entry.worker == *worker && !entry.absent && !expired {
             return None;
         }
         let before = entry.worker.clone();
@@ -195,8 +197,8 @@
             entry.worker = worker.clone();
             entry.absent = false;
             let moved = before.address != worker.address;
-            if worker.state == State::Live && (returned || moved || said_long_ago) {
-                entry.said = None;
+            if worker.state == State::Live && (returned || moved || expired) {
+                entry.leaving_since = None;
             }
         });
         Some(match (worker.state, returned) {
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -34,9 +34,9 @@
 /// The place of a task within its team: the oldest job first, and in it the longest task first.
 type Place = (u64, Reverse<Span>, u64);
 
-/// What one team has waiting.
+/// The waiting tasks of one team: a flow, as fair queueing calls it.
 #[derive(Debug)]
-struct Line<T> {
+struct Flow<T> {
     weight: u32,
     virtual_time: u128,
     items: BTreeMap<Place, T>,
@@ -50,7 +50,7 @@
     serial: u64,
     virtual_time: u128,
     sweep: usize,
-    lines: HashMap<Team, Line<T>>,
+    flows: HashMap<Team, Flow<T>>,
     order: BTreeSet<(u128, Team)>,
 }
 
@@ -63,7 +63,7 @@
             serial: 0,
             virtual_time: 0,
             sweep: TEAMS,
-            lines: HashMap::new(),
+            flows: HashMap::new(),
             order: BTreeSet::new(),
         }
     }
@@ -86,17 +86,17 @@
         }
         self.forget_idle();
         let now = self.virtual_time;
-        let line = self.lines.entry(team.clone()).or_insert_with(|| Line {
+        let flow = self.flows.entry(team.clone()).or_insert_with(|| Flow {
             weight,
             virtual_time: now,
             items: BTreeMap::new(),
         });
-        line.weight = weight.max(1);
-        if line.items.is_empty() {
-            line.virtual_time = line.virtual_time.max(now);
-            self.order.insert((line.virtual_time, team.clone()));
+        flow.weight = weight.max(1);
+        if flow.items.is_empty() {
+            flow.virtual_time = flow.virtual_time.max(now);
+            self.order.insert((flow.virtual_time, team.clone()));
         }
-        line.items
+        flow.items
             .insert((job, Reverse(expected), self.serial), item);
         self.serial += 1;
         self.len += 1;
@@ -106,18 +106,18 @@
     /// Returns the task that goes next.
     pub fn peek(&self) -> Option<&T> {
         let (_, team) = self.order.first()?;
-        self.lines.get(team)?.items.values().next()
+        self.flows.get(team)?.items.values().next()
     }
 
     /// Takes the task that goes next.
     pub fn pop(&mut self) -> Option<T> {
         let (virtual_time, team) = self.order.pop_first()?;
         self.virtual_time = virtual_time;
-        let line = self.lines.get_mut(&team)?;
-        let ((_, Reverse(expected), _), item) = line.items.pop_first()?;
-        line.virtual_time += cost(expected, line.weight);
-        if !line.items.is_empty() {
-            self.order.insert((line.virtual_time, team));
+        let flow = self.flows.get_mut(&team)?;
+        let ((_, Reverse(expected), _), item) = flow.items.pop_first()?;
+        flow.virtual_time += cost(expected, flow.weight);
+        if !flow.items.is_empty() {
+            self.order.insert((flow.virtual_time, team));
         }
         self.len -= 1;
         Some(item)
@@ -126,31 +126,31 @@
     /// Charges a team for the time that a task took beyond what was expected; a declaration that is too short buys
     /// nothing that way.
     pub fn settle(&mut self, team: &Team, expected: Span, took: Span) {
-        let Some(line) = self.lines.get_mut(team) else {
+        let Some(flow) = self.flows.get_mut(team) else {
             return;
         };
-        let charged = cost(expected, line.weight);
-        let due = cost(took, line.weight);
-        let before = line.virtual_time;
-        line.virtual_time = before.saturating_sub(charged).saturating_add(due);
-        if !line.items.is_empty() {
+        let charged = cost(expected, flow.weight);
+        let due = cost(took, flow.weight);
+        let before = flow.virtual_time;
+        flow.virtual_time = before.saturating_sub(charged).saturating_add(due);
+        if !flow.items.is_empty() {
             self.order.remove(&(before, team.clone()));
-            self.order.insert((line.virtual_time, team.clone()));
+            self.order.insert((flow.virtual_time, team.clone()));
         }
     }
 
     /// Removes the tasks of a job.
     pub fn remove_job(&mut self, team: &Team, job: u64) -> Vec<T> {
-        let Some(line) = self.lines.get_mut(team) else {
+        let Some(flow) = self.flows.get_mut(team) else {
             return Vec::new();
         };
         let first = (job, Reverse(Span(u64::MAX)), 0);
         let last = (job, Reverse(Span(0)), u64::MAX);
-        let places: Vec<Place> = line.items.range(first..=last).map(|(p, _)| *p).collect();
-        let removed: Vec<T> = places.iter().filter_map(|p| line.items.remove(p)).collect();
+        let places: Vec<Place> = flow.items.range(first..=last).map(|(p, _)| *p).collect();
+        let removed: Vec<T> = places.iter().filter_map(|p| flow.items.remove(p)).collect();
         self.len -= removed.len();
-        if line.items.is_empty() {
-            self.order.remove(&(line.virtual_time, team.clone()));
+        if flow.items.is_empty() {
+            self.order.remove(&(flow.virtual_time, team.clone()));
         }
         removed
     }
@@ -162,7 +162,7 @@
 
     /// Returns how many teams are remembered.
     pub fn teams(&self) -> usize {
-        self.lines.len()
+        self.flows.len()
     }
 
     /// Tells whether no task waits.
@@ -172,16 +172,16 @@
 
     /// Forgets idle teams, whenever their number has doubled.
     fn forget_idle(&mut self) {
-        if self.lines.len() < self.sweep {
+        if self.flows.len() < self.sweep {
             return;
         }
         let now = self.virtual_time;
-        let crowded = self.lines.len() - self.order.len() > MOST_TEAMS;
-        self.lines.retain(|_, line| {
-            let owes = line.virtual_time > now && !crowded;
-            !line.items.is_empty() || owes
+        let crowded = self.flows.len() - self.order.len() > MOST_TEAMS;
+        self.flows.retain(|_, flow| {
+            let owes = flow.virtual_time > now && !crowded;
+            !flow.items.is_empty() || owes
         });
-        self.sweep = TEAMS.max(2 * self.lines.len());
+        self.sweep = TEAMS.max(2 * self.flows.len());
     }
 }
 
--- a/tests/policy/health.rs
+++ b/tests/policy/health.rs
@@ -90,9 +90,10 @@
         Some(Change::Suspected(slot))
     );
     let mut placement = crate::placement::placement(&workers(9));
-    placement.standing(slot, Standing::Suspect);
+    placement.set_eligibility(slot, Eligibility::Suspect);
     let route = route();
-    let place = |placement: &mut Placement| placement.place(&wanted(&route, &[])).expect("room");
+    let place =
+        |placement: &mut Placement| placement.place(&requirement(&route, &[])).expect("room");
     let well: Vec<_> = (0..8 * 9).map(|_| place(&mut placement)).collect();
     assert!(!well.contains(&slot), "there was room elsewhere");
     assert_eq!(place(&mut placement), slot);
--- a/tests/policy/placement.rs
+++ b/tests/policy/placement.rs
@@ -13,7 +13,7 @@
 struct Model {
     worker: Worker,
     listed: bool,
-    said: bool,
+    reported_leaving: bool,
     ejected: bool,
     outstanding: u32,
     load: u32,
@@ -21,14 +21,14 @@
 
 impl Model {
     fn eligible(&self) -> bool {
-        self.listed && !self.said && !self.ejected && self.worker.state == State::Live
+        self.listed && !self.reported_leaving && !self.ejected && self.worker.state == State::Live
     }
 
     fn bound(&self, instances: u32) -> u32 {
         BOUND.min(self.worker.connections / instances).max(1)
     }
 
-    /// Fewest outstanding for each slot, then the load told last.
+    /// Fewest outstanding for each slot, then the load reported last.
     fn rank(&self) -> (u64, u32) {
         let work = u64::from(self.outstanding + 1) * 1024 / u64::from(self.worker.slots);
         (work, self.load)
@@ -89,7 +89,7 @@
             let model = self.models.entry(slot).or_insert_with(|| Model {
                 worker: worker.clone(),
                 listed: false,
-                said: false,
+                reported_leaving: false,
                 ejected: false,
                 outstanding: 0,
                 load: 0,
@@ -98,7 +98,7 @@
             assert!(same, "the slot of {} was reused", model.worker.name);
             let back = absent.contains(&slot) || model.worker.state == State::Leaving;
             if back && worker.state == State::Live {
-                model.said = false;
+                model.reported_leaving = false;
             }
             model.listed = true;
             model.worker = worker;
@@ -109,14 +109,14 @@
 
     fn place(&mut self, value: u8) -> bool {
         let route = route();
-        let wanted = Wanted {
+        let requirement = Requirement {
             need: need(1 + u32::from(value % 2)),
-            ..wanted(&route, &[])
+            ..requirement(&route, &[])
         };
         let open = |model: &&Model| {
             model.eligible()
                 && model.outstanding < model.bound(self.instances)
-                && wanted.need.cores <= model.worker.has.cores
+                && requirement.need.cores <= model.worker.has.cores
         };
         // The best of the own data centre and of the others; among equals any may be taken.
         let best = |near: bool| {
@@ -130,7 +130,7 @@
             of().filter(|m| Some(m.rank()) == rank).collect::<Vec<_>>()
         };
         let (near, far) = (best(true), best(false));
-        let Ok(slot) = self.placement.place(&wanted) else {
+        let Ok(slot) = self.placement.place(&requirement) else {
             return near.is_empty() && far.is_empty();
         };
         let busy = |models: &[&Model]| models.iter().any(|m| !m.idle(self.instances));
@@ -153,7 +153,7 @@
             (0, _) | (_, None) => self.list(mask, value),
             (1, Some(slot)) => {
                 self.placement.leaving(slot);
-                self.model(slot).said = true;
+                self.model(slot).reported_leaving = true;
             }
             (2, Some(slot)) => {
                 let yes = mask % 2 == 0;
@@ -214,7 +214,7 @@
     let mut given = [0; 2];
     for round in 0..200 {
         let placed: Vec<Slot> = (0..32)
-            .map(|_| placement.place(&wanted(&route, &[])).expect("room"))
+            .map(|_| placement.place(&requirement(&route, &[])).expect("room"))
             .collect();
         for slot in placed {
             given[usize::from(slot == slow)] += u32::from(round >= 20);
@@ -239,7 +239,7 @@
     let mut given = BTreeMap::<Slot, u32>::new();
     let route = route();
     for _ in 0..10_000 {
-        let slot = placement.place(&wanted(&route, &[])).expect("room");
+        let slot = placement.place(&requirement(&route, &[])).expect("room");
         *given.entry(slot).or_default() += 1;
         placement.ended(slot, None, None);
     }
@@ -256,19 +256,28 @@
     let mut route = route();
     let (own, other) = (Slot(0), Slot(1));
     for expected in [[own; 3], [other; 3], [own; 3], [own; 3]].concat() {
-        assert_eq!(placement.place(&wanted(&route, &[])), Ok(expected));
+        assert_eq!(placement.place(&requirement(&route, &[])), Ok(expected));
     }
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(other));
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(other));
     route.centres = vec![name("ulemiste-b")];
-    assert_eq!(placement.place(&wanted(&route, &[])), Err(Obstacle::Full));
+    assert_eq!(
+        placement.place(&requirement(&route, &[])),
+        Err(Obstacle::Full)
+    );
     route.centres.push(name(OTHER));
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(other));
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(other));
     route.spill = false;
-    assert_eq!(placement.place(&wanted(&route, &[])), Err(Obstacle::Full));
+    assert_eq!(
+        placement.place(&requirement(&route, &[])),
+        Err(Obstacle::Full)
+    );
     placement.eligible(own, false);
-    assert_eq!(placement.place(&wanted(&route, &[])), Err(Obstacle::Gone));
+    assert_eq!(
+        placement.place(&requirement(&route, &[])),
+        Err(Obstacle::Gone)
+    );
     route.spill = true;
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(other));
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(other));
 }
 
 #[test]
@@ -280,14 +289,14 @@
     let route = route();
     let avoid = [Slot(0)];
     for _ in 0..9 {
-        assert_eq!(placement.place(&wanted(&route, &avoid)), Ok(Slot(1)));
+        assert_eq!(placement.place(&requirement(&route, &avoid)), Ok(Slot(1)));
     }
     assert_eq!(
-        placement.place(&wanted(&route, &avoid)),
+        placement.place(&requirement(&route, &avoid)),
         Err(Obstacle::Full)
     );
     placement.leaving(Slot(1));
-    assert_eq!(placement.place(&wanted(&route, &avoid)), Ok(Slot(0)));
+    assert_eq!(placement.place(&requirement(&route, &avoid)), Ok(Slot(0)));
 }
 
 #[test]
@@ -296,13 +305,16 @@
     // refused for good only when no endpoint that was ever listed is large enough.
     let mut placement = placement(&workers(2));
     let route = route();
-    let large = Wanted {
+    let large = Requirement {
         need: need(65),
-        ..wanted(&route, &[])
+        ..requirement(&route, &[])
     };
     assert_eq!(placement.place(&large), Err(Obstacle::Impossible));
     placement.listed(&[], 7);
-    assert_eq!(placement.place(&wanted(&route, &[])), Err(Obstacle::Gone));
+    assert_eq!(
+        placement.place(&requirement(&route, &[])),
+        Err(Obstacle::Gone)
+    );
     assert_eq!(placement.place(&large), Err(Obstacle::Impossible));
 }
 
@@ -311,18 +323,18 @@
     // The caller of a start-once job sees it fail at an endpoint that was ejected a moment ago. An endpoint on
     // probation may fail again, so it must get idempotent tasks alone, which can be retried, and one at a time.
     let mut placement = placement(&workers(2));
-    placement.standing(Slot(0), Standing::Probation);
+    placement.set_eligibility(Slot(0), Eligibility::Probation);
     let route = route();
-    let idempotent = Wanted {
+    let idempotent = Requirement {
         class: Class::Idempotent,
-        ..wanted(&route, &[])
+        ..requirement(&route, &[])
     };
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(Slot(1)));
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(Slot(1)));
     assert_eq!(placement.place(&idempotent), Ok(Slot(0)));
     assert_eq!(placement.place(&idempotent), Ok(Slot(1)));
     placement.ended(Slot(0), None, None);
-    placement.standing(Slot(0), Standing::Trial);
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(Slot(0)));
+    placement.set_eligibility(Slot(0), Eligibility::Trial);
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(Slot(0)));
 }
 
 #[test]
@@ -338,14 +350,17 @@
     let mut changed = list.clone();
     changed[0].slots = 9;
     placement.listed(&changed, 7);
-    assert_eq!(placement.place(&wanted(&route, &[])), Err(Obstacle::Gone));
+    assert_eq!(
+        placement.place(&requirement(&route, &[])),
+        Err(Obstacle::Gone)
+    );
     let mut moved = list.clone();
     moved[0].address = "10.0.0.2:1".to_owned();
     placement.listed(&moved, 7);
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(Slot(0)));
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(Slot(0)));
     placement.leaving(Slot(0));
     for _ in 0..60 {
         placement.listed(&moved, 7);
     }
-    assert_eq!(placement.place(&wanted(&route, &[])), Ok(Slot(0)));
+    assert_eq!(placement.place(&requirement(&route, &[])), Ok(Slot(0)));
 }
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -33,11 +33,11 @@
         },
         message::Heartbeat,
         placement::{
+            Eligibility,
             Obstacle,
             Placement,
+            Requirement, //
             Slot,
-            Standing,
-            Wanted, //
         },
         queue::Queue,
         retry::{
@@ -117,8 +117,8 @@
 }
 
 /// Makes the wish for an endpoint for a small task that starts once.
-pub(crate) fn wanted<'a>(route: &'a Route, avoid: &'a [Slot]) -> Wanted<'a> {
-    Wanted {
+pub(crate) fn requirement<'a>(route: &'a Route, avoid: &'a [Slot]) -> Requirement<'a> {
+    Requirement {
         route,
         need: need(1),
         class: Class::Once,
