Execution: pending attempts, replies and incarnations in place of out, told and run

Cause: Out, Fate, told, over and again said little, and the life of an endpoint was a run in one place and an incarnation in another. The core's list of outputs and a task's attempts were both called out.

Change: stage::Pending, Conclusion, End::Replied, replied, conclude and requeue; the endpoint's incarnation throughout; Permit::without_claim. The texts of answers keep their words. No behaviour changes: without comments, imports and commas the code differs from the one before by one name for another, and by the braces of one match arm and one closure.

--- a/src/core.rs
+++ b/src/core.rs
@@ -71,7 +71,7 @@
     pub name: Instance,
     /// Its data centre.
     pub centre: Centre,
-    /// This run of it.
+    /// Its incarnation: drawn at each start.
     pub incarnation: Incarnation,
     /// The data centres whose endpoints it uses; empty stands for all.
     pub reach: Vec<Centre>,
@@ -125,8 +125,8 @@
     registry: claim::Registry,
     queues: BTreeMap<Service, queue::Queue<execution::Item>>,
     orphans: HashMap<Attempt, placement::Slot>,
-    /// The run of each endpoint that was heard last.
-    endpoint_runs: HashMap<placement::Slot, Incarnation>,
+    /// The incarnation of each endpoint that was heard last.
+    endpoint_incarnations: HashMap<placement::Slot, Incarnation>,
     placement: placement::Placement,
     admission: admission::Admission,
     retries: retry::Budget,
@@ -139,7 +139,7 @@
     calls: HashMap<u64, peering::Pending>,
     peers_reported: Time,
     timers: Timers,
-    out: Vec<Output>,
+    outputs: Vec<Output>,
 }
 
 impl Core {
@@ -167,7 +167,7 @@
             registry: claim::Registry::new(incarnation, limits.kept, timing.kept),
             queues: BTreeMap::new(),
             orphans: HashMap::new(),
-            endpoint_runs: HashMap::new(),
+            endpoint_incarnations: HashMap::new(),
             placement: placement::Placement::new(centre.clone(), limits.outstanding, seed),
             admission: admission::Admission::new(&limits, seed),
             retries: retry::Budget::retries(),
@@ -186,7 +186,7 @@
             calls: HashMap::new(),
             peers_reported: Time::default(),
             timers: Timers::default(),
-            out: Vec::new(),
+            outputs: Vec::new(),
             identity,
             limits,
             timing,
@@ -243,7 +243,7 @@
         }
         self.check_ready();
         self.check_drained();
-        std::mem::take(&mut self.out)
+        std::mem::take(&mut self.outputs)
     }
 
     /// Returns when the next step is due even without an input.
@@ -281,7 +281,7 @@
     }
 
     fn event(&mut self, code: Code, detail: impl Into<String>) {
-        self.out.push(Output::Event(Event::new(code, detail)));
+        self.outputs.push(Output::Event(Event::new(code, detail)));
     }
 
     fn next(&mut self) -> u64 {
@@ -324,7 +324,7 @@
             self.list = Some(list.clone());
             self.configure(config::Input::Workers(list.endpoints.clone()));
         }
-        self.out.push(Output::Share(self.membership.live()));
+        self.outputs.push(Output::Share(self.membership.live()));
         self.dispatch();
     }
 
@@ -342,7 +342,7 @@
             }
             Change::Dropped(slot) => {
                 self.health.dropped(slot);
-                self.endpoint_runs.remove(&slot);
+                self.endpoint_incarnations.remove(&slot);
             }
         }
     }
@@ -400,16 +400,18 @@
         }
         if self.jobs.is_empty() && !self.recording() {
             self.drained = true;
-            self.out.push(Output::Drained);
+            self.outputs.push(Output::Drained);
         }
     }
 
     fn configure(&mut self, input: config::Input) {
         for output in self.config.step(self.now, input) {
             match output {
-                config::Output::Told(request, told) => self.out.push(Output::Told(request, told)),
+                config::Output::Told(request, told) => {
+                    self.outputs.push(Output::Told(request, told))
+                }
                 config::Output::Operate(ticket, operate) => {
-                    self.out
+                    self.outputs
                         .push(Output::Operate(Ticket::Config(ticket), operate));
                 }
                 config::Output::Call(to, id, call) => {
@@ -417,9 +419,9 @@
                 }
                 config::Output::Return(caller, result) => {
                     let result = message::Return::Config(result);
-                    self.out.push(Output::Return(caller, result));
+                    self.outputs.push(Output::Return(caller, result));
                 }
-                config::Output::Event(event) => self.out.push(Output::Event(event)),
+                config::Output::Event(event) => self.outputs.push(Output::Event(event)),
                 // The configuration logs it itself; jobs keep the route that they were accepted with.
                 config::Output::InForce(_) => {}
             }
--- a/src/core/ending.rs
+++ b/src/core/ending.rs
@@ -111,7 +111,7 @@
     }
 
     pub(super) fn count(&mut self, answer: &Answer, class: Class) {
-        self.out.push(Output::Measure(Sample::Answered {
+        self.outputs.push(Output::Measure(Sample::Answered {
             outcome: answer.outcome,
             reason: answer.reason,
             class,
@@ -221,7 +221,7 @@
             }
             Waiter::Peer(caller) => Output::Return(caller, Return::Answer(answer.clone())),
         };
-        self.out.push(output);
+        self.outputs.push(output);
     }
 
     pub(super) fn tell_all(&mut self, waiters: &[Waiter], answer: &Answer) {
--- a/src/core/execution.rs
+++ b/src/core/execution.rs
@@ -19,7 +19,7 @@
     stage::{
         Any,
         Job,
-        Out,
+        Pending,
         Progress,
         Running, //
     },
@@ -57,8 +57,8 @@
     pub task: u32,
 }
 
-/// How an attempt ended that is over.
-pub(super) enum Fate {
+/// How an attempt ended.
+pub(super) enum Conclusion {
     /// It ran to its end.
     Done(Arc<RawValue>),
     /// It ran and failed.
@@ -205,10 +205,10 @@
             .flatten();
         let wait = hedge.unwrap_or(usual);
         let look = self.timers.set(self.now + wait, Timer::Look(attempt));
-        progress.out.push(Out {
+        progress.pending.push(Pending {
             attempt,
             slot,
-            run: self.endpoint_runs.get(&slot).copied(),
+            incarnation: self.endpoint_incarnations.get(&slot).copied(),
             at: self.now,
             look,
             missed: 0,
@@ -221,8 +221,8 @@
             payload: task.payload.clone(),
             lease: route.lease,
         };
-        self.out.push(Output::Measure(Sample::Started));
-        self.out.push(Output::Start {
+        self.outputs.push(Output::Measure(Sample::Started));
+        self.outputs.push(Output::Start {
             endpoint,
             address,
             start,
@@ -231,56 +231,61 @@
     }
 
     pub(super) fn ended(&mut self, attempt: Attempt, end: End) {
-        let Some(out) = self.find_out(attempt) else {
+        let Some(pending) = self.find_pending(attempt) else {
             return self.orphan_ended(attempt);
         };
         match end {
-            End::Told(reply) => self.told(attempt, reply),
+            End::Replied(reply) => self.replied(attempt, reply),
             End::Unsent => {
-                self.note_failure(out.slot, attempt.job);
-                self.over(attempt, None, Fate::NotStarted);
+                self.note_failure(pending.slot, attempt.job);
+                self.conclude(attempt, None, Conclusion::NotStarted);
             }
-            End::Withheld => self.over(attempt, None, Fate::NotStarted),
+            End::Withheld => self.conclude(attempt, None, Conclusion::NotStarted),
             End::Broken => {
-                self.note_failure(out.slot, attempt.job);
+                self.note_failure(pending.slot, attempt.job);
                 if self.repeatable(attempt.job) {
-                    self.over(attempt, None, Fate::Lost);
+                    self.conclude(attempt, None, Conclusion::Lost);
                 } else {
                     // It may run on behind a broken connection; the endpoint itself knows.
                     self.event(Code::StartLost, attempt.to_string());
-                    self.send_look(&out, false);
+                    self.send_look(&pending, false);
                 }
             }
         }
     }
 
-    pub(super) fn told(&mut self, attempt: Attempt, reply: Reply) {
-        let Some(out) = self.find_out(attempt) else {
+    pub(super) fn replied(&mut self, attempt: Attempt, reply: Reply) {
+        let Some(pending) = self.find_pending(attempt) else {
             return;
         };
-        self.note_run(out.slot, &reply);
+        self.note_incarnation(pending.slot, &reply);
         match reply {
             Reply::Done { result, load } => {
                 self.retries.success();
-                let change = self.health.succeeded(self.now, out.slot);
+                let change = self.health.succeeded(self.now, pending.slot);
                 self.apply_health(change);
-                self.over(attempt, Some(load), Fate::Done(result));
+                self.conclude(attempt, Some(load), Conclusion::Done(result));
             }
             Reply::Failed { error, load } => {
-                self.note_failure(out.slot, attempt.job);
-                self.over(attempt, Some(load), Fate::Failed(error));
+                self.note_failure(pending.slot, attempt.job);
+                self.conclude(attempt, Some(load), Conclusion::Failed(error));
             }
             Reply::NotStarted { leaving, load, .. } => {
                 if leaving {
-                    self.placement.leaving(out.slot);
+                    self.placement.leaving(pending.slot);
                 }
-                self.over(attempt, Some(load), Fate::NotStarted);
+                self.conclude(attempt, Some(load), Conclusion::NotStarted);
             }
         }
     }
 
-    /// Takes an attempt that is over off its task, and goes on with the job.
-    pub(super) fn over(&mut self, attempt: Attempt, load: Option<Load>, fate: Fate) {
+    /// Takes an attempt that has ended off its task, and goes on with the job.
+    pub(super) fn conclude(
+        &mut self,
+        attempt: Attempt,
+        load: Option<Load>,
+        conclusion: Conclusion,
+    ) {
         let Some(Any::Running(job)) = self.jobs.get_mut(&attempt.job) else {
             return;
         };
@@ -288,34 +293,39 @@
         let service = job.stage.admitted.route.service.clone();
         let expected = job.submission.tasks[attempt.task as usize].expected;
         let progress = &mut job.stage.tasks[attempt.task as usize];
-        let Some(at) = progress.out.iter().position(|out| out.attempt == attempt) else {
+        let Some(at) = progress
+            .pending
+            .iter()
+            .position(|pending| pending.attempt == attempt)
+        else {
             return;
         };
-        let out = progress.out.swap_remove(at);
-        progress.avoid(out.slot);
-        self.timers.cancel(out.look);
-        let ran = !matches!(fate, Fate::NotStarted);
+        let pending = progress.pending.swap_remove(at);
+        progress.avoid(pending.slot);
+        self.timers.cancel(pending.look);
+        let ran = !matches!(conclusion, Conclusion::NotStarted);
         job.stage.started |= ran;
-        let took = self.now.since(out.at);
-        let done = matches!(fate, Fate::Done(_));
+        let took = self.now.since(pending.at);
+        let done = matches!(conclusion, Conclusion::Done(_));
         if let Some(load) = load {
-            self.learn_share(out.slot, load);
+            self.learn_share(pending.slot, load);
         }
-        self.placement.ended(out.slot, done.then_some(took), load);
-        match fate {
-            Fate::Done(result) => {
+        self.placement
+            .ended(pending.slot, done.then_some(took), load);
+        match conclusion {
+            Conclusion::Done(result) => {
                 self.admission.learned(expected, took);
                 self.hedges.success(&service, took);
                 self.done(attempt, took, result);
             }
-            Fate::NotStarted => self.again(attempt),
-            Fate::Failed(error) => {
+            Conclusion::NotStarted => self.requeue(attempt),
+            Conclusion::Failed(error) => {
                 if !class.repeatable() || !self.retry(attempt) {
                     let detail = format!("tasks[{}]: {error}", attempt.task);
                     self.give_up(attempt.job, Reason::TaskFailed, &detail);
                 }
             }
-            Fate::Lost => {
+            Conclusion::Lost => {
                 if !class.repeatable() || !self.retry(attempt) {
                     let detail = format!(
                         "tasks[{}]: the endpoint can't be reached after the start was sent",
@@ -355,12 +365,12 @@
         progress.result = Some(result);
         job.stage.longest = job.stage.longest.max(took);
         job.stage.left -= 1;
-        let spare: Vec<_> = progress.out.drain(..).collect();
+        let spare: Vec<_> = progress.pending.drain(..).collect();
         if job.stage.left == 0 {
             self.complete(attempt.job);
         }
-        for out in spare {
-            self.stop(out);
+        for pending in spare {
+            self.stop(pending);
         }
     }
 
@@ -375,7 +385,7 @@
         debug_assert_eq!(results.len(), job.submission.tasks.len());
         let mut answer = Answer::new(Outcome::Complete, Reason::Done, "every task ran to its end");
         answer.results = results;
-        self.out.push(Output::Measure(Sample::Completed {
+        self.outputs.push(Output::Measure(Sample::Completed {
             took: self.now.since(job.arrived),
             ideal: job.stage.longest,
         }));
@@ -383,7 +393,7 @@
     }
 
     /// Queues a task again that is proved not to have started.
-    fn again(&mut self, attempt: Attempt) {
+    fn requeue(&mut self, attempt: Attempt) {
         if attempt.number + 1 >= REFUSALS {
             let detail = format!("tasks[{}]: refused by every endpoint tried", attempt.task);
             return self.give_up(attempt.job, Reason::NoEndpoint, &detail);
@@ -407,7 +417,7 @@
         };
         let progress = &job.stage.tasks[attempt.task as usize];
         // A hedge that still runs is retry enough.
-        if !progress.out.is_empty() {
+        if !progress.pending.is_empty() {
             return true;
         }
         if progress.attempts >= ATTEMPTS || !self.retries.take(self.now) {
@@ -418,7 +428,7 @@
             job: attempt.job,
             task: attempt.task,
         };
-        self.out.push(Output::Measure(Sample::Retried));
+        self.outputs.push(Output::Measure(Sample::Retried));
         self.timers.set(self.now + wait, Timer::Retry(item));
         true
     }
@@ -456,8 +466,8 @@
     /// Stops the attempts of a job that has its answer.
     pub(super) fn stop_rest(&mut self, job: &Job<Running>) {
         for progress in &job.stage.tasks {
-            for out in &progress.out {
-                self.stop(out.clone());
+            for pending in &progress.pending {
+                self.stop(pending.clone());
             }
         }
     }
@@ -469,16 +479,16 @@
         }
     }
 
-    pub(super) fn find_out(&mut self, attempt: Attempt) -> Option<Out> {
-        self.with_out(attempt, |out| out.clone())
+    pub(super) fn find_pending(&mut self, attempt: Attempt) -> Option<Pending> {
+        self.with_pending(attempt, |pending| pending.clone())
     }
 
-    /// Works on an attempt that is out. One that has been told already, or that another incarnation made, is
+    /// Works on an attempt that is pending. One that has been answered already, or that another incarnation made, is
     /// not: an answer that comes late or twice changes nothing.
-    pub(super) fn with_out<T>(
+    pub(super) fn with_pending<T>(
         &mut self,
         attempt: Attempt,
-        work: impl FnOnce(&mut Out) -> T,
+        work: impl FnOnce(&mut Pending) -> T,
     ) -> Option<T> {
         if attempt.incarnation != self.identity.incarnation {
             return None;
@@ -487,16 +497,19 @@
             return None;
         };
         let progress = job.stage.tasks.get_mut(attempt.task as usize)?;
-        let out = progress.out.iter_mut().find(|out| out.attempt == attempt)?;
-        Some(work(out))
+        let pending = progress
+            .pending
+            .iter_mut()
+            .find(|pending| pending.attempt == attempt)?;
+        Some(work(pending))
     }
 }
 
 impl Job<Running> {
     /// Returns what can truthfully be said of a job that ends before it is complete.
     fn outcome(&self, reason: Reason) -> Outcome {
-        let out = self.stage.tasks.iter().any(|task| !task.out.is_empty());
-        match (reason, out, self.stage.started) {
+        let pending = self.stage.tasks.iter().any(|task| !task.pending.is_empty());
+        match (reason, pending, self.stage.started) {
             (Reason::TaskFailed, _, _) => Outcome::Failed,
             (Reason::Lost, _, _) | (_, true, _) => Outcome::Unknown,
             (_, false, true) => Outcome::Failed,
--- a/src/core/look.rs
+++ b/src/core/look.rs
@@ -2,7 +2,7 @@
 
 use super::{
     execution::{
-        Fate,
+        Conclusion,
         Item,
         ATTEMPTS, //
     },
@@ -14,7 +14,7 @@
     placement::Slot,
     stage::{
         Any,
-        Out, //
+        Pending, //
     },
     timer::Timer,
     Core,
@@ -43,13 +43,13 @@
 impl Core {
     /// Looks at an attempt that has drawn no answer for longer than it should.
     pub(super) fn look(&mut self, attempt: Attempt) {
-        let Some(out) = self.find_out(attempt) else {
+        let Some(pending) = self.find_pending(attempt) else {
             return;
         };
-        if out.looks == 0 && self.repeatable(attempt.job) && self.hedge(attempt) {
+        if pending.looks == 0 && self.repeatable(attempt.job) && self.hedge(attempt) {
             return;
         }
-        self.send_look(&out, false);
+        self.send_look(&pending, false);
     }
 
     /// Starts a second copy of an idempotent task that is late, within the budget.
@@ -58,12 +58,19 @@
             return false;
         };
         let progress = &mut job.stage.tasks[attempt.task as usize];
-        if progress.out.len() > 1 || progress.attempts >= ATTEMPTS || !self.hedges.take(self.now) {
+        if progress.pending.len() > 1
+            || progress.attempts >= ATTEMPTS
+            || !self.hedges.take(self.now)
+        {
             return false;
         }
-        let slots: Vec<_> = progress.out.iter().map(|out| out.slot).collect();
+        let slots: Vec<_> = progress
+            .pending
+            .iter()
+            .map(|pending| pending.slot)
+            .collect();
         slots.into_iter().for_each(|slot| progress.avoid(slot));
-        self.out.push(Output::Measure(Sample::Hedged));
+        self.outputs.push(Output::Measure(Sample::Hedged));
         self.set_look(attempt, LONGEST_LOOK);
         self.enqueue(Item {
             job: attempt.job,
@@ -72,22 +79,26 @@
         true
     }
 
-    pub(super) fn send_look(&mut self, out: &Out, stop: bool) {
-        if let Some(worker) = self.placement.endpoint(out.slot) {
-            self.out.push(Output::Look {
+    pub(super) fn send_look(&mut self, pending: &Pending, stop: bool) {
+        if let Some(worker) = self.placement.endpoint(pending.slot) {
+            self.outputs.push(Output::Look {
                 endpoint: worker.name.clone(),
                 address: worker.address.clone(),
-                attempt: out.attempt,
+                attempt: pending.attempt,
                 stop,
             });
         }
     }
 
     pub(super) fn looked(&mut self, attempt: Attempt, status: Option<Status>) {
-        let Some(out) = self.with_out(attempt, |out| {
-            out.looks += 1;
-            out.missed = if status.is_none() { out.missed + 1 } else { 0 };
-            out.clone()
+        let Some(pending) = self.with_pending(attempt, |pending| {
+            pending.looks += 1;
+            pending.missed = if status.is_none() {
+                pending.missed + 1
+            } else {
+                0
+            };
+            pending.clone()
         }) else {
             let over = matches!(status, Some(Status::Barred { .. } | Status::Ended { .. }));
             return if over {
@@ -95,52 +106,58 @@
             };
         };
         match status {
-            None if out.missed >= MISSES => {
-                self.note_failure(out.slot, attempt.job);
+            None if pending.missed >= MISSES => {
+                self.note_failure(pending.slot, attempt.job);
                 self.abandon(attempt);
-                self.over(attempt, None, Fate::Lost);
+                self.conclude(attempt, None, Conclusion::Lost);
             }
             None => self.set_look(attempt, LOOK_AGAIN),
             Some(Status::Running) => {
-                let wait = LOOK_RUNNING.times(1 << out.looks.min(4));
+                let wait = LOOK_RUNNING.times(1 << pending.looks.min(4));
                 self.set_look(attempt, wait.min(LONGEST_LOOK));
             }
             Some(Status::Ended { reply }) => {
                 self.abandon(attempt);
-                self.told(attempt, reply);
+                self.replied(attempt, reply);
             }
             // The start may still be on its way: only once the endpoint has barred it may another be tried.
-            Some(Status::Unseen) => self.send_look(&out, true),
+            Some(Status::Unseen) => self.send_look(&pending, true),
             Some(Status::Barred { incarnation }) => {
-                self.note_failure(out.slot, attempt.job);
+                self.note_failure(pending.slot, attempt.job);
                 self.abandon(attempt);
-                // An endpoint that has started again knows nothing of what its last run started. Its word
-                // would have the task run twice. A run that was heard before the start left and still
+                // An endpoint that has started again knows nothing of what its last incarnation started. By its
+                // report the task would run twice. An incarnation that was heard before the start left and still
                 // answers is the only one that can have got it.
-                let same = out.run.is_some() && out.run == incarnation;
-                let fate = if same { Fate::NotStarted } else { Fate::Lost };
-                self.over(attempt, None, fate);
+                let same = pending.incarnation.is_some() && pending.incarnation == incarnation;
+                let conclusion = if same {
+                    Conclusion::NotStarted
+                } else {
+                    Conclusion::Lost
+                };
+                self.conclude(attempt, None, conclusion);
             }
         }
     }
 
     pub(super) fn set_look(&mut self, attempt: Attempt, wait: Span) {
         let look = self.timers.set(self.now + wait, Timer::Look(attempt));
-        let known = self.with_out(attempt, |out| std::mem::replace(&mut out.look, look));
+        let known = self.with_pending(attempt, |pending| {
+            std::mem::replace(&mut pending.look, look)
+        });
         self.timers.cancel(known.unwrap_or(look));
     }
 
     pub(super) fn abandon(&mut self, attempt: Attempt) {
-        self.out.push(Output::Abandon(attempt));
+        self.outputs.push(Output::Abandon(attempt));
     }
 
     /// Stops an attempt whose end nobody waits for; its endpoint stays counted as busy until it has ended.
-    pub(super) fn stop(&mut self, out: Out) {
-        self.timers.cancel(out.look);
-        self.send_look(&out, true);
-        self.orphans.insert(out.attempt, out.slot);
+    pub(super) fn stop(&mut self, pending: Pending) {
+        self.timers.cancel(pending.look);
+        self.send_look(&pending, true);
+        self.orphans.insert(pending.attempt, pending.slot);
         self.timers
-            .set(self.now + LONGEST_LOOK, Timer::Orphan(out.attempt));
+            .set(self.now + LONGEST_LOOK, Timer::Orphan(pending.attempt));
     }
 
     pub(super) fn orphan_ended(&mut self, attempt: Attempt) {
@@ -158,14 +175,14 @@
         }
     }
 
-    /// Remembers which run of an endpoint answered last.
-    pub(super) fn note_run(&mut self, slot: Slot, reply: &Reply) {
+    /// Remembers which incarnation of an endpoint answered last.
+    pub(super) fn note_incarnation(&mut self, slot: Slot, reply: &Reply) {
         let (Reply::Done { load, .. }
         | Reply::Failed { load, .. }
         | Reply::NotStarted { load, .. }) = reply;
         match load.incarnation {
-            Some(run) => self.endpoint_runs.insert(slot, run),
-            None => self.endpoint_runs.remove(&slot),
+            Some(incarnation) => self.endpoint_incarnations.insert(slot, incarnation),
+            None => self.endpoint_incarnations.remove(&slot),
         };
     }
 
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Request(pub u64);
 
-/// Names an operation on the platform until its end is told, and which part of the core asked for it.
+/// Names an operation on the platform until it ends, and which part of the core asked for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Ticket {
     /// Asked for by the claims.
@@ -40,7 +40,7 @@
     Config(u64),
 }
 
-/// Names a call to a peer until its end is told, and which part of the core made it.
+/// Names a call to a peer until it returns, and which part of the core made it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CallId {
     /// A forwarded submission.
@@ -165,13 +165,13 @@
 /// What comes of a start at an endpoint.
 #[derive(Debug, Clone)]
 pub enum End {
-    /// The endpoint told the end.
-    Told(Reply),
+    /// The endpoint replied with the end.
+    Replied(Reply),
     /// No byte of it left, since the endpoint can't be reached.
     Unsent,
     /// No byte of it left, since this instance had no room or no time for it.
     Withheld,
-    /// It may have arrived; the connection broke before the end was told.
+    /// It may have arrived; the connection broke before a reply came.
     Broken,
 }
 
--- a/src/core/peering.rs
+++ b/src/core/peering.rs
@@ -42,7 +42,7 @@
         let Some(address) = self.membership.address(&to) else {
             return self.returned(id, Return::Refused);
         };
-        self.out.push(Output::Call {
+        self.outputs.push(Output::Call {
             to,
             address,
             id,
@@ -54,7 +54,7 @@
     pub(super) fn called(&mut self, caller: Caller, call: Call) {
         match call {
             Call::Submit(forward) if forward.owner != self.identity.incarnation => {
-                self.out
+                self.outputs
                     .push(Output::Return(caller, Return::StaleIncarnation));
             }
             Call::Submit(forward) => self.submit(Arrival {
@@ -68,7 +68,7 @@
             Call::Heartbeat(heartbeat) => {
                 self.heard(&heartbeat);
                 let own = self.heartbeat();
-                self.out
+                self.outputs
                     .push(Output::Return(caller, Return::Heartbeat(own)));
             }
             Call::Config(call) => self.configure(config::Input::Called(caller, call)),
@@ -156,7 +156,7 @@
         };
         self.calls.insert(id, pending);
         let call = Call::Heartbeat(self.heartbeat());
-        self.out.push(Output::Call {
+        self.outputs.push(Output::Call {
             to,
             address,
             id: CallId::Heartbeat(id),
@@ -170,7 +170,7 @@
         let live = self.membership.live();
         let sharing = self.membership.live_in(&self.identity.reach);
         self.placement.share(sharing);
-        self.out.push(Output::Share(live));
+        self.outputs.push(Output::Share(live));
     }
 
     /// Ends the calls to a peer that is gone or stands still.
--- a/src/core/stage.rs
+++ b/src/core/stage.rs
@@ -108,7 +108,7 @@
     }
 
     /// The job has no key that anybody else could know, or its tasks are idempotent.
-    pub fn by_nature() -> Self {
+    pub fn without_claim() -> Self {
         Self(())
     }
 }
@@ -137,23 +137,23 @@
     pub attempts: u32,
     /// Endpoints that are avoided at the next attempt.
     pub avoid: Vec<Slot>,
-    /// Attempts that are out; two while a hedge runs.
-    pub out: Vec<Out>,
+    /// Attempts that have not ended; two while a hedge runs.
+    pub pending: Vec<Pending>,
     /// Whether it has ended with a result.
     pub done: bool,
     /// The result, until the answer takes it.
     pub result: Option<Arc<RawValue>>,
 }
 
-/// An attempt that is out at an endpoint.
+/// An attempt that was sent to an endpoint and has not ended.
 #[derive(Debug, Clone)]
-pub struct Out {
+pub struct Pending {
     /// The attempt.
     pub attempt: Attempt,
     /// The endpoint.
     pub slot: Slot,
-    /// The run of the endpoint that was heard last before the start.
-    pub run: Option<Incarnation>,
+    /// The incarnation of the endpoint that was heard last before the start.
+    pub incarnation: Option<Incarnation>,
     /// When it was started.
     pub at: Time,
     /// The timer that looks it up.
@@ -175,7 +175,7 @@
         let progress = |_: &Task| Progress {
             attempts: 0,
             avoid: Vec::new(),
-            out: Vec::new(),
+            pending: Vec::new(),
             done: false,
             result: None,
         };
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -89,7 +89,7 @@
     fn operate_for(&mut self, purpose: Purpose, operate: Operate) {
         let ticket = self.next();
         self.tickets.insert(ticket, purpose);
-        self.out
+        self.outputs
             .push(Output::Operate(Ticket::Claim(ticket), operate));
     }
 
--- a/src/core/submission.rs
+++ b/src/core/submission.rs
@@ -285,10 +285,10 @@
     fn claim(&mut self, job: Job<Received>, origin: Origin) {
         let class = job.stage.admitted.as_ref().map(|admitted| admitted.class);
         if class.is_some_and(Class::repeatable) {
-            return self.run(job.permit(Permit::by_nature(), None));
+            return self.run(job.permit(Permit::without_claim(), None));
         }
         let Some(name) = job.submission.key.clone() else {
-            return self.run(job.permit(Permit::by_nature(), None));
+            return self.run(job.permit(Permit::without_claim(), None));
         };
         if origin == Origin::Range || Range::of(&name).is_some() {
             return self.run(job.permit(Permit::by_range(), None));
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -69,7 +69,7 @@
     metrics: Arc<Metrics>,
     back: ring::Sender<Input>,
     pool: Mutex<Pool>,
-    out: Mutex<HashMap<Attempt, AbortHandle>>,
+    starts: Mutex<HashMap<Attempt, AbortHandle>>,
 }
 
 /// Something to be done, from the decisions.
@@ -91,7 +91,7 @@
         metrics,
         back,
         pool: Mutex::new(Pool::new(settings.timing.idle.duration())),
-        out: Mutex::default(),
+        starts: Mutex::default(),
     };
     let dialler = Dialler {
         link: Arc::new(link),
@@ -126,7 +126,7 @@
             } => {
                 let attempt = start.attempt;
                 let task = tokio::spawn(link.clone().start(address, start, expires));
-                lock(&link.out).insert(attempt, task.abort_handle());
+                lock(&link.starts).insert(attempt, task.abort_handle());
             }
             Output::Look {
                 address,
@@ -138,7 +138,7 @@
             }
             // The connection goes with its task: nothing that arrives on it is taken any more.
             Output::Abandon(attempt) => {
-                if let Some(task) = lock(&link.out).remove(&attempt) {
+                if let Some(task) = lock(&link.starts).remove(&attempt) {
                     task.abort();
                 }
             }
@@ -158,7 +158,7 @@
 impl Link {
     async fn start(self: Arc<Self>, address: String, start: Start, expires: Time) {
         let end = self.try_start(&address, &start, expires).await;
-        lock(&self.out).remove(&start.attempt);
+        lock(&self.starts).remove(&start.attempt);
         self.back.send(Input::Ended(start.attempt, end)).await;
     }
 
@@ -191,9 +191,9 @@
             StatusCode::OK | StatusCode::SERVICE_UNAVAILABLE
         );
         match serde_json::from_slice::<Reply>(&reply.body) {
-            Ok(told) if known => {
+            Ok(end) if known => {
                 lock(&self.pool).put(address, connection);
-                End::Told(told)
+                End::Replied(end)
             }
             _ => End::Broken,
         }
--- a/src/endpoint/wire.rs
+++ b/src/endpoint/wire.rs
@@ -40,12 +40,12 @@
     pub running: u32,
     /// Tasks that wait for a slot.
     pub queued: u32,
-    /// Which run of the endpoint answers: drawn at its start, never used again.
+    /// The incarnation of the endpoint that answers: drawn at its start, never used again.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub incarnation: Option<Incarnation>,
 }
 
-/// The end of an attempt, as the endpoint tells it.
+/// The end of an attempt, as the endpoint reports it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reply {
@@ -80,16 +80,16 @@
 pub enum Status {
     /// Not seen; it may still arrive.
     Unseen,
-    /// Not started by this run of the endpoint, and it never will be.
+    /// Not started by this incarnation of the endpoint, and it never will be.
     Barred {
-        /// Which run of the endpoint answers. The word of another run than the one that the start went to
-        /// proves nothing.
+        /// The incarnation of the endpoint that answers. The report of another one than the start went to proves
+        /// nothing.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         incarnation: Option<Incarnation>,
     },
     /// Waits for a slot or runs.
     Running,
-    /// Ended as told.
+    /// Ended as reported.
     Ended {
         /// The end.
         reply: Reply,
--- a/tests/orders/world.rs
+++ b/tests/orders/world.rs
@@ -590,7 +590,7 @@
             }
             reply
         };
-        let input = Input::Ended(attempt, End::Told(reply));
+        let input = Input::Ended(attempt, End::Replied(reply));
         self.messages.push(Message::Input(run, input));
     }
 
