Callers, metrics, admission: context, gauges, label, demand and stats

Cause: Door, Standing, Word, Ask and Stock are metaphors or odd words for the context of the callers' thread, the values of the gauges, a label's value, what a job demands, and the core's counts; turn_away, converse, hand_out and unheard likewise.

Change: caller::Context, metrics::Gauges and Label, admission::Demand, core::Stats; reject, serve_connection, deliver and not_taken; the constants RETRY_AFTER, INFEASIBLE, OVERLOADED, REJECTIONS and REJECT_TIMEOUT. Names and texts that callers and operators see stay. Without comments, imports and commas the code differs by one name for another only.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -17,7 +17,7 @@
     core::{
         admission::{
             Admission,
-            Ask, //
+            Demand, //
         },
         config::Route,
         health::Health,
@@ -162,7 +162,7 @@
         let mut job = 0;
         let mut admit = |job: u64| {
             let team = &teams[job as usize % teams.len()];
-            let ask = Ask {
+            let demand = Demand {
                 team,
                 tasks: 12,
                 bytes: 2_000,
@@ -172,8 +172,8 @@
                 quota: None,
                 slots: 384,
             };
-            admission.admit(Time(job), &ask).expect("room");
-            admission.release(team, 12, 2_000, ask.work);
+            admission.admit(Time(job), &demand).expect("room");
+            admission.release(team, 12, 2_000, demand.work);
         };
         group.bench_function(
             BenchmarkId::new("admit and release a job", count),
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -100,19 +100,19 @@
 const FLUSH: Duration = Duration::from_millis(5);
 
 /// What a connection beyond the bound gets. Its request is not read, so nothing more can be said of it.
-const CROWDED: &str = "{\"outcome\":\"unknown\",\"reason\":\"busy\",\
+const OVERLOADED: &str = "{\"outcome\":\"unknown\",\"reason\":\"busy\",\
     \"detail\":\"too many connections; nothing was read\",\"retry_after_ms\":500}";
 
-/// How long a connection beyond the bound may take to be told.
-const CROWDED_FOR: Duration = Duration::from_secs(1);
+/// How long the rejection of a connection beyond the bound may take.
+const REJECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Connections beyond the bound that are told so at once; any more are closed.
-const TOLD: usize = 64;
+/// Connections beyond the bound that are rejected at once with an answer; any more are closed.
+const REJECTIONS: usize = 64;
 
 type Reply = Response<Full<Bytes>>;
 
 /// What the callers' thread needs of the rest.
-pub struct Door {
+pub struct Context {
     /// The settings.
     pub settings: Arc<Settings>,
     /// The metrics.
@@ -125,7 +125,7 @@
 
 /// What all connections share.
 struct Shared {
-    door: Door,
+    context: Context,
     operators: admin::Operators,
     back: ring::Sender<Input>,
     serial: Cell<u64>,
@@ -135,7 +135,7 @@
 
 /// Serves callers until the decisions end.
 pub async fn serve(
-    door: Door,
+    context: Context,
     listener: std::net::TcpListener,
     mut answers: ring::Receiver<Output>,
     back: ring::Sender<Input>,
@@ -143,9 +143,9 @@
     let Some(listener) = serve::adopt(listener) else {
         return;
     };
-    let operators = admin::Operators::new(&door.settings.operators);
+    let operators = admin::Operators::new(&context.settings.operators);
     let shared = Rc::new(Shared {
-        door,
+        context,
         operators,
         back,
         serial: Cell::new(0),
@@ -154,7 +154,7 @@
     });
     let acceptor = spawn_local(accept(shared.clone(), listener));
     while let Some(output) = answers.next().await {
-        shared.hand_out(output);
+        shared.deliver(output);
     }
     acceptor.abort();
     shared.finish().await;
@@ -183,31 +183,31 @@
                 sleep(FLUSH).await;
             }
         };
-        timeout(self.door.settings.timing.receive.duration(), ended)
+        timeout(self.context.settings.timing.receive.duration(), ended)
             .await
             .ok();
     }
 
     /// Serves a connection, unless there are too many.
     fn connect(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
-        let bound = self.door.settings.limits.connections;
+        let bound = self.context.settings.limits.connections;
         let open = self.connections.get();
-        if open >= bound + TOLD {
+        if open >= bound + REJECTIONS {
             return;
         }
         self.connections.set(open + 1);
         spawn_local(async move {
             if open < bound {
-                self.converse(stream, from).await;
+                self.serve_connection(stream, from).await;
             } else {
-                timeout(CROWDED_FOR, turn_away(stream)).await.ok();
+                timeout(REJECT_TIMEOUT, reject(stream)).await.ok();
             }
             self.connections.set(self.connections.get() - 1);
         });
     }
 
     /// Hands an answer to the connection that waits for it.
-    fn hand_out(&self, output: Output) {
+    fn deliver(&self, output: Output) {
         let request = match &output {
             Output::Answer(request, _) | Output::Told(request, _) => *request,
             _ => return,
@@ -218,14 +218,14 @@
         }
     }
 
-    async fn converse(self: &Rc<Self>, stream: TcpStream, from: SocketAddr) {
+    async fn serve_connection(self: &Rc<Self>, stream: TcpStream, from: SocketAddr) {
         stream.set_nodelay(true).ok();
-        let settings = &self.door.settings;
+        let settings = &self.context.settings;
         let service = service_fn(|request| {
             let shared = self.clone();
             async move { Ok::<_, std::convert::Infallible>(shared.answer(request, from).await) }
         });
-        let mut ended = self.door.ended.clone();
+        let mut ended = self.context.ended.clone();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(settings.timing.receive.duration())
@@ -249,11 +249,11 @@
             (&Method::GET, ["v1", "jobs", team, key]) => self.find(team, key, false).await,
             (&Method::DELETE, ["v1", "jobs", team, key]) => self.find(team, key, true).await,
             (&Method::GET, ["v1", "range"]) => {
-                let range = lock(&self.door.status.range).clone();
+                let range = lock(&self.context.status.range).clone();
                 json(StatusCode::OK, format!("{{\"range\":\"{range}\"}}"))
             }
             (&Method::GET, ["metrics"]) => {
-                let text = self.door.metrics.render().unwrap_or_default();
+                let text = self.context.metrics.render().unwrap_or_default();
                 let mut reply = Response::new(Full::from(text));
                 let kind = HeaderValue::from_static(metrics::CONTENT_TYPE);
                 reply.headers_mut().insert(CONTENT_TYPE, kind);
@@ -276,7 +276,7 @@
     }
 
     fn readiness(&self) -> Reply {
-        if self.door.status.ready.load(Ordering::Acquire) {
+        if self.context.status.ready.load(Ordering::Acquire) {
             json(StatusCode::OK, "{\"ready\":true}")
         } else {
             json(StatusCode::SERVICE_UNAVAILABLE, "{\"ready\":false}")
@@ -319,7 +319,7 @@
             Some(Output::Answer(_, answer)) => self.reply(&answer),
             // This request started nothing, but its key may have run under an earlier one.
             _ => {
-                let mut answer = self.unheard();
+                let mut answer = self.not_taken();
                 if key.is_some() && !first {
                     answer.outcome = Outcome::Unknown;
                 }
@@ -329,12 +329,12 @@
     }
 
     /// Refuses a request that the decisions never took.
-    fn unheard(&self) -> Answer {
-        if *self.door.ended.borrow() {
+    fn not_taken(&self) -> Answer {
+        if *self.context.ended.borrow() {
             let detail = "this instance has ended; try another";
             return Answer::refusal(Reason::Draining, detail).with_retry(Span::millis(50));
         }
-        self.door.metrics.ring_refused();
+        self.context.metrics.ring_refused();
         Event::new(Code::RingFull, "from the callers").log();
         Answer::refusal(Reason::Busy, "the instance has no room").with_retry(Span::millis(500))
     }
@@ -360,7 +360,7 @@
 
     /// Puts an input to the decisions and waits for what comes of it; none where the ring is full or has ended.
     async fn ask(&self, input: impl FnOnce(message::Request) -> Input) -> Option<Output> {
-        if *self.door.ended.borrow() {
+        if *self.context.ended.borrow() {
             return None;
         }
         self.serial.set(self.serial.get() + 1);
@@ -381,8 +381,8 @@
 
     /// Reads the whole body of a request, within its bounds of size and time.
     async fn body(&self, request: Request<Incoming>) -> Result<Bytes, Answer> {
-        let bound = self.door.settings.limits.body;
-        let wait = self.door.settings.timing.receive;
+        let bound = self.context.settings.limits.body;
+        let wait = self.context.settings.timing.receive;
         let body = Limited::new(request.into_body(), bound).collect();
         match timeout(wait.duration(), body).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -412,7 +412,7 @@
             }
         };
         put(OUTCOME, answer.outcome.to_string());
-        put(RANGE, lock(&self.door.status.range).clone());
+        put(RANGE, lock(&self.context.status.range).clone());
         if let Some(retry) = answer.retry {
             let seconds = retry.as_millis().div_ceil(1_000);
             put(RETRY_AFTER.as_str(), seconds.to_string());
@@ -421,8 +421,8 @@
     }
 }
 
-/// Tells a connection beyond the bound that it is one too many.
-async fn turn_away(mut stream: TcpStream) {
+/// Rejects a connection beyond the bound.
+async fn reject(mut stream: TcpStream) {
     let mut seen = [0; 1024];
     // What has come is taken first: closing over unread bytes would reset the connection under the answer.
     if stream.read(&mut seen).await.is_err() {
@@ -430,8 +430,8 @@
     }
     let reply = format!(
         "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n{OUTCOME}: unknown\r\n\
-         retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{CROWDED}",
-        CROWDED.len()
+         retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{OVERLOADED}",
+        OVERLOADED.len()
     );
     stream.write_all(reply.as_bytes()).await.ok();
     stream.shutdown().await.ok();
--- a/src/core.rs
+++ b/src/core.rs
@@ -79,7 +79,7 @@
 
 /// Counts of what the core holds, for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Stock {
+pub struct Stats {
     /// Jobs in progress.
     pub jobs: usize,
     /// Tasks that wait for an endpoint.
@@ -266,8 +266,8 @@
     }
 
     /// Returns counts of what the core holds.
-    pub fn stock(&self) -> Stock {
-        Stock {
+    pub fn stats(&self) -> Stats {
+        Stats {
             jobs: self.jobs.len(),
             waiting: self.queues.values().map(queue::Queue::len).sum(),
             keys: self.registry.len(),
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -27,7 +27,7 @@
 const PRIOR: f64 = 5_000_000.0;
 
 /// How many times its deadline a job may take alone, as declared, before it is refused for that.
-const HOPELESS: u64 = 4;
+const INFEASIBLE: u64 = 4;
 
 /// The least time after which a refused caller is asked back.
 const SOONEST: Span = Span::millis(50);
@@ -35,9 +35,9 @@
 /// The most time after which a refused caller is asked back.
 const LATEST: Span = Span::seconds(30);
 
-/// A job that asks to be taken.
+/// What a job that is to be admitted demands.
 #[derive(Debug, Clone, Copy)]
-pub struct Ask<'a> {
+pub struct Demand<'a> {
     /// Its team.
     pub team: &'a Team,
     /// Its tasks.
@@ -141,18 +141,18 @@
     /// # Errors
     ///
     /// Tells why the job is refused and when to come back; nothing of it is counted then.
-    pub fn admit(&mut self, now: Time, ask: &Ask<'_>) -> Result<(), Refusal> {
-        self.check_fits(ask)?;
-        if ask.slots == 0 {
+    pub fn admit(&mut self, now: Time, demand: &Demand<'_>) -> Result<(), Refusal> {
+        self.check_fits(demand)?;
+        if demand.slots == 0 {
             let detail = "no endpoint of the service is eligible".to_owned();
-            return Err(self.refuse(now, ask, Reason::NoEndpoint, detail, SOONEST));
+            return Err(self.refuse(now, demand, Reason::NoEndpoint, detail, SOONEST));
         }
-        if let Err(detail) = self.check_bounds(ask) {
-            let wait = self.turnover(ask);
-            return Err(self.refuse(now, ask, Reason::Busy, detail, wait));
+        if let Err(detail) = self.check_bounds(demand) {
+            let wait = self.turnover(demand);
+            return Err(self.refuse(now, demand, Reason::Busy, detail, wait));
         }
-        self.check_deadline(now, ask)?;
-        self.count(ask);
+        self.check_deadline(now, demand)?;
+        self.count(demand);
         Ok(())
     }
 
@@ -161,7 +161,7 @@
         self.subtract(team, 0, tasks, 0, work);
     }
 
-    /// Counts a job out, with what was admitted of it and not yet told as finished.
+    /// Counts a job out, with what was admitted of it and not yet counted as finished.
     pub fn release(&mut self, team: &Team, tasks: u32, bytes: usize, work: Span) {
         self.subtract(team, 1, tasks, bytes, work);
     }
@@ -190,22 +190,22 @@
     }
 
     /// Refuses for good what could not even be taken by an idle instance.
-    fn check_fits(&self, ask: &Ask<'_>) -> Result<(), Refusal> {
-        let quota = ask.quota.map_or(0, |quota| quota.outstanding);
-        let detail = if quota > 0 && ask.tasks > quota {
+    fn check_fits(&self, demand: &Demand<'_>) -> Result<(), Refusal> {
+        let quota = demand.quota.map_or(0, |quota| quota.outstanding);
+        let detail = if quota > 0 && demand.tasks > quota {
             format!(
                 "{} tasks are more than the team's quota of {quota}",
-                ask.tasks
+                demand.tasks
             )
-        } else if ask.tasks as usize > self.waiting {
+        } else if demand.tasks as usize > self.waiting {
             format!(
                 "{} tasks are more than the bound of {}",
-                ask.tasks, self.waiting
+                demand.tasks, self.waiting
             )
-        } else if ask.bytes > self.bytes {
+        } else if demand.bytes > self.bytes {
             format!(
                 "{} bytes are more than the bound of {}",
-                ask.bytes, self.bytes
+                demand.bytes, self.bytes
             )
         } else {
             return Ok(());
@@ -217,10 +217,10 @@
         })
     }
 
-    fn check_bounds(&self, ask: &Ask<'_>) -> Result<(), String> {
-        let own = self.usage_of(ask.team);
-        let quota = ask.quota.map_or(0, |quota| quota.outstanding) as usize;
-        let tasks = ask.tasks as usize;
+    fn check_bounds(&self, demand: &Demand<'_>) -> Result<(), String> {
+        let own = self.usage_of(demand.team);
+        let quota = demand.quota.map_or(0, |quota| quota.outstanding) as usize;
+        let tasks = demand.tasks as usize;
         if quota > 0 && own.tasks + tasks > quota {
             return Err(format!("the team's quota of {quota} tasks is in use"));
         }
@@ -231,7 +231,7 @@
         if !room(total.tasks, own.tasks, tasks, self.waiting) {
             return Err("too many tasks are in progress".to_owned());
         }
-        if !room(total.bytes, own.bytes, ask.bytes, self.bytes) {
+        if !room(total.bytes, own.bytes, demand.bytes, self.bytes) {
             return Err("jobs in progress take too much memory".to_owned());
         }
         Ok(())
@@ -241,12 +241,13 @@
     ///
     /// What the job itself takes, as declared, counts up to half of its deadline: declarations are often far off,
     /// and a job must not be shut out of an idle instance by a guess.
-    fn check_deadline(&mut self, now: Time, ask: &Ask<'_>) -> Result<(), Refusal> {
-        let alone = self.busy_span(ask.work - ask.longest, ask.slots) + self.scaled(ask.longest);
-        if alone > ask.deadline.times(HOPELESS) {
+    fn check_deadline(&mut self, now: Time, demand: &Demand<'_>) -> Result<(), Refusal> {
+        let alone = self.busy_span(demand.work - demand.longest, demand.slots)
+            + self.scaled(demand.longest);
+        if alone > demand.deadline.times(INFEASIBLE) {
             let detail = format!(
                 "it would take about {alone} alone, far past its deadline in {}",
-                ask.deadline
+                demand.deadline
             );
             return Err(Refusal {
                 reason: Reason::Busy,
@@ -254,31 +255,31 @@
                 retry: None,
             });
         }
-        let wait = self.wait(ask);
-        let finish = wait + alone.min(Span(ask.deadline.0 / 2));
-        if finish <= ask.deadline {
+        let wait = self.wait(demand);
+        let finish = wait + alone.min(Span(demand.deadline.0 / 2));
+        if finish <= demand.deadline {
             return Ok(());
         }
         let detail = format!(
             "it would wait about {wait} for others, with a deadline in {}",
-            ask.deadline
+            demand.deadline
         );
-        Err(self.refuse(now, ask, Reason::Busy, detail, finish - ask.deadline))
+        Err(self.refuse(now, demand, Reason::Busy, detail, finish - demand.deadline))
     }
 
     /// Returns how long the work ahead of a job is expected to hold it up.
     ///
     /// Places go to the teams by their weights, so a job waits for the work of its own team at its share of the
     /// slots, but never for more than all the work there is.
-    fn wait(&self, ask: &Ask<'_>) -> Span {
-        let own = self.teams.get(ask.team);
+    fn wait(&self, demand: &Demand<'_>) -> Span {
+        let own = self.teams.get(demand.team);
         let ahead = own.map_or_else(Span::default, |share| share.usage.work);
         let counted = own.map_or(0, |share| u64::from(share.weight));
-        let weight = u64::from(weight(ask));
+        let weight = u64::from(weight(demand));
         let weights = self.weights - counted + weight;
         let at_share = u128::from(ahead.0) * u128::from(weights) / u128::from(weight);
         let at_share = Span(u64::try_from(at_share).unwrap_or(u64::MAX));
-        self.busy_span(at_share.min(self.total.work), ask.slots)
+        self.busy_span(at_share.min(self.total.work), demand.slots)
     }
 
     /// Returns for how long declared work keeps `slots` busy.
@@ -287,9 +288,9 @@
     }
 
     /// Returns the time in which as many tasks are expected to end as the job has.
-    fn turnover(&self, ask: &Ask<'_>) -> Span {
+    fn turnover(&self, demand: &Demand<'_>) -> Span {
         let mean = self.total.work.0 / self.total.tasks.max(1) as u64;
-        self.busy_span(Span(mean).times(u64::from(ask.tasks)), ask.slots)
+        self.busy_span(Span(mean).times(u64::from(demand.tasks)), demand.slots)
     }
 
     fn scaled(&self, declared: Span) -> Span {
@@ -303,13 +304,13 @@
     fn refuse(
         &mut self,
         now: Time,
-        ask: &Ask<'_>,
+        demand: &Demand<'_>,
         reason: Reason,
         detail: String,
         wait: Span,
     ) -> Refusal {
         let start = self.returns.max(now + wait.max(SOONEST));
-        let takes = self.busy_span(ask.work, ask.slots);
+        let takes = self.busy_span(demand.work, demand.slots);
         self.returns = (start + takes).min(now + LATEST);
         let wait = start.since(now).min(Span(LATEST.0 / 2));
         let jitter = self.random.random_range(0..=wait.0.max(SOONEST.0));
@@ -320,13 +321,13 @@
         }
     }
 
-    fn count(&mut self, ask: &Ask<'_>) {
-        let share = self.teams.entry(ask.team.clone()).or_default();
-        let weight = weight(ask);
+    fn count(&mut self, demand: &Demand<'_>) {
+        let share = self.teams.entry(demand.team.clone()).or_default();
+        let weight = weight(demand);
         self.weights = self.weights - u64::from(share.weight) + u64::from(weight);
         share.weight = weight;
-        share.usage.add(1, ask.tasks, ask.bytes, ask.work);
-        self.total.add(1, ask.tasks, ask.bytes, ask.work);
+        share.usage.add(1, demand.tasks, demand.bytes, demand.work);
+        self.total.add(1, demand.tasks, demand.bytes, demand.work);
     }
 
     fn subtract(&mut self, team: &Team, jobs: usize, tasks: u32, bytes: usize, work: Span) {
@@ -343,8 +344,8 @@
     }
 }
 
-fn weight(ask: &Ask<'_>) -> u32 {
-    ask.quota.map_or(1, |quota| quota.weight).max(1)
+fn weight(demand: &Demand<'_>) -> u32 {
+    demand.quota.map_or(1, |quota| quota.weight).max(1)
 }
 
 /// Tells whether there is room for `more`, when a team may take no more than it leaves free.
--- a/src/core/answer.rs
+++ b/src/core/answer.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// When to come back after a refusal that no better estimate is known for.
-pub(super) const COME_BACK: Span = Span::millis(1_000);
+pub(super) const RETRY_AFTER: Span = Span::millis(1_000);
 
 pub(super) fn with_key(mut answer: Answer, submission: &Submission) -> Answer {
     answer.key.clone_from(&submission.key);
@@ -24,7 +24,7 @@
         Reason::OwnerGone,
         "the instance that owns this key can't be reached, and no outcome is recorded",
     )
-    .with_retry(COME_BACK)
+    .with_retry(RETRY_AFTER)
 }
 
 pub(super) fn not_known(key: &Key) -> Answer {
--- a/src/core/submission.rs
+++ b/src/core/submission.rs
@@ -8,7 +8,7 @@
         conflict,
         doubtful,
         refused,
-        COME_BACK, //
+        RETRY_AFTER, //
     },
     claim::{
         self,
@@ -174,7 +174,7 @@
         if !self.ready() {
             let refusal =
                 Answer::refusal(Reason::NotReady, "this instance has no configuration yet");
-            return Err(refusal.with_retry(COME_BACK));
+            return Err(refusal.with_retry(RETRY_AFTER));
         }
         let route = self.route(&submission.service)?;
         if submission.tasks.len() > route.tasks as usize {
@@ -188,13 +188,13 @@
         self.check_needs(&route, submission)?;
         if self.registry.full() {
             let refusal = Answer::refusal(Reason::Busy, "the memory for keys and answers is full");
-            return Err(refusal.with_retry(COME_BACK));
+            return Err(refusal.with_retry(RETRY_AFTER));
         }
         let deadline = submission.deadline.unwrap_or(route.deadline);
         let deadline = arrival.left.unwrap_or(deadline).min(route.deadline);
         let work: u64 = submission.tasks.iter().map(|task| task.expected.0).sum();
         let longest = submission.tasks.iter().map(|task| task.expected).max();
-        let ask = admission::Ask {
+        let demand = admission::Demand {
             team: &submission.team,
             tasks: submission.tasks.len() as u32,
             bytes: arrival.bytes,
@@ -204,7 +204,7 @@
             quota: route.quotas.get(&submission.team).copied(),
             slots: self.own_slots(&route),
         };
-        self.admission.admit(self.now, &ask).map_err(|refusal| {
+        self.admission.admit(self.now, &demand).map_err(|refusal| {
             let answer = Answer::refusal(refusal.reason, refusal.detail);
             match refusal.retry {
                 Some(span) => answer.with_retry(span),
@@ -234,7 +234,7 @@
                     "service: a record of {service} has a schema that this version doesn't know"
                 ),
             )
-            .with_retry(COME_BACK),
+            .with_retry(RETRY_AFTER),
             config::Missing::Service => Answer::refusal(
                 Reason::NoService,
                 format!("service: no service {service} is in force"),
@@ -306,7 +306,7 @@
     /// Ends a job that couldn't be claimed because the table doesn't answer.
     pub(super) fn fail_claim(&mut self, job: Job<Received>) {
         let refusal = Answer::refusal(Reason::Store, "the platform's table can't be reached");
-        let retry = self.jitter(COME_BACK);
+        let retry = self.jitter(RETRY_AFTER);
         let refusal = refusal.with_retry(retry);
         let answer = refused(&refusal, job.first);
         self.finish_received(job, answer);
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -33,8 +33,8 @@
     },
     event::Code,
     metrics::{
+        Gauges, //
         Metrics,
-        Standing, //
     },
     prelude::*,
     ring,
@@ -266,16 +266,16 @@
         if *shown != range {
             *shown = range;
         }
-        let stock = self.core.stock();
-        self.metrics.stand(Standing {
-            eligible: stock.eligible as u32,
-            ejected: stock.ejected as u32,
-            outstanding: stock.outstanding as u32,
-            waiting: stock.waiting as u32,
-            kept: stock.keys as u32,
-            kept_bytes: stock.bytes as u64,
-            revision: stock.revision,
-            peers: stock.instances as u32 - 1,
+        let stats = self.core.stats();
+        self.metrics.set_gauges(Gauges {
+            eligible: stats.eligible as u32,
+            ejected: stats.ejected as u32,
+            outstanding: stats.outstanding as u32,
+            waiting: stats.waiting as u32,
+            kept: stats.keys as u32,
+            kept_bytes: stats.bytes as u64,
+            revision: stats.revision,
+            peers: stats.instances as u32 - 1,
         });
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,7 +51,7 @@
 pub enum Message {
     /// A start of a task at an endpoint.
     Start,
-    /// The end of a task, as its endpoint told it.
+    /// The end of a task, as its endpoint reported it.
     Reply,
     /// A look at an attempt.
     Look,
@@ -100,9 +100,9 @@
     }
 }
 
-/// What stands at the moment: the gauges, set together.
+/// The values of the gauges, set together.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Standing {
+pub struct Gauges {
     /// Endpoints that take work.
     pub eligible: u32,
     /// Endpoints that are ejected.
@@ -123,9 +123,9 @@
 
 /// A label's value, written as the type is displayed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Word<T>(T);
+struct Label<T>(T);
 
-impl<T: fmt::Display> EncodeLabelValue for Word<T> {
+impl<T: fmt::Display> EncodeLabelValue for Label<T> {
     fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
         write!(encoder, "{}", self.0)
     }
@@ -133,18 +133,18 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Request {
-    outcome: Word<Outcome>,
-    class: Word<Class>,
+    outcome: Label<Outcome>,
+    class: Label<Class>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Refusal {
-    reason: Word<Reason>,
+    reason: Label<Reason>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Kind {
-    kind: Word<Message>,
+    kind: Label<Message>,
 }
 
 /// The metrics of an instance.
@@ -182,7 +182,7 @@
     /// Makes metrics that stand at zero.
     pub fn new() -> Self {
         let kinds = Family::<Kind, Counter>::default();
-        let counter = |kind| kinds.get_or_create_owned(&Kind { kind: Word(kind) });
+        let counter = |kind| kinds.get_or_create_owned(&Kind { kind: Label(kind) });
         let messages = Message::ALL.map(counter);
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
@@ -274,12 +274,12 @@
     /// Counts an answer, and what it refuses.
     pub fn answered(&self, outcome: Outcome, reason: Reason, class: Class) {
         let request = Request {
-            outcome: Word(outcome),
-            class: Word(class),
+            outcome: Label(outcome),
+            class: Label(class),
         };
         self.requests.get_or_create(&request).inc();
         if outcome == Outcome::NotRun {
-            let reason = Word(reason);
+            let reason = Label(reason);
             self.refusals.get_or_create(&Refusal { reason }).inc();
         }
     }
@@ -322,16 +322,16 @@
         self.drains.inc();
     }
 
-    /// Sets what stands at the moment.
-    pub fn stand(&self, standing: Standing) {
-        self.eligible.set(standing.eligible.into());
-        self.ejected.set(standing.ejected.into());
-        self.outstanding.set(standing.outstanding.into());
-        self.waiting.set(standing.waiting.into());
-        self.kept.set(standing.kept.into());
-        self.kept_bytes.set(signed(standing.kept_bytes));
-        self.revision.set(signed(standing.revision.0));
-        self.peers.set(standing.peers.into());
+    /// Sets all gauges.
+    pub fn set_gauges(&self, gauges: Gauges) {
+        self.eligible.set(gauges.eligible.into());
+        self.ejected.set(gauges.ejected.into());
+        self.outstanding.set(gauges.outstanding.into());
+        self.waiting.set(gauges.waiting.into());
+        self.kept.set(gauges.kept.into());
+        self.kept_bytes.set(signed(gauges.kept_bytes));
+        self.revision.set(signed(gauges.revision.0));
+        self.peers.set(gauges.peers.into());
     }
 
     /// Renders all metrics as text.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -149,7 +149,7 @@
         platform: to_platform,
         peers: to_peers,
     };
-    let door = caller::Door {
+    let context = caller::Context {
         settings: settings.clone(),
         metrics: metrics.clone(),
         status: status.clone(),
@@ -162,7 +162,7 @@
     let threads = vec![
         // These two end by themselves after the decisions, when the last answers have left.
         thread("callers", move || {
-            caller::serve(door, callers, caller_out, caller_in)
+            caller::serve(context, callers, caller_out, caller_in)
         })?,
         thread("peers", move || {
             peer::serve(s3, m3, peers, peer_out, peer_in)
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -28,9 +28,9 @@
         Reason, //
     },
     metrics::{
+        Gauges, //
         Message,
         Metrics,
-        Standing, //
     },
     settings::{
         key,
@@ -656,9 +656,9 @@
     metrics.completed(Span::millis(51), Span::millis(50));
     metrics.started();
     metrics.message(Message::ListRead);
-    metrics.stand(Standing {
+    metrics.set_gauges(Gauges {
         waiting: 3,
-        ..Standing::default()
+        ..Gauges::default()
     });
     let text = metrics.render().expect("text takes any metric");
     let expected = [
--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -2,8 +2,8 @@
 
 const SLOTS: u32 = 8;
 
-fn ask(team: &Team, tasks: u32, each: Span) -> Ask<'_> {
-    Ask {
+fn demand(team: &Team, tasks: u32, each: Span) -> Demand<'_> {
+    Demand {
         team,
         tasks,
         bytes: 1_000,
@@ -39,11 +39,11 @@
                 continue;
             }
             let team = usize::from(team % 3);
-            let mut ask = ask(&teams[team], tasks.into(), Span::millis(millis.into()));
-            ask.quota = quota.filter(|_| team == 0);
+            let mut demand = demand(&teams[team], tasks.into(), Span::millis(millis.into()));
+            demand.quota = quota.filter(|_| team == 0);
             let before = (admission.usage(), admission.usage_of(&teams[team]));
-            match admission.admit(Time(0), &ask) {
-                Ok(()) => admitted.push((team, ask.tasks, ask.work)),
+            match admission.admit(Time(0), &demand) {
+                Ok(()) => admitted.push((team, demand.tasks, demand.work)),
                 Err(_) if before == (admission.usage(), admission.usage_of(&teams[team])) => (),
                 Err(_) => return false,
             }
@@ -74,14 +74,14 @@
     let jobs = (0..100)
         .filter(|_| {
             admission
-                .admit(Time(0), &ask(&flood, 2, Span::millis(50)))
+                .admit(Time(0), &demand(&flood, 2, Span::millis(50)))
                 .is_ok()
         })
         .count();
     assert!(jobs >= 10, "only {jobs} jobs of a team that was alone");
     for team in 0..3 {
         let team = name(format!("team-{team}"));
-        let taken = admission.admit(Time(0), &ask(&team, 2, Span::millis(50)));
+        let taken = admission.admit(Time(0), &demand(&team, 2, Span::millis(50)));
         assert!(taken.is_ok(), "{team}: {taken:?}");
     }
 }
@@ -96,7 +96,7 @@
     let refusal = (0..100)
         .find_map(|_| {
             admission
-                .admit(Time(0), &ask(&busy, 20, Span::millis(500)))
+                .admit(Time(0), &demand(&busy, 20, Span::millis(500)))
                 .err()
         })
         .expect("a refusal");
@@ -108,7 +108,7 @@
         "{work} was admitted"
     );
     assert_eq!(
-        admission.admit(Time(0), &ask(&other, 20, Span::millis(500))),
+        admission.admit(Time(0), &demand(&other, 20, Span::millis(500))),
         Ok(())
     );
 }
@@ -130,7 +130,7 @@
     let taken = (0..1_000)
         .filter(|_| {
             admission
-                .admit(Time(0), &ask(&team, 20, Span::millis(50)))
+                .admit(Time(0), &demand(&team, 20, Span::millis(50)))
                 .is_ok()
         })
         .count();
@@ -147,13 +147,13 @@
     let mut admission = Admission::new(&Limits::default(), 3);
     let team = name("busy");
     while admission
-        .admit(Time(0), &ask(&team, 20, Span::millis(500)))
+        .admit(Time(0), &demand(&team, 20, Span::millis(500)))
         .is_ok()
     {}
     let mut seconds = [0; 31];
     for _ in 0..200 {
         let refusal = admission
-            .admit(Time(0), &ask(&team, 20, Span::millis(500)))
+            .admit(Time(0), &demand(&team, 20, Span::millis(500)))
             .expect_err("no room");
         let retry = refusal.retry.expect("a time to come back");
         seconds[usize::try_from(retry.0 / 1_000_000).expect("a short time")] += 1;
@@ -170,28 +170,28 @@
     let mut admission = Admission::new(&limits(), 3);
     let team = name("large");
     let large = admission
-        .admit(Time(0), &ask(&team, 301, TINY))
+        .admit(Time(0), &demand(&team, 301, TINY))
         .expect_err("too many");
     assert_eq!((large.reason, large.retry), (Reason::Invalid, None));
     let long = admission
-        .admit(Time(0), &ask(&team, 200, Span::seconds(5)))
+        .admit(Time(0), &demand(&team, 200, Span::seconds(5)))
         .expect_err("too long");
     assert_eq!((long.reason, long.retry), (Reason::Busy, None));
-    let quota = Ask {
+    let quota = Demand {
         quota: Some(Quota {
             weight: 1,
             outstanding: 5,
         }),
-        ..ask(&team, 3, TINY)
+        ..demand(&team, 3, TINY)
     };
     assert_eq!(admission.admit(Time(0), &quota), Ok(()));
     let over = admission
         .admit(Time(0), &quota)
         .expect_err("over the quota");
     assert_eq!((over.reason, over.retry.is_some()), (Reason::Busy, true));
-    let none = Ask {
+    let none = Demand {
         slots: 0,
-        ..ask(&team, 1, TINY)
+        ..demand(&team, 1, TINY)
     };
     let none = admission.admit(Time(0), &none).expect_err("no slots");
     assert_eq!(
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -15,7 +15,7 @@
     core::{
         admission::{
             Admission,
-            Ask,
+            Demand,
             Usage, //
         },
         config::{
