Comments: reports, entries and notifications where everything was told

Cause: comments of the core said told for a list's entry, a report of an endpoint, a notification and a tick alike.

Change: comments only.

--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -69,7 +69,7 @@
     table::wire::Worker,
 };
 
-/// After which an operation or a call whose end was never told counts as lost.
+/// After which an operation or a call that never ended counts as lost.
 const LONGEST_WAIT: Span = Span::seconds(10);
 /// The most operations and calls in progress.
 const MOST_PENDING: usize = 4_096;
@@ -128,7 +128,7 @@
     pub centre: Centre,
     /// Where it listens to its peers, as `IP:PORT`.
     pub address: String,
-    /// The revision that it applies, as its last heartbeat told.
+    /// The revision that it applies, as its last heartbeat reported.
     pub revision: Revision,
     /// Whether it is alive.
     pub alive: bool,
--- a/src/core/config/ask.rs
+++ b/src/core/config/ask.rs
@@ -117,6 +117,6 @@
     pub from_ms: u64,
     /// The last millisecond; none stands for no end.
     pub to_ms: Option<u64>,
-    /// Where the last page ended, as it told.
+    /// Where the last page ended: its `after`.
     pub after: Option<String>,
 }
--- a/src/core/config/spread.rs
+++ b/src/core/config/spread.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Delivery {
     to: Instance,
-    /// The revision before the changes that it tells of.
+    /// The revision before the changes that it announces.
     after: Revision,
     /// Where it goes to another data centre, which, and how many were tried before.
     outward: Option<(Centre, usize)>,
--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -144,8 +144,8 @@
         if self.peers.len() >= PEERS && !self.peers.contains_key(&heartbeat.name) {
             return;
         }
-        // A heartbeat of the old incarnation may come late, after the new one's. It is told from a wrong view of
-        // which is the newer by the silence of the one that is taken for it.
+        // A heartbeat of the old incarnation may come late, after the new one's. If the one that is taken for the newer is
+        // silent while the other goes on, the view was wrong.
         let silence = self.silence;
         let gone = self.gone.contains(&heartbeat.incarnation);
         let peer = self.peers.entry(heartbeat.name.clone());
@@ -265,7 +265,7 @@
         now.since(since) >= self.silence || self.peers.values().all(known)
     }
 
-    /// Returns where a peer listens, as far as the list has told.
+    /// Returns where a peer listens, as far as the list has it.
     pub fn address(&self, name: &Instance) -> Option<String> {
         let peer = self.peers.get(name)?;
         (!peer.address.is_empty()).then(|| peer.address.clone())
--- a/src/core/membership/peer.rs
+++ b/src/core/membership/peer.rs
@@ -49,7 +49,7 @@
     pub name: Instance,
     /// Its data centre.
     pub centre: Centre,
-    /// Where it listens to its peers; empty while the list has not told it.
+    /// Where it listens to its peers; empty while it was never listed.
     pub address: String,
     /// The configuration that it applied when it was last heard.
     pub revision: Revision,
--- a/src/core/peering.rs
+++ b/src/core/peering.rs
@@ -19,7 +19,7 @@
     prelude::*, //
 };
 
-/// How often the configuration is told of the other instances.
+/// How often the configuration gets the state of the other instances.
 const PEERS: Span = Span::millis(200);
 
 /// A call that has not returned.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -107,7 +107,7 @@
 pub enum Change {
     /// An endpoint is new, or is back under its old slot.
     Added(Slot),
-    /// What the list tells of it has changed.
+    /// Its entry in the list has changed.
     Updated(Slot),
     /// It is leaving.
     Leaving(Slot),
@@ -232,7 +232,7 @@
         self.change(slot, |entry| entry.eligibility = eligibility);
     }
 
-    /// Returns what the list tells of an endpoint.
+    /// Returns an endpoint's entry in the list.
     pub fn endpoint(&self, slot: Slot) -> Option<&Worker> {
         self.entry(slot).map(|entry| &entry.worker)
     }
@@ -255,7 +255,7 @@
         }
     }
 
-    /// Tells whether an endpoint that the route may use could ever run a task, as far as the list has told.
+    /// Tells whether an endpoint that the route may use could ever run a task, as far as the lists so far have shown.
     pub fn possible(&self, route: &Route, need: Need) -> bool {
         let mut groups = self.reach(route).peekable();
         groups.peek().is_none() || groups.any(|group| fits(&need, &group.has))
--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -1,4 +1,4 @@
-//! The endpoints as the platform's list tells of them.
+//! The endpoints as the platform's list has them.
 
 use std::mem;
 
@@ -269,7 +269,7 @@
         group.members -= 1;
     }
 
-    /// Moves an endpoint to the group that suits what the list tells of it now; its history there starts afresh.
+    /// Moves an endpoint to the group that suits its entry in the list now; its history there starts afresh.
     fn regroup(&mut self, slot: Slot, worker: &Worker) {
         self.leave(slot);
         let group = self.join(worker);
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -41,7 +41,7 @@
     sync::lock,
 };
 
-/// How often the core is told that time has passed.
+/// How often the core gets a tick.
 const TICK: Span = Span::millis(50);
 
 /// The most inputs that are taken before the outputs are looked at.
@@ -96,7 +96,7 @@
 /// Inputs in the order in which they came.
 struct Batch(Vec<Input>);
 
-/// Decides until the rings are gone; `drained` is told when everything is answered after a drain.
+/// Decides until the rings are gone; `drained` is notified when everything is answered after a drain.
 pub async fn serve(
     core: Core,
     clock: Clock,
@@ -232,7 +232,7 @@
         }
     }
 
-    /// Returns what the core is told of an output that found its ring full.
+    /// Returns the input that reports to the core that an output found its ring full.
     fn refused(&self, pushed: Result<(), Output>) -> Option<Input> {
         let output = pushed.err()?;
         self.metrics.ring_refused();
--- a/tests/proofs/answers.rs
+++ b/tests/proofs/answers.rs
@@ -21,9 +21,9 @@
 }
 
 /// Every caller sees the whole answer to its own request, in the order of its tasks. Answers of workers are late
-/// enough to be looked up as well, so that most ends are told twice, in either order; answers between instances
+/// enough to be looked up as well, so that most ends are reported twice, in either order; answers between instances
 /// overtake each other on delayed connections. Each end is taken once, by the attempt that it names, and each
-/// return by the line that it came on.
+/// return by the id of its call.
 #[tokio::test]
 async fn each_caller_gets_its_own_answer() -> Result {
     let cluster = launch(cluster().instances(3).workers(4)).await?;
