--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -6,7 +6,7 @@
 //! | [`trail`] | keeps what is to be written into the audit trail later |
 //! | [`sync`] | catches up with the table or a peer |
 //! | [`load`] | loads everything from the table or a peer |
-//! | [`spread`] | tells peers of changes, and answers their calls |
+//! | [`spread`] | notifies peers of changes, and answers their calls |
 //! | [`query`] | answers the questions of operators |
 //! | [`row`] | the rows of the table |
 
@@ -70,7 +70,7 @@
     table::wire::Worker,
 };
 
-/// After which an operation or a call whose end was never told counts as lost.
+/// After which an operation or a call that never ended counts as lost.
 const LONGEST_WAIT: Span = Span::seconds(10);
 /// The most operations and calls in progress.
 const MOST_PENDING: usize = 4_096;
@@ -84,7 +84,7 @@
     pub centre: Centre,
     /// Where it listens to its peers, as `IP:PORT`.
     pub address: String,
-    /// The revision that it applies, as its last heartbeat told.
+    /// The revision that it applies, as its last heartbeat reported.
     pub revision: Revision,
     /// Whether it is alive.
     pub alive: bool,
@@ -206,10 +206,10 @@
             Input::Operated(ticket, result) => self.operated(ticket, result),
             Input::Called(caller, call) => self.called(caller, call),
             Input::Returned(ticket, result) => self.returned(ticket, result.ok()),
-            Input::Peers(peers) => self.met(peers),
+            Input::Peers(peers) => self.update_peers(peers),
             Input::Workers(workers) => {
                 self.workers = Some(Capacity::of(&workers));
-                self.know();
+                self.update_centres();
             }
             Input::Tick => self.expire(),
         }
@@ -225,17 +225,17 @@
         std::mem::take(&mut self.outputs)
     }
 
-    fn met(&mut self, peers: Vec<Peer>) {
+    fn update_peers(&mut self, peers: Vec<Peer>) {
         let others = peers.into_iter().filter(|peer| peer.name != self.name);
         self.peers = others.map(|peer| (peer.name.clone(), peer)).collect();
-        self.know();
+        self.update_centres();
         let alive = self.peers.values().filter(|peer| peer.alive);
         if let Some(highest) = alive.map(|peer| peer.revision).max() {
             self.aim(highest);
         }
     }
 
-    fn know(&mut self) {
+    fn update_centres(&mut self) {
         let centres = self.peers.values().map(|peer| peer.centre.clone());
         let centres = centres.chain([self.centre.clone()]);
         if let Some(workers) = &mut self.workers {
@@ -309,7 +309,7 @@
             return;
         };
         match pending.purpose {
-            Purpose::Announce(sent) => self.announced(sent, result),
+            Purpose::Announce(delivery) => self.announced(delivery, result),
             Purpose::Peer => self.fetched(result),
             _ => {}
         }
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -48,7 +48,7 @@
     /// For catching up with the table.
     Sync,
     /// An announcement.
-    Announce(Sent),
+    Announce(Delivery),
     /// For catching up with a peer.
     Peer,
 }
@@ -60,11 +60,11 @@
     pub(super) until: Time,
 }
 
-/// An announcement on its way.
+/// An announcement on its way to one peer.
 #[derive(Debug, Clone)]
-pub(super) struct Sent {
+pub(super) struct Delivery {
     pub(super) to: Instance,
-    /// The revision before the changes that it tells of.
+    /// The revision before the changes that it announces.
     pub(super) after: Revision,
     /// Where it goes to another data centre, which, and how many were tried before.
     pub(super) outward: Option<(Centre, usize)>,
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Request(pub u64);
 
-/// Names an operation on the platform until its end is told, and which part of the core asked for it.
+/// Names an operation on the platform until it ends, and which part of the core asked for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Ticket {
     /// Asked for by the claims.
@@ -41,13 +41,13 @@
     Config(u64),
 }
 
-/// Names a call to a peer until its end is told, and which part of the core made it.
+/// Names a call to a peer until it returns, and which part of the core made it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Line {
+pub enum CallId {
     /// A forwarded submission.
     Submit(u64),
     /// A heartbeat.
-    Beat(u64),
+    Heartbeat(u64),
     /// A call of the configuration.
     Config(u64),
 }
@@ -104,9 +104,9 @@
     Unknown,
 }
 
-/// Tells that somebody heard from an instance, and under which incarnation it runs.
+/// An instance as some peer observed it: its incarnation, and how long ago it was heard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sighting {
+pub struct Observation {
     /// The instance.
     pub name: Instance,
     /// Its incarnation.
@@ -117,7 +117,7 @@
 
 /// Tells that an instance is alive, and where its configuration stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Its name.
     pub name: Instance,
     /// Its data centre.
@@ -128,14 +128,14 @@
     pub revision: Revision,
     /// Whether it is draining.
     pub draining: bool,
-    /// What it knows of others.
-    pub sightings: Vec<Sighting>,
+    /// What it observed of others, and was passed on to it.
+    pub observations: Vec<Observation>,
 }
 
 /// A submission on its way to the instance that owns its key.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Forward {
-    /// The incarnation that owns the key; any other returns [`Return::Stranger`].
+    /// The incarnation that owns the key; any other returns [`Return::StaleIncarnation`].
     pub owner: Incarnation,
     /// The submission, with its key.
     pub submission: Submission,
@@ -152,7 +152,7 @@
     /// Runs a submission, joins it or gives its kept answer.
     Submit(Forward),
     /// A heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// A call of the configuration.
     Config(call::Call),
 }
@@ -162,10 +162,10 @@
 pub enum Return {
     /// The answer to a submission.
     Answer(Answer),
-    /// The peer is not the incarnation that was meant.
-    Stranger,
+    /// The peer runs under another incarnation than the one that was called.
+    StaleIncarnation,
     /// The peer's own heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// The return of a call of the configuration.
     Config(call::Return),
     /// The call never left.
@@ -177,13 +177,13 @@
 /// What comes of a start at an endpoint.
 #[derive(Debug, Clone)]
 pub enum End {
-    /// The endpoint told the end.
-    Told(Reply),
+    /// The endpoint replied with the end.
+    Replied(Reply),
     /// No byte of it left, since the endpoint can't be reached.
     Unsent,
     /// No byte of it left, since this instance had no room or no time for it.
     Withheld,
-    /// It may have arrived; the connection broke before the end was told.
+    /// It may have arrived; the connection broke before a reply came.
     Broken,
 }
 
@@ -266,7 +266,7 @@
     /// A peer calls.
     Called(Caller, Call),
     /// A call to a peer ended.
-    Returned(Line, Return),
+    Returned(CallId, Return),
     /// The platform's list was read.
     Listed(Arc<List>),
     /// Time has passed: the regular duties are due.
@@ -318,8 +318,8 @@
         to: Instance,
         /// Where it listens.
         address: String,
-        /// The line on which the return comes.
-        line: Line,
+        /// Names the call when it returns.
+        id: CallId,
         /// The call.
         call: Call,
         /// How long to wait for the return.
--- a/src/core/placement/index.rs
+++ b/src/core/placement/index.rs
@@ -9,8 +9,8 @@
 
 use super::{
     entry::{
+        Contribution,
         Entry,
-        Held,
         Score, //
     },
     speed::Speeds,
@@ -107,36 +107,44 @@
         &mut self,
         slot: Slot,
         entry: &mut Entry,
-        new: Option<Held>,
+        new: Option<Contribution>,
     ) -> Option<(Slot, usize)> {
         let moved = entry
-            .held
-            .and_then(|held| self.take(slot, entry.position, held));
-        if let Some(held) = new {
-            entry.position = self.put(slot, held);
+            .contribution
+            .and_then(|contribution| self.take(slot, entry.position, contribution));
+        if let Some(contribution) = new {
+            entry.position = self.put(slot, contribution);
         }
-        entry.held = new;
+        entry.contribution = new;
         moved.filter(|(other, _)| *other != slot)
     }
 
-    fn take(&mut self, slot: Slot, position: usize, held: Held) -> Option<(Slot, usize)> {
-        self.count.eligible -= u32::from(held.eligible);
-        self.count.slots -= held.slots;
-        self.count.free -= held.free;
-        if held.trial.is_some() {
+    fn take(
+        &mut self,
+        slot: Slot,
+        position: usize,
+        contribution: Contribution,
+    ) -> Option<(Slot, usize)> {
+        self.count.eligible -= u32::from(contribution.eligible);
+        self.count.slots -= contribution.slots;
+        self.count.free -= contribution.free;
+        if contribution.trial.is_some() {
             self.trials.retain(|(other, _)| *other != slot);
         }
-        held.score
+        contribution
+            .score
             .and_then(|score| self.index.remove(score, position))
     }
 
-    fn put(&mut self, slot: Slot, held: Held) -> usize {
-        self.count.eligible += u32::from(held.eligible);
-        self.count.slots += held.slots;
-        self.count.free += held.free;
-        if let Some(any) = held.trial {
+    fn put(&mut self, slot: Slot, contribution: Contribution) -> usize {
+        self.count.eligible += u32::from(contribution.eligible);
+        self.count.slots += contribution.slots;
+        self.count.free += contribution.free;
+        if let Some(any) = contribution.trial {
             self.trials.push((slot, any));
         }
-        held.score.map_or(0, |score| self.index.insert(score, slot))
+        contribution
+            .score
+            .map_or(0, |score| self.index.insert(score, slot))
     }
 }
--- a/src/core/placement/table.rs
+++ b/src/core/placement/table.rs
@@ -1,4 +1,4 @@
-//! The endpoints as the platform's list tells of them.
+//! The endpoints as the platform's list has them.
 
 use std::mem;
 
@@ -10,14 +10,14 @@
         UNIT, //
     },
     Change,
+    Eligibility,
     Placement,
     Slot,
-    Standing,
     State,
     Worker, //
 };
 
-/// Lists that must show an endpoint as live before its own word that it is leaving is forgotten.
+/// Lists that must show an endpoint as live before its own report that it is leaving expires.
 ///
 /// An endpoint that restarts under its old name and address, between two lists, would get nothing for good. An
 /// endpoint that is still leaving by then refuses the start, which costs one message and marks it again.
@@ -69,11 +69,11 @@
             load: 0,
             speed: Speed::default(),
             factor: UNIT,
-            standing: Standing::Good,
-            said: None,
+            eligibility: Eligibility::Good,
+            leaving_since: None,
             list: self.list,
             absent: false,
-            held: None,
+            contribution: None,
             position: 0,
         });
         self.change(slot, |_| ());
@@ -87,8 +87,10 @@
             return None; // The list names it twice: the first line counts.
         }
         entry.list = list;
-        let said_long_ago = entry.said.is_some_and(|said| list - said >= LISTS);
-        if entry.worker == *worker && !entry.absent && !said_long_ago {
+        let expired = entry
+            .leaving_since
+            .is_some_and(|since| list - since >= LISTS);
+        if entry.worker == *worker && !entry.absent && !expired {
             return None;
         }
         let before = entry.worker.clone();
@@ -102,8 +104,8 @@
             entry.worker = worker.clone();
             entry.absent = false;
             let moved = before.address != worker.address;
-            if worker.state == State::Live && (returned || moved || said_long_ago) {
-                entry.said = None;
+            if worker.state == State::Live && (returned || moved || expired) {
+                entry.leaving_since = None;
             }
         });
         Some(match (worker.state, returned) {
@@ -174,7 +176,7 @@
         group.members -= 1;
     }
 
-    /// Moves an endpoint to the group that suits what the list tells of it now; its history there starts afresh.
+    /// Moves an endpoint to the group that suits its entry in the list now; its history there starts afresh.
     fn regroup(&mut self, slot: Slot, worker: &Worker) {
         self.leave(slot);
         let group = self.join(worker);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -149,7 +149,7 @@
         platform: to_platform,
         peers: to_peers,
     };
-    let door = caller::Door {
+    let context = caller::Context {
         settings: settings.clone(),
         metrics: metrics.clone(),
         status: status.clone(),
@@ -163,7 +163,7 @@
         // These two end by themselves after the decisions, when the last answers have left.
         thread("callers", move || async move {
             if let Some(callers) = adopt(callers) {
-                caller::serve(door, callers, caller_out, caller_in).await;
+                caller::serve(context, callers, caller_out, caller_in).await;
             }
         })?,
         thread("peers", move || async move {
--- a/tests/policy/support.rs
+++ b/tests/policy/support.rs
@@ -15,7 +15,7 @@
     core::{
         admission::{
             Admission,
-            Ask,
+            Demand,
             Usage, //
         },
         config::spread::ranked,
@@ -29,15 +29,15 @@
             Peer, //
         },
         message::{
-            Beat,
-            Sighting, //
+            Heartbeat,
+            Observation, //
         },
         placement::{
+            Eligibility,
             Obstacle,
             Placement,
-            Slot,
-            Standing,
-            Wanted, //
+            Requirement,
+            Slot, //
         },
         queue::Queue,
         retry::{
@@ -121,8 +121,8 @@
 }
 
 /// Makes the wish for an endpoint for a small task that starts once.
-pub(crate) fn wanted<'a>(route: &'a Route, avoid: &'a [Slot]) -> Wanted<'a> {
-    Wanted {
+pub(crate) fn requirement<'a>(route: &'a Route, avoid: &'a [Slot]) -> Requirement<'a> {
+    Requirement {
         route,
         need: need(1),
         class: Class::Once,
