Merge the field's names for the core

Heartbeat, observation, call id, notification, delivery, eligibility, requirement, flow and others in place of the project's own words; nothing but names changes.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -17,18 +17,18 @@
     core::{
         admission::{
             Admission,
-            Ask, //
+            Demand, //
         },
         health::Health,
         membership::{
             Action,
             Membership, //
         },
-        message::Beat,
+        message::Heartbeat,
         placement::{
             Placement,
-            Slot,
-            Wanted, //
+            Requirement,
+            Slot, //
         },
         queue::Queue,
     },
@@ -122,17 +122,17 @@
 
 fn place_and_end(bench: &mut Bencher<'_>, placement: &mut Placement, count: usize) {
     let route = route();
-    let wanted = Wanted {
+    let requirement = Requirement {
         route: &route,
         need: Need::default(),
         class: Class::Once,
         avoid: &[],
     };
-    let place = |_| placement.place(&wanted).expect("room");
+    let place = |_| placement.place(&requirement).expect("room");
     let mut placed: Vec<Slot> = (0..count * OUTSTANDING).map(place).collect();
     let mut next = 0;
     bench.iter(|| {
-        let slot = placement.place(black_box(&wanted)).expect("room");
+        let slot = placement.place(black_box(&requirement)).expect("room");
         let old = std::mem::replace(&mut placed[next], slot);
         let load = Load {
             running: next as u32 % 8,
@@ -162,7 +162,7 @@
         let mut job = 0;
         let mut admit = |job: u64| {
             let team = &teams[job as usize % teams.len()];
-            let ask = Ask {
+            let demand = Demand {
                 team,
                 tasks: 12,
                 bytes: 2_000,
@@ -172,8 +172,8 @@
                 quota: None,
                 slots: 384,
             };
-            admission.admit(Time(job), &ask).expect("room");
-            admission.release(team, 12, 2_000, ask.work);
+            admission.admit(Time(job), &demand).expect("room");
+            admission.release(team, 12, 2_000, demand.work);
         };
         group.bench_function(
             BenchmarkId::new("admit and release a job", count),
@@ -234,27 +234,27 @@
         let (me, centre) = (list[0].name.clone(), list[0].centre.clone());
         let mut view = Membership::new(me, centre, Incarnation(0), &timing, 1);
         view.listed(Time(0), &list);
-        let beat = |number: usize| Beat {
+        let heartbeat = |number: usize| Heartbeat {
             name: list[number].name.clone(),
             centre: list[number].centre.clone(),
             incarnation: Incarnation(number as u128),
             revision: Revision(1),
             draining: false,
-            sightings: Vec::new(),
+            observations: Vec::new(),
         };
-        let mut beats: Vec<Beat> = (1..count).map(beat).collect();
-        beats.sort_by(|one, other| one.name.cmp(&other.name));
+        let mut heartbeats: Vec<Heartbeat> = (1..count).map(heartbeat).collect();
+        heartbeats.sort_by(|one, other| one.name.cmp(&other.name));
         let mut now = Time(0);
         group.bench_function(BenchmarkId::new("period", count), |bench| {
             bench.iter(|| {
                 now = now + Span::seconds(2);
                 for action in view.tick(now) {
-                    if let Action::Beat { to, .. } = action {
-                        black_box(view.sightings(now));
-                        let number = beats
-                            .binary_search_by(|beat| beat.name.cmp(&to))
+                    if let Action::Heartbeat { to, .. } = action {
+                        black_box(view.observations(now));
+                        let number = heartbeats
+                            .binary_search_by(|heartbeat| heartbeat.name.cmp(&to))
                             .expect("a peer");
-                        view.heard(now, &beats[number]);
+                        view.heard(now, &heartbeats[number]);
                     }
                 }
             });
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -14,7 +14,7 @@
     table::wire::Write,
 };
 
-/// What an operator wanted done.
+/// What an operator asked to be done to a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
@@ -39,7 +39,7 @@
     pub from: String,
     /// The instance that took it.
     pub instance: Instance,
-    /// What was wanted.
+    /// What was asked for. Entries that stand in the table have it under this name, and operators read it there.
     #[serde(rename = "deed")]
     pub action: Action,
     /// The record; none where the text didn't tell.
--- a/src/core.rs
+++ b/src/core.rs
@@ -51,8 +51,8 @@
 mod timer;
 
 use message::{
+    CallId,
     Input,
-    Line,
     Output,
     Ticket, //
 };
@@ -71,7 +71,7 @@
     pub name: Instance,
     /// Its data centre.
     pub centre: Centre,
-    /// This run of it.
+    /// Its incarnation: drawn at each start.
     pub incarnation: Incarnation,
     /// The data centres whose endpoints it uses; empty stands for all.
     pub reach: Vec<Centre>,
@@ -79,7 +79,7 @@
 
 /// Counts of what the core holds, for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Stock {
+pub struct Stats {
     /// Jobs in progress.
     pub jobs: usize,
     /// Tasks that wait for an endpoint.
@@ -125,8 +125,8 @@
     registry: claim::Registry,
     queues: BTreeMap<Service, queue::Queue<queue::Item>>,
     orphans: HashMap<Attempt, placement::Slot>,
-    /// The run of each endpoint that was heard last.
-    endpoint_runs: HashMap<placement::Slot, Incarnation>,
+    /// The incarnation of each endpoint that was heard last.
+    endpoint_incarnations: HashMap<placement::Slot, Incarnation>,
     placement: placement::Placement,
     admission: admission::Admission,
     retries: retry::Budget,
@@ -136,10 +136,10 @@
     config: config::Config,
     store: store::Store,
     tickets: HashMap<u64, store::Purpose>,
-    lines: HashMap<u64, peering::Pending>,
-    peers_told: Time,
+    calls: HashMap<u64, peering::Pending>,
+    peers_reported: Time,
     timers: Timers,
-    out: Vec<Output>,
+    outputs: Vec<Output>,
 }
 
 impl Core {
@@ -167,7 +167,7 @@
             registry: claim::Registry::new(incarnation, limits.kept, timing.kept),
             queues: BTreeMap::new(),
             orphans: HashMap::new(),
-            endpoint_runs: HashMap::new(),
+            endpoint_incarnations: HashMap::new(),
             placement: placement::Placement::new(centre.clone(), limits.outstanding, seed),
             admission: admission::Admission::new(&limits, seed),
             retries: retry::Budget::retries(),
@@ -183,10 +183,10 @@
             config: config::Config::new(name, centre, timing.poll, seed),
             store: store::Store::default(),
             tickets: HashMap::new(),
-            lines: HashMap::new(),
-            peers_told: Time::default(),
+            calls: HashMap::new(),
+            peers_reported: Time::default(),
             timers: Timers::default(),
-            out: Vec::new(),
+            outputs: Vec::new(),
             identity,
             limits,
             timing,
@@ -234,7 +234,7 @@
             Input::Ended(attempt, end) => self.ended(attempt, end),
             Input::Looked(attempt, status) => self.looked(attempt, status),
             Input::Called(caller, call) => self.called(caller, call),
-            Input::Returned(line, result) => self.returned(line, result),
+            Input::Returned(id, result) => self.returned(id, result),
             Input::Listed(list) => self.take_list(&list),
             Input::Tick => self.tick(),
             Input::Wake => {}
@@ -243,7 +243,7 @@
         }
         self.check_ready();
         self.check_drained();
-        std::mem::take(&mut self.out)
+        std::mem::take(&mut self.outputs)
     }
 
     /// Returns when the next step is due even without an input.
@@ -261,13 +261,13 @@
         let Some(listed) = self.listed else {
             return false;
         };
-        let acquainted = self.membership.acquainted(self.now, listed);
-        acquainted && self.config.ready() && self.draining.is_none()
+        let converged = self.membership.converged(self.now, listed);
+        converged && self.config.ready() && self.draining.is_none()
     }
 
     /// Returns counts of what the core holds.
-    pub fn stock(&self) -> Stock {
-        Stock {
+    pub fn stats(&self) -> Stats {
+        Stats {
             jobs: self.jobs.len(),
             waiting: self.queues.values().map(queue::Queue::len).sum(),
             keys: self.registry.len(),
@@ -281,7 +281,7 @@
     }
 
     fn event(&mut self, code: Code, detail: impl Into<String>) {
-        self.out.push(Output::Event(Event::new(code, detail)));
+        self.outputs.push(Output::Event(Event::new(code, detail)));
     }
 
     fn next(&mut self) -> u64 {
@@ -324,7 +324,7 @@
             self.list = Some(list.clone());
             self.configure(config::Input::Workers(list.endpoints.clone()));
         }
-        self.out.push(Output::Share(self.membership.live()));
+        self.outputs.push(Output::Share(self.membership.live()));
         self.dispatch();
     }
 
@@ -342,7 +342,7 @@
             }
             Change::Dropped(slot) => {
                 self.health.dropped(slot);
-                self.endpoint_runs.remove(&slot);
+                self.endpoint_incarnations.remove(&slot);
             }
         }
     }
@@ -399,7 +399,7 @@
         }
         if self.jobs.is_empty() && !self.recording() {
             self.drained = true;
-            self.out.push(Output::Drained);
+            self.outputs.push(Output::Drained);
         }
     }
 
@@ -407,20 +407,20 @@
         for output in self.config.step(self.now, input) {
             match output {
                 config::Output::Report(request, report) => {
-                    self.out.push(Output::Report(request, report));
+                    self.outputs.push(Output::Report(request, report));
                 }
                 config::Output::Operate(ticket, operate) => {
-                    self.out
+                    self.outputs
                         .push(Output::Operate(Ticket::Config(ticket), operate));
                 }
-                config::Output::Call(to, line, call) => {
-                    self.call(to, Line::Config(line), message::Call::Config(call), None);
+                config::Output::Call(to, id, call) => {
+                    self.call(to, CallId::Config(id), message::Call::Config(call), None);
                 }
                 config::Output::Return(caller, result) => {
                     let result = message::Return::Config(result);
-                    self.out.push(Output::Return(caller, result));
+                    self.outputs.push(Output::Return(caller, result));
                 }
-                config::Output::Event(event) => self.out.push(Output::Event(event)),
+                config::Output::Event(event) => self.outputs.push(Output::Event(event)),
                 // The configuration logs it itself; jobs keep the route that they were accepted with.
                 config::Output::InForce(_) => {}
             }
--- a/src/core/placement/entry.rs
+++ b/src/core/placement/entry.rs
@@ -5,11 +5,11 @@
         Speed,
         UNIT, //
     },
+    Eligibility,
     Policy,
-    Standing,
     State,
     Worker,
-    LAST, //
+    SUSPECT_PENALTY, //
 };
 
 /// The steps into which one task at one slot is divided in a score.
@@ -20,7 +20,7 @@
 pub(super) struct Score {
     /// Its work for each slot.
     pub(super) work: u64,
-    /// The load that it told last.
+    /// The load that it reported last.
     pub(super) load: u32,
 }
 
@@ -33,19 +33,19 @@
     pub(super) load: u32,
     pub(super) speed: Speed,
     pub(super) factor: u64,
-    pub(super) standing: Standing,
-    /// The list at which it said itself that it is leaving.
-    pub(super) said: Option<u64>,
+    pub(super) eligibility: Eligibility,
+    /// The list that was the newest when it reported that it is leaving.
+    pub(super) leaving_since: Option<u64>,
     /// The last list that had it.
     pub(super) list: u64,
     pub(super) absent: bool,
-    pub(super) held: Option<Held>,
+    pub(super) contribution: Option<Contribution>,
     pub(super) position: usize,
 }
 
 /// What an entry adds to its group; none where it gets nothing new.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(super) struct Held {
+pub(super) struct Contribution {
     pub(super) eligible: bool,
     pub(super) slots: u32,
     pub(super) free: u32,
@@ -55,7 +55,7 @@
     pub(super) trial: Option<bool>,
 }
 
-impl Held {
+impl Contribution {
     /// Works out what an entry adds to its group.
     pub(super) fn of(
         entry: &Entry,
@@ -64,17 +64,17 @@
         instances: u32,
     ) -> Option<Self> {
         let worker = &entry.worker;
-        let live = worker.state == State::Live && entry.said.is_none() && !entry.absent;
+        let live = worker.state == State::Live && entry.leaving_since.is_none() && !entry.absent;
         if !live || worker.slots == 0 {
             return None;
         }
-        let any = match entry.standing {
-            Standing::Good | Standing::Suspect => {
+        let any = match entry.eligibility {
+            Eligibility::Good | Eligibility::Suspect => {
                 return Some(Self::good(entry, policy, outstanding, instances));
             }
-            Standing::Probation => false,
-            Standing::Trial => true,
-            Standing::Ejected => return None,
+            Eligibility::Probation => false,
+            Eligibility::Trial => true,
+            Eligibility::Ejected => return None,
         };
         Some(Self {
             eligible: false,
@@ -108,12 +108,12 @@
         Policy::Ties => (work(next), entry.load),
         Policy::Sum => (work(next + u64::from(entry.load)), 0),
     };
-    let last = match entry.standing {
-        Standing::Suspect => LAST,
+    let penalty = match entry.eligibility {
+        Eligibility::Suspect => SUSPECT_PENALTY,
         _ => 0,
     };
     Score {
-        work: work + last,
+        work: work + penalty,
         load,
     }
 }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -33,15 +33,15 @@
     },
     event::Code,
     metrics::{
-        Metrics,
-        Standing, //
+        Gauges,
+        Metrics, //
     },
     prelude::*,
     ring,
     sync::lock,
 };
 
-/// How often the core is told that time has passed.
+/// How often the core gets a tick.
 const TICK: Span = Span::millis(50);
 
 /// The most inputs that are taken before the outputs are looked at.
@@ -96,7 +96,7 @@
 /// Inputs in the order in which they came.
 struct Batch(Vec<Input>);
 
-/// Decides until the rings are gone; `drained` is told when everything is answered after a drain.
+/// Decides until the rings are gone; `drained` is notified when everything is answered after a drain.
 pub async fn serve(
     core: Core,
     clock: Clock,
@@ -232,7 +232,7 @@
         }
     }
 
-    /// Returns what the core is told of an output that found its ring full.
+    /// Returns the input that reports to the core that an output found its ring full.
     fn refused(&self, pushed: Result<(), Output>) -> Option<Input> {
         let output = pushed.err()?;
         self.metrics.ring_refused();
@@ -266,16 +266,16 @@
         if *shown != range {
             *shown = range;
         }
-        let stock = self.core.stock();
-        self.metrics.stand(Standing {
-            eligible: stock.eligible as u32,
-            ejected: stock.ejected as u32,
-            outstanding: stock.outstanding as u32,
-            waiting: stock.waiting as u32,
-            kept: stock.keys as u32,
-            kept_bytes: stock.bytes as u64,
-            revision: stock.revision,
-            peers: stock.instances as u32 - 1,
+        let stats = self.core.stats();
+        self.metrics.set_gauges(Gauges {
+            eligible: stats.eligible as u32,
+            ejected: stats.ejected as u32,
+            outstanding: stats.outstanding as u32,
+            waiting: stats.waiting as u32,
+            kept: stats.keys as u32,
+            kept_bytes: stats.bytes as u64,
+            revision: stats.revision,
+            peers: stats.instances as u32 - 1,
         });
     }
 }
@@ -286,7 +286,7 @@
         Output::Start { start, .. } => Some(Input::Ended(start.attempt, End::Withheld)),
         Output::Look { attempt, .. } => Some(Input::Looked(attempt, None)),
         Output::Operate(ticket, _) => Some(Input::Operated(ticket, Operated::Refused)),
-        Output::Call { line, .. } => Some(Input::Returned(line, Return::Refused)),
+        Output::Call { id, .. } => Some(Input::Returned(id, Return::Refused)),
         _ => None,
     }
 }
