--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -116,6 +116,16 @@
         bench
     }
 
+    /// An owner of one slot with a batch of an entry that it hears, and the contacts of that entry and of its next owner.
+    fn with_batch(tasks: Vec<u32>) -> (Self, Contact, Contact) {
+        let mut bench = Self::new(1);
+        let (entry, next) = (contact("entry"), contact("next"));
+        let mut out = Effects::default();
+        bench.owner.hear(&entry.name);
+        bench.owner.accept(&entry, batch(1, tasks), START, &mut out);
+        (bench, entry, next)
+    }
+
     /// Lets the owner work, and answers every look that leaves with what `running` lists; returns all orders.
     fn work(&mut self, now: Time) -> Vec<Order> {
         let mut orders = Vec::new();
@@ -282,13 +292,8 @@
 /// owner stops what comes of it; else the task would run on for nobody.
 #[test]
 fn batch_on_its_way_is_given_up_in_doubt() {
-    let mut bench = Bench::new(1);
-    let (entry, next) = (contact("entry"), contact("next"));
+    let (mut bench, entry, next) = Bench::with_batch(vec![0]);
     let mut out = Effects::default();
-    bench.owner.hear(&entry.name);
-    bench
-        .owner
-        .accept(&entry, batch(1, vec![0]), START, &mut out);
     assert_eq!(starts(&bench.work(START)), 1);
     let handover = bench.owner.hand_over(bench.rack, &next, START, &mut out);
     let mut receiver = Owner::new(&next.name);
@@ -318,13 +323,8 @@
 /// The next owner drops it, and tells which task had ended: it would be run again.
 #[test]
 fn unwanted_batch_tells_what_had_ended() {
-    let mut bench = Bench::new(1);
-    let (entry, next) = (contact("entry"), contact("next"));
+    let (mut bench, entry, next) = Bench::with_batch(vec![1]);
     let mut out = Effects::default();
-    bench.owner.hear(&entry.name);
-    bench
-        .owner
-        .accept(&entry, batch(1, vec![1]), START, &mut out);
     let handover = bench.owner.hand_over(bench.rack, &next, START, &mut out);
     let mut handover = handover.unwrap();
     handover.batches[0].done = vec![0];
@@ -342,13 +342,8 @@
 /// may hear the next owner first: its report names the task that ended, and no other.
 #[test]
 fn report_after_a_handover_names_what_ended() {
-    let mut bench = Bench::new(1);
-    let (entry, next) = (contact("entry"), contact("next"));
+    let (mut bench, entry, next) = Bench::with_batch(vec![0, 1]);
     let mut out = Effects::default();
-    bench.owner.hear(&entry.name);
-    bench
-        .owner
-        .accept(&entry, batch(1, vec![0, 1]), START, &mut out);
     assert_eq!(starts(&bench.work(START)), 1);
     let room = listing(4).capacity;
     let elsewhere = RackId::of("cells", "a", "other");
