Tests that fail: rows of other programs in the tables that instances read

A value that is no base64, a number for a value, a row without a key: each made the whole answer malformed, so that no endpoint was known. Seen on the code before: rows_of_other_programs_name_no_endpoint times out, since the instance that starts beside such rows never becomes ready.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -18,6 +18,7 @@
     configure,
     configure_idle,
     Fleet,
+    Node,
     HOST,
     PREFIX, //
 };
@@ -122,6 +123,47 @@
     Ok(())
 }
 
+/// Another program writes into the table of endpoints while callers come: values that are no base64 and no text, states,
+/// services and types that nobody knows. Where one such row was taken for a fault of the whole answer, an instance that
+/// started then knew no endpoint at all, and never became ready. An endpoint whose own row turns unreadable gets nothing
+/// new; the others serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn rows_of_other_programs_name_no_endpoint() -> Result {
+    let fleet = Fleet::start(program(), 1, 4, SHORT).await?;
+    let row = |service: &str, state: &str, address: &str| {
+        json!({"service": service, "address": address, "zone": "ulemiste", "state": state,
+            "capacity": {"cpu": 4_000, "mem_mb": 4_000}, "labels": ["a", "r9"]})
+    };
+    let table = "servers";
+    fleet.store.set_raw(table, "a b&c=d", json!("?"));
+    fleet.store.set_raw(table, "i-90", json!(7));
+    fleet.store.set_raw(table, "i-91", json!("/w=="));
+    fleet
+        .store
+        .set(table, "i-92", &row("cells", "resting", "127.0.0.1:1"));
+    fleet
+        .store
+        .set(table, "i-93", &row("cellars", "ready", "127.0.0.1:1"));
+    fleet
+        .store
+        .set(table, "i-94", &row("cells", "ready", "somewhere"));
+    fleet.store.set(table, "i-95", &json!(["cells"]));
+    fleet.store.set_raw(table, "i-0", json!("?"));
+    let late = Node::start(program(), "instance-9", "ulemiste", &fleet.store.address()).await?;
+    late.ready().await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = fleet.runners[0].history().len();
+    for id in 0..8 {
+        let node = [&fleet.nodes[0], &late][id % 2];
+        let answer = node.submit(id as u64, 8, 60).await?;
+        assert_eq!(state(&answer), "completed", "{}", late.log());
+    }
+    assert_eq!(fleet.judge(), 64);
+    assert_eq!(fleet.runners[0].history().len(), before);
+    assert!(!late.log().contains("cellars"), "{}", late.log());
+    Ok(())
+}
+
 /// An operator shortens the time for which callers' connections may be idle. An instance that is short of processor time
 /// finds a request in a connection's buffer and its idle time passed in the same moment. Where it goes by the time first,
 /// the caller has sent a whole request and gets neither an answer nor a refusal.
