Rows of other programs are left out, and the others hold

Cause: the store's client read an answer as a whole, so that one row which can't be read made all rows unknown. Read in the code: a row with a state that isn't known counted as a leaving endpoint, and one whose row turned unreadable stayed in use. Now a row says for itself that it can't be read; an endpoint needs every field and a known state; one whose row is revoked gets nothing new; racks of services that nobody configured are not claimed; keys are escaped in queries. Left-out rows are counted, and logged once a key, 64 at most.

Before: rows_of_other_programs_name_no_endpoint red, the instance never ready.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -47,6 +47,7 @@
         Contact,
         Heartbeat,
         Input,
+        Listing,
         Message,
         Output,
         Record,
@@ -408,7 +409,25 @@
         }
         let record = Record::new("configuration_applied").with("version", configuration.version);
         out.outputs.push(Output::Log(record.with("from", from)));
+        let same = self
+            .configuration
+            .as_ref()
+            .map(Configuration::service_names)
+            == Some(configuration.service_names());
         self.configuration = Some(configuration);
+        if self.listed && !same {
+            self.list_racks();
+        }
+    }
+
+    /// Tells the entry of the racks whose service the configuration knows. Another program may list endpoints of a service
+    /// that nobody configured: their racks would be claimed, and looked at for good.
+    fn list_racks(&mut self) {
+        let configuration = self.configuration.as_ref();
+        let known = |l: &&Listing| configuration.is_none_or(|c| c.names(&l.service));
+        self.entry.list(self.roster.endpoints.iter().filter(known));
+        // Racks that are new here have no owner yet.
+        self.claims = None;
     }
 
     fn list(&mut self, roster: Roster, now: Time, out: &mut Effects) {
@@ -416,11 +435,9 @@
             return;
         }
         self.listed = true;
-        self.entry.list(&roster.endpoints);
-        // Racks that are new here have no owner yet.
-        self.claims = None;
         self.owner.list(&roster.endpoints, now, out);
         self.roster = roster;
+        self.list_racks();
         self.deal(now, out);
     }
 
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -188,9 +188,9 @@
     }
 
     /// Takes note of the endpoints that the platform lists.
-    pub fn list(&mut self, listings: &[Listing]) {
+    pub fn list<'a>(&mut self, listings: impl IntoIterator<Item = &'a Listing>) {
         let mut racks: BTreeMap<RackId, Rack> = BTreeMap::new();
-        for listing in listings.iter().filter(|l| !l.draining) {
+        for listing in listings.into_iter().filter(|l| !l.draining) {
             let id = listing.rack_id();
             let rack = racks.entry(id).or_insert_with(|| Rack {
                 service: listing.service.clone(),
--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -67,6 +67,14 @@
         self.change(version);
     }
 
+    /// Takes note that a row doesn't name an endpoint any more, outage or not: its endpoint may be anything now, and gets no
+    /// task.
+    pub fn revoke(&mut self, id: &Endpoint, version: u64) {
+        if self.entries.remove(id).is_some() {
+            self.change(version);
+        }
+    }
+
     /// Takes the whole list anew: what is not in it has vanished.
     pub fn replace(&mut self, listings: Vec<(Listing, u64)>, now: Time) {
         let version = listings.iter().map(|(_, v)| *v).max();
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -1,5 +1,7 @@
 //! The configuration in force: queues by host and prefix, services, limits.
 
+use std::collections::BTreeSet;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -92,6 +94,19 @@
         let route = found.max_by_key(|route| route.prefix.len())?;
         Some((route, &path[route.prefix.len()..]))
     }
+
+    /// Tells whether a service is named here, by itself or by a queue.
+    pub fn names(&self, service: &str) -> bool {
+        self.services.iter().any(|pool| pool.name == service)
+            || self.routes.iter().any(|route| route.service == service)
+    }
+
+    /// Returns the names of all services.
+    pub fn service_names(&self) -> BTreeSet<&str> {
+        let pools = self.services.iter().map(|pool| pool.name.as_str());
+        let queues = self.routes.iter().map(|route| route.service.as_str());
+        pools.chain(queues).collect()
+    }
 }
 
 impl Route {
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::HashSet,
     rc::Rc,
     time::Duration, //
 };
@@ -36,6 +37,7 @@
         record,
         store::{
             self,
+            Content,
             Page,
             Row, //
         },
@@ -61,12 +63,18 @@
 /// Between reads of the instances while no peer is heard.
 const LONELY: Duration = Duration::from_millis(1_000);
 
+/// Keys of malformed rows that are kept so that each is logged once: another program may write its row anew every second,
+/// and many of them. Beyond this many the counter alone tells.
+const MALFORMED: usize = 64;
+
 /// A connection to the store, opened when it is needed.
 struct Client {
     hub: Rc<Hub>,
     address: String,
     connection: Option<Connection>,
     failed: bool,
+    /// Keys of malformed rows that were logged.
+    malformed: RefCell<HashSet<String>>,
 }
 
 /// Why a call to the store brought nothing.
@@ -87,6 +95,7 @@
             address: address.to_owned(),
             connection: None,
             failed: false,
+            malformed: RefCell::default(),
         }
     }
 
@@ -145,7 +154,9 @@
 
     async fn page(&mut self, path: &str, wait: Span) -> Result<Page, Failure> {
         let body = self.call(Method::GET, path, Vec::new(), wait).await?;
-        Ok(store::page(&body)?)
+        let page = store::page(&body)?;
+        self.hub.gauges.malformed(page.nameless);
+        Ok(page)
     }
 
     /// Reads a whole table; the version is that of the first page, so that the feed repeats what changed since.
@@ -177,12 +188,35 @@
         Ok((page.rows, page.version))
     }
 
+    /// Counts a row that can't be used, and logs it when it is new.
     fn malformed(&self, table: &str, key: &str, fault: &Fault) {
+        self.hub.gauges.malformed(1);
+        let mut known = self.malformed.borrow_mut();
+        if known.len() >= MALFORMED || !known.insert(key.to_owned()) {
+            return;
+        }
         let record = Record::new("row_malformed")
             .with("table", table)
             .with("key", key);
         self.hub.log(&record.with("fault", fault.to_string()));
     }
+
+    /// Takes note that a row can be used, or is gone.
+    fn sound(&self, key: &str) {
+        self.malformed.borrow_mut().remove(key);
+    }
+
+    /// Returns what a row holds that isn't dropped.
+    fn value(&self, table: &str, key: &str, content: Content) -> Option<Vec<u8>> {
+        match content {
+            Content::Value(value) => Some(value),
+            Content::Dropped => None,
+            Content::Unreadable(fault) => {
+                self.malformed(table, key, &fault);
+                None
+            }
+        }
+    }
 }
 
 /// Follows the configuration.
@@ -204,11 +238,17 @@
 }
 
 fn take_configuration(client: &Client, row: Row) {
-    let Some(value) = row.value.filter(|_| row.key == record::CONFIGURATION) else {
+    if row.key != record::CONFIGURATION {
+        return;
+    }
+    let Some(value) = client.value(record::OPERATOR, &row.key, row.content) else {
         return;
     };
     match record::configuration(&value) {
-        Ok(read) => client.hub.feed(Input::Configured(Box::new(read))),
+        Ok(read) => {
+            client.sound(&row.key);
+            client.hub.feed(Input::Configured(Box::new(read)));
+        }
         Err(fault) => client.malformed(record::OPERATOR, &row.key, &fault),
     }
 }
@@ -241,16 +281,26 @@
     let mut listings: Vec<(Listing, u64)> = Vec::new();
     let mut cache = cache.borrow_mut();
     for row in rows {
-        let Some(value) = row.value else {
-            if let Ok(id) = row.key.parse::<Endpoint>() {
-                cache.remove(&id, row.version, now());
+        match read_endpoint(&row.key, row.content) {
+            Ok(Some(listing)) => {
+                client.sound(&row.key);
+                match whole {
+                    true => listings.push((listing, row.version)),
+                    false => cache.set(listing, row.version),
+                }
+            }
+            Ok(None) => {
+                client.sound(&row.key);
+                if let Ok(id) = row.key.parse::<Endpoint>() {
+                    cache.remove(&id, row.version, now());
+                }
+            }
+            Err(fault) => {
+                client.malformed(record::ENDPOINTS, &row.key, &fault);
+                if let Ok(id) = row.key.parse::<Endpoint>() {
+                    cache.revoke(&id, row.version);
+                }
             }
-            continue;
-        };
-        match record::endpoint(&row.key, &value) {
-            Ok(listing) if whole => listings.push((listing, row.version)),
-            Ok(listing) => cache.set(listing, row.version),
-            Err(fault) => client.malformed(record::ENDPOINTS, &row.key, &fault),
         }
     }
     if whole {
@@ -258,6 +308,15 @@
     }
 }
 
+/// Reads the row of an endpoint; none where it was dropped.
+fn read_endpoint(key: &str, content: Content) -> Result<Option<Listing>, Fault> {
+    match content {
+        Content::Value(value) => record::endpoint(key, &value).map(Some),
+        Content::Dropped => Ok(None),
+        Content::Unreadable(fault) => Err(fault),
+    }
+}
+
 /// Makes this instance known, and finds the others.
 pub async fn instances(hub: Rc<Hub>, address: String, own: Contact, seeds: Vec<Contact>) {
     let mut client = Client::new(&hub, &address);
@@ -290,7 +349,7 @@
 fn contacts(client: &Client, rows: Vec<Row>) -> Vec<Contact> {
     let mut contacts = Vec::new();
     for row in rows {
-        let Some(value) = row.value else {
+        let Some(value) = client.value(record::INSTANCES, &row.key, row.content) else {
             continue;
         };
         match record::instance(&row.key, &value) {
--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -53,6 +53,7 @@
     connections: Counter,
     messages: Counter,
     store: Family<Kind, Counter>,
+    malformed: Counter,
     events: Family<Kind, Counter>,
     standing: Family<Kind, Gauge>,
 }
@@ -76,12 +77,18 @@
             connections: r.add("connections", "Connections opened to endpoints"),
             messages: r.add("messages", "Messages to peers"),
             store: r.add("store_calls", "Calls to the store"),
+            malformed: r.add("malformed_rows", "Rows of the store that were left out"),
             events: r.add("events", "Lines of the log by event"),
             standing: r.add("standing", "What it has and does"),
             registry,
         }
     }
 
+    /// Counts rows of the store that can't be used.
+    pub fn malformed(&self, count: usize) {
+        self.malformed.inc_by(count as u64);
+    }
+
     /// Counts an answer.
     pub fn answer(&self, answer: Answer, took: Span) {
         let kind = match answer {
--- a/src/instance/rows.rs
+++ b/src/instance/rows.rs
@@ -28,7 +28,10 @@
     },
     platform::{
         record,
-        store, //
+        store::{
+            self,
+            Content, //
+        }, //
     },
 };
 
@@ -125,7 +128,16 @@
     }
     match store::page(&reply.body) {
         Ok(page) => {
-            let row = |row: store::Row| Some((row.key, row.value?, row.version));
+            let row = |row: store::Row| {
+                let value = match row.content {
+                    Content::Value(value) => value,
+                    Content::Dropped => return None,
+                    // Left out, a page of such rows would have no last key, and be read for ever. The shard tells of a
+                    // record that is none.
+                    Content::Unreadable(_) => Vec::new(),
+                };
+                Some((row.key, value, row.version))
+            };
             let rows = page.rows.into_iter().filter_map(row).collect();
             StoreReply::Rows(rows, page.more)
         }
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -1,5 +1,7 @@
 //! Rows of the store that others write: the configuration and the endpoints; and the row of an instance.
 
+use std::net::SocketAddr;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -157,14 +159,20 @@
     service: String,
     address: String,
     zone: String,
-    state: String,
-    #[serde(default)]
+    state: StateBody,
     capacity: CapacityBody,
     /// Its kind, and then its rack.
-    #[serde(default)]
     labels: Vec<String>,
 }
 
+/// Whether an endpoint stays. A state that isn't named here is that of no endpoint: nobody knows what it can be asked for.
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateBody {
+    Ready,
+    Draining,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct CapacityBody {
@@ -180,10 +188,14 @@
 /// Names the field that is missing or wrong.
 pub fn endpoint(key: &str, value: &[u8]) -> Result<Listing, Fault> {
     let body: EndpointBody = json(value)?;
+    if body.service.is_empty() {
+        return Err(Fault::new("service", "it is empty"));
+    }
+    let address: SocketAddr = body.address.parse().map_err(|e| Fault::new("address", e))?;
     Ok(Listing {
         id: key.parse().map_err(|e| Fault::new("key", e))?,
         service: body.service,
-        address: body.address,
+        address: address.to_string(),
         centre: body.zone,
         rack: body.labels.get(1).cloned().unwrap_or_default(),
         labels: body.labels,
@@ -192,7 +204,7 @@
             memory: body.capacity.mem_mb,
             gpu: body.capacity.gpu,
         },
-        draining: body.state != "ready",
+        draining: matches!(body.state, StateBody::Draining),
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,6 +4,11 @@
     prelude::BASE64_STANDARD,
     Engine as _, //
 };
+use percent_encoding::{
+    utf8_percent_encode,
+    AsciiSet,
+    NON_ALPHANUMERIC, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -15,17 +20,37 @@
 };
 use crate::prelude::*;
 
+/// What stands for itself in a query (RFC 3986, unreserved). Other programs choose their keys, and one with a blank or an
+/// ampersand in it made a path that is none.
+const QUERY: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// A row as it was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
     /// Its key within the table.
     pub key: String,
-    /// What it holds; none where it was dropped.
-    pub value: Option<Vec<u8>>,
+    /// What it holds.
+    pub content: Content,
     /// The version of the store at which it changed last.
     pub version: u64,
 }
 
+/// What a row holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Content {
+    /// This value.
+    Value(Vec<u8>),
+    /// Nothing: the row was dropped.
+    Dropped,
+    /// Something that can't be read. Other programs write into the same tables, and taken for a fault of the whole answer,
+    /// one such row hid all others.
+    Unreadable(Fault),
+}
+
 /// Rows as of one moment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
@@ -33,6 +58,8 @@
     pub rows: Vec<Row>,
     /// Whether more follow.
     pub more: bool,
+    /// How many rows had no key that can be read.
+    pub nameless: usize,
     /// The version of the store at that moment.
     pub version: u64,
 }
@@ -85,7 +112,7 @@
 #[derive(Deserialize)]
 struct RowsBody {
     #[serde(default)]
-    rows: Vec<RowBody>,
+    rows: Vec<serde_json::Value>,
     #[serde(default)]
     has_more: bool,
     ver: u64,
@@ -97,8 +124,12 @@
 }
 
 #[derive(Deserialize)]
-struct RowBody {
+struct KeyOnly {
     key: String,
+}
+
+#[derive(Deserialize)]
+struct RowBody {
     /// Base64.
     #[serde(default)]
     value: String,
@@ -179,12 +210,15 @@
 
 /// Writes the path that reads rows of one part of a table after the key `after`, or from its beginning.
 pub fn range(table: &str, part: &str, after: Option<&str>) -> String {
-    let from = after.map_or(String::new(), |key| format!("&from={key}%20"));
+    let from = after.map_or(String::new(), |key| {
+        format!("&from={}%20", utf8_percent_encode(key, QUERY))
+    });
     format!("/api/rows-get?table={table}&part={part}{from}")
 }
 
 /// Writes the path that reads one row.
 pub fn find(table: &str, part: &str, key: &str) -> String {
+    let key = utf8_percent_encode(key, QUERY);
     // A range leaves its last key out.
     format!("/api/rows-get?table={table}&part={part}&from={key}&target={key}%20")
 }
@@ -206,32 +240,38 @@
     status == 410
 }
 
-/// Reads rows.
+/// Reads rows; one that can't be read says so, and leaves the others as they are.
 ///
 /// # Errors
 ///
-/// Names the field that is missing or wrong.
+/// Names the field of the answer as a whole that is missing or wrong.
 pub fn page(body: &[u8]) -> Result<Page, Fault> {
     let body: RowsBody = json(body)?;
-    let rows: Result<Vec<Row>, Fault> = body.rows.into_iter().map(row).collect();
+    let all = body.rows.len();
+    let rows: Vec<Row> = body.rows.into_iter().filter_map(row).collect();
     Ok(Page {
-        rows: rows?,
+        nameless: all - rows.len(),
+        rows,
         more: body.has_more,
         version: body.ver,
     })
 }
 
-fn row(body: RowBody) -> Result<Row, Fault> {
-    let value = match body.deleted {
-        true => None,
-        false => {
-            let decoded = BASE64_STANDARD.decode(&body.value);
-            Some(decoded.map_err(|e| Fault::new(format!("value of {}", body.key), e))?)
-        }
+/// Reads a row; there is none without a key.
+fn row(body: serde_json::Value) -> Option<Row> {
+    let key = KeyOnly::deserialize(&body).ok()?.key;
+    let unreadable = |reason: String| Content::Unreadable(Fault::new(format!("row {key}"), reason));
+    let (content, version) = match RowBody::deserialize(&body) {
+        Ok(row) if row.deleted => (Content::Dropped, row.ver),
+        Ok(row) => match BASE64_STANDARD.decode(&row.value) {
+            Ok(value) => (Content::Value(value), row.ver),
+            Err(error) => (unreadable(error.to_string()), row.ver),
+        },
+        Err(error) => (unreadable(error.to_string()), 0),
     };
-    Ok(Row {
-        key: body.key,
-        value,
-        version: body.ver,
+    Some(Row {
+        key,
+        content,
+        version,
     })
 }
