--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -123,6 +123,42 @@
     Ok(())
 }
 
+/// A peer stands still again and again, each time for longer than a delivery may take. Each time what was on the connection
+/// is sent again over a new one. The old one stayed open at both ends, with all that lay in its buffers: an instance on a
+/// slow link had 79 open files to each of its 33 peers, and ended for its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn given_up_connections_are_closed() -> Result {
+    const STALLS: u64 = 10;
+    /// Above the time of a delivery, below the pause after which an instance takes all that it holds as lapsed.
+    const STALL: Duration = Duration::from_millis(400);
+    let fleet = Fleet::start(program(), 2, 4, SHORT).await?;
+    let sockets = |i: usize| fleet.nodes[i].sockets();
+    for id in 0..4 {
+        let answer = fleet.nodes[0].submit(id, 8, 60).await?;
+        assert_eq!(state(&answer), "completed");
+    }
+    let before = (sockets(0)?, sockets(1)?);
+    for stall in 0..STALLS {
+        fleet.nodes[1].signal(Signal::SIGSTOP)?;
+        // Some of its tasks go to racks of the peer that stands still.
+        let job = fleet.nodes[0].submit(100 + stall, 24, 60);
+        let (_, answer) = tokio::join!(tokio::time::sleep(STALL), async {
+            tokio::time::timeout(STALL, job).await
+        });
+        drop(answer);
+        fleet.nodes[1].signal(Signal::SIGCONT)?;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    // Idle connections to the endpoints may differ by some.
+    let after = (sockets(0)?, sockets(1)?);
+    let allowed = STALLS as usize / 2;
+    assert!(
+        after.0 <= before.0 + allowed && after.1 <= before.1 + allowed,
+        "sockets before {before:?}, after {after:?}"
+    );
+    Ok(())
+}
+
 /// Another program writes into the table of endpoints while callers come: values that are no base64 and no text, states,
 /// services and types that nobody knows. Where one such row was taken for a fault of the whole answer, an instance that
 /// started then knew no endpoint at all, and never became ready. An endpoint whose own row turns unreadable gets nothing
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -150,6 +150,18 @@
         Ok(String::from_utf8(answer.body.to_vec())?)
     }
 
+    /// Counts the sockets that its process has open.
+    pub(crate) fn sockets(&self) -> Result<usize> {
+        let pid = self.child.lock().unwrap().id().ok_or("it has ended")?;
+        let mut sockets = 0;
+        for entry in std::fs::read_dir(format!("/proc/{pid}/fd"))? {
+            // One that was closed since it was listed is none.
+            let target = std::fs::read_link(entry?.path()).unwrap_or_default();
+            sockets += usize::from(target.to_string_lossy().starts_with("socket:"));
+        }
+        Ok(sockets)
+    }
+
     pub(crate) fn signal(&self, signal: Signal) -> Result {
         let id = self.child.lock().unwrap().id();
         let id = id.ok_or("the process has ended")?;
