Large documents are asked for in pieces, and given-up connections close

Cause: every instance that had a newer configuration sent it whole to every one that lacked it, all at once, and again after 250 ms without an answer, each time over a new connection that left the one before it open at both ends. On a slow link nothing else came through.

Now who lacks a document asks one peer at a time, its own data centre first, for 32 KB at a time; what waits for a peer is bounded in bytes; a given-up connection closes, and a peer that connects anew replaces its former one.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 mod announcement;
 mod coordination;
+mod documents;
 pub mod durable;
 pub mod endpoint;
 pub mod entry;
@@ -29,6 +30,7 @@
 };
 
 use self::{
+    documents::Documents,
     durable::Durable,
     entry::Entry,
     id::{
@@ -146,6 +148,7 @@
     durable: Durable,
     /// Requests about stored jobs that wait for an answer.
     requests: Requests,
+    documents: Documents,
     configuration: Option<Configuration>,
     roster: Roster,
     listed: bool,
@@ -189,6 +192,7 @@
                 identity.contact.name, identity.incarnation
             )),
             requests: Requests::default(),
+            documents: Documents::default(),
             identity,
             members: Members::default(),
             configuration: None,
@@ -474,7 +478,6 @@
             if lives {
                 self.owner.hear(name);
                 self.entry.rooms(name, heartbeat.rooms);
-                self.help(&from.contact, now, out);
             }
             if lives && !lived {
                 self.durable.doubt_empty();
@@ -567,14 +570,10 @@
                     self.entry.lost(&to, now, out);
                 }
             }
-            Message::Configuration(configuration) => {
-                self.configure(*configuration, from.name.as_str(), out);
-            }
-            Message::Roster(roster) => {
-                if roster.version > self.roster.version || !self.listed {
-                    self.list(*roster, now, out);
-                }
+            Message::Fetch { document, offset } => {
+                self.send_piece(&from.name, document, offset, out);
             }
+            Message::Piece(piece) => self.take_piece(&from.name, *piece, now, out),
             Message::CancelJob(job) => {
                 self.entry.cancel(job, now, out);
             }
@@ -658,6 +657,7 @@
         }
         self.call_store(now, out);
         self.ask_again(now, out);
+        self.fetch(now, out);
         self.entry.work(now, out);
         if now.since(self.audit) >= AUDITS {
             self.audit = now;
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -1,10 +1,11 @@
-//! What the instance tells its peers: that it lives, what room it has, and what they lack.
+//! What the instance tells its peers: that it lives, what and what room it has.
 
 use super::{
     member::HEARTBEAT,
     message::{
         Claim,
         Contact,
+        Document,
         Heartbeat,
         Message,
         Output,
@@ -31,28 +32,7 @@
 /// Racks in one heartbeat, so that it fits in one packet.
 const RACKS: usize = 6;
 
-/// How long a peer may have an older configuration, or list of endpoints, before it gets this instance's: most
-/// hear it from the store at the same time.
-const BEHIND: (Span, Span) = (Span::millis(300), Span::millis(1_000));
-
 impl Dispatcher {
-    /// Gives a peer the configuration and the endpoints that it hasn't heard of for a while: the store may turn
-    /// it away.
-    pub(super) fn help(&mut self, to: &Contact, now: Time, out: &mut Effects) {
-        let (configuration, roster) = self.versions();
-        let (lacks_configuration, lacks_roster) =
-            self.members
-                .behind(&to.name, configuration, roster, BEHIND, now);
-        if let Some(own) = self.configuration.as_ref().filter(|_| lacks_configuration) {
-            let message = Message::Configuration(Box::new(own.clone()));
-            out.messages.push((to.clone(), message));
-        }
-        if lacks_roster {
-            let message = Message::Roster(Box::new(self.roster.clone()));
-            out.messages.push((to.clone(), message));
-        }
-    }
-
     /// Tells a member that has just come all that it must know to place tasks.
     pub(super) fn greet(&mut self, to: &Contact, now: Time, out: &mut Effects) {
         let record = Record::new("member_heard").with("member", to.name.as_str());
@@ -92,24 +72,13 @@
         }
     }
 
-    /// Returns the versions of its configuration and of its list of endpoints, zero where it has none.
-    fn versions(&self) -> (u64, u64) {
-        let configuration = self.configuration.as_ref().map_or(0, |c| c.version);
-        let roster = match self.listed {
-            true => self.roster.version,
-            false => 0,
-        };
-        (configuration, roster)
-    }
-
     fn own_status(&self) -> Status {
         let claim = |(rack, token)| Claim { rack, token };
         let ceded = self.ceded.iter().map(|(claim, _)| *claim);
-        let (configuration, roster) = self.versions();
         Status {
             epoch: self.epoch,
-            configuration,
-            roster,
+            configuration: self.document_version(Document::Configuration),
+            roster: self.document_version(Document::Roster),
             draining: self.draining(),
             share: self.identity.share,
             racks: self.owner.racks().map(claim).chain(ceded).collect(),
--- a/src/dispatch/id.rs
+++ b/src/dispatch/id.rs
@@ -169,7 +169,7 @@
 
     /// Weighs a member as the rack's owner: the highest weight of all members wins (rendezvous hashing).
     pub fn weight(self, member: &str) -> u64 {
-        mix(fnv(self.0 ^ FNV_OFFSET, member.as_bytes()))
+        weight(self.0, member)
     }
 }
 
@@ -190,6 +190,11 @@
     })
 }
 
+/// Weighs a member for something that is named by a number: the highest weight of all members wins (rendezvous hashing).
+pub fn weight(of: u64, member: &str) -> u64 {
+    mix(fnv(of ^ FNV_OFFSET, member.as_bytes()))
+}
+
 /// Spreads the bits of a hash (the finaliser of MurmurHash3): FNV-1a alone hardly moves the high bits for
 /// names that differ in their last character only, and rendezvous hashing compares these first.
 fn mix(mut hash: u64) -> u64 {
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -60,8 +60,6 @@
     pub since: Time,
     /// What it said last.
     pub status: Option<Status>,
-    /// Since when it has an older configuration, and an older list of endpoints.
-    lags: (Option<Time>, Option<Time>),
 }
 
 /// What became of messages that arrived.
@@ -108,7 +106,6 @@
             live: false,
             since: now,
             status: None,
-            lags: (None, None),
         };
         self.known.insert(contact.name.clone(), member);
         true
@@ -194,41 +191,6 @@
         }
     }
 
-    /// Tells whether a member has had an older configuration, and an older list of endpoints, for longer than the
-    /// two spans of `patience`; it is asked again after as long.
-    pub fn behind(
-        &mut self,
-        name: &Instance,
-        configuration: u64,
-        roster: u64,
-        patience: (Span, Span),
-        now: Time,
-    ) -> (bool, bool) {
-        let Some(member) = self.known.get_mut(name) else {
-            return (false, false);
-        };
-        let Some(status) = &member.status else {
-            return (false, false);
-        };
-        let lag = |since: &mut Option<Time>, behind: bool, patience: Span| {
-            if !behind {
-                *since = None;
-                return false;
-            }
-            let begun = *since.get_or_insert(now);
-            let over = now.since(begun) >= patience;
-            if over {
-                *since = Some(now);
-            }
-            over
-        };
-        let (old, lists) = (status.configuration < configuration, status.roster < roster);
-        (
-            lag(&mut member.lags.0, old, patience.0),
-            lag(&mut member.lags.1, lists, patience.1),
-        )
-    }
-
     /// Gives up those that have been silent too long, each with a new session; returns them.
     pub fn expire(&mut self, now: Time) -> Vec<Member> {
         let mut lost = Vec::new();
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -1,5 +1,7 @@
 //! What goes into the dispatcher and comes out of it, and what dispatchers tell each other.
 
+use std::fmt;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -435,10 +437,15 @@
         /// How often it has moved.
         moves: u32,
     },
-    /// The configuration, since the receiver's is older.
-    Configuration(Box<Configuration>),
-    /// The endpoints, since the receiver's list is older.
-    Roster(Box<Roster>),
+    /// The sender lacks a document that the receiver has.
+    Fetch {
+        /// Which.
+        document: Document,
+        /// Where the piece begins that it wants, in bytes.
+        offset: u32,
+    },
+    /// A piece of a document.
+    Piece(Box<Piece>),
     /// A caller cancels a job that the sender doesn't have.
     CancelJob(JobId),
     /// The receiver coordinates the job's shard: a caller hands it in, asks for it or cancels it.
@@ -473,6 +480,39 @@
     },
 }
 
+/// What every instance must have in its newest version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Document {
+    /// The configuration.
+    Configuration,
+    /// The list of endpoints.
+    Roster,
+}
+
+impl fmt::Display for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Configuration => "configuration",
+            Self::Roster => "roster",
+        })
+    }
+}
+
+/// A piece of a document as it is sent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Which.
+    pub document: Document,
+    /// Its version.
+    pub version: u64,
+    /// The size of the whole, in bytes.
+    pub size: u32,
+    /// Where the piece begins.
+    pub offset: u32,
+    /// The piece.
+    pub bytes: Vec<u8>,
+}
+
 /// What a caller wants of a stored job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -113,7 +113,7 @@
     })?;
     let journal = Journal::open(site.name.clone())?;
     let dispatcher = Dispatcher::new(identity.clone(), now());
-    let peers_out = Peers::new(identity);
+    let peers_out = Peers::new(identity, site.peers.ip());
     let heartbeats = Heartbeats::new(heartbeats);
     let hub = Hub::new(
         dispatcher,
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -6,6 +6,10 @@
         HashMap,
         VecDeque, //
     },
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     rc::Rc,
     time::Duration,
 };
@@ -14,14 +18,11 @@
     rpc_twoparty_capnp::Side,
     RpcSystem, //
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use serde::Deserialize;
 use tokio::{
     net::{
         TcpListener,
-        TcpStream, //
+        TcpSocket, //
     },
     sync::Notify,
     task::{
@@ -61,14 +62,15 @@
 /// Between attempts to reach a peer.
 const AGAIN: Duration = Duration::from_millis(60);
 
-/// Messages that wait for one peer; with a session given up they are dropped.
-const WAITING: usize = 20_000;
+/// Bytes that wait for one peer: a second of a link of 25 Mbit/s, after which its session is given up anyway. Counted in
+/// messages alone, large ones took all of a process's memory.
+const WAITING: usize = 3 << 20;
 
-/// Messages in one envelope.
-const MESSAGES: usize = 256;
+/// Bytes of the messages in one envelope, as far as they are several: a tenth of [`DELIVERY`] on a link of 25 Mbit/s.
+const ENVELOPE: usize = 64 << 10;
 
 /// What travels: messages with their sender and their place in the session.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Envelope {
     /// Who sends them.
     pub sender: Sender,
@@ -86,7 +88,10 @@
     /// Counts the sessions as this side began them, so that a delivery knows when its own has ended.
     epoch: u64,
     serial: u64,
-    messages: VecDeque<Message>,
+    /// What waits, as it is sent.
+    messages: VecDeque<Vec<u8>>,
+    /// How many bytes that is.
+    bytes: usize,
     wake: Rc<Notify>,
     task: Option<JoinHandle<()>>,
 }
@@ -102,15 +107,18 @@
 /// Messages to peers and from them.
 pub struct Peers {
     identity: Identity,
+    /// Its own address.
+    own: IpAddr,
     links: RefCell<HashMap<Instance, Link>>,
     last: RefCell<HashMap<Instance, Last>>,
 }
 
 impl Peers {
     /// Makes a side that has no links yet.
-    pub fn new(identity: Identity) -> Self {
+    pub fn new(identity: Identity, own: IpAddr) -> Self {
         Self {
             identity,
+            own,
             links: RefCell::default(),
             last: RefCell::default(),
         }
@@ -125,10 +133,18 @@
         if !to.address.is_empty() {
             link.address.clone_from(&to.address);
         }
-        if link.messages.len() >= WAITING {
+        let message = match postcard::to_stdvec(&message) {
+            Ok(message) => message,
+            Err(error) => {
+                let record = Record::new("messages_unwritten").with("error", error.to_string());
+                return hub.log(&record);
+            }
+        };
+        if link.bytes + message.len() > WAITING {
             // Its peer takes the batch for lost when it asks for it, or gives the session up.
             hub.log(&Record::new("message_dropped").with("member", to.name.as_str()));
         } else {
+            link.bytes += message.len();
             link.messages.push_back(message);
         }
         if link.task.is_none() {
@@ -150,6 +166,7 @@
         link.epoch += 1;
         link.serial = 0;
         link.messages.clear();
+        link.bytes = 0;
     }
 
     /// Names this instance to a peer, in the session with it.
@@ -165,22 +182,29 @@
         }
     }
 
-    /// Takes the next envelope for a peer, with its address and the epoch of its session.
-    fn next(&self, name: &Instance) -> Option<(Envelope, String, u64)> {
+    /// Takes the next envelope for a peer.
+    fn next(&self, name: &Instance) -> Option<Sealed> {
         let sender = self.sender(name);
         let mut links = self.links.borrow_mut();
         let link = links.get_mut(name)?;
-        if link.messages.is_empty() {
+        let count = link.fitting();
+        if count == 0 {
             return None;
         }
-        let count = link.messages.len().min(MESSAGES);
         link.serial += 1;
-        let envelope = Envelope {
-            sender,
-            serial: link.serial,
-            messages: link.messages.drain(..count).collect(),
-        };
-        Some((envelope, link.address.clone(), link.epoch))
+        // Plain data always has a form on the wire. The fields of an envelope follow each other without anything between, and
+        // a list begins with its length.
+        let mut bytes = postcard::to_stdvec(&(sender, link.serial, count)).unwrap_or_default();
+        for message in link.messages.drain(..count) {
+            link.bytes -= message.len();
+            bytes.extend_from_slice(&message);
+        }
+        Some(Sealed {
+            bytes,
+            count,
+            address: link.address.clone(),
+            epoch: link.epoch,
+        })
     }
 
     fn wake(&self, name: &Instance) -> Option<Rc<Notify>> {
@@ -213,7 +237,29 @@
     }
 }
 
+/// An envelope as it is sent.
+struct Sealed {
+    bytes: Vec<u8>,
+    /// How many messages are in it.
+    count: usize,
+    /// Where it goes.
+    address: String,
+    /// The epoch of its session.
+    epoch: u64,
+}
+
 impl Link {
+    /// Counts the messages that go into the next envelope.
+    fn fitting(&self) -> usize {
+        let mut bytes = 0;
+        let fits = |message: &&Vec<u8>| {
+            let first = bytes == 0;
+            bytes += message.len();
+            first || bytes <= ENVELOPE
+        };
+        self.messages.iter().take_while(fits).count()
+    }
+
     fn new(to: &Contact) -> Self {
         Self {
             address: to.address.clone(),
@@ -222,45 +268,74 @@
             epoch: 0,
             serial: 0,
             messages: VecDeque::new(),
+            bytes: 0,
             wake: Rc::new(Notify::new()),
             task: None,
         }
     }
 }
 
+/// A connection to a peer. It closes when it is given up: an RPC system by itself keeps its connection, with what lies in its
+/// buffers at both ends, for as long as the peer does.
+struct Connection {
+    address: String,
+    client: mailbox::Client,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Connects from the instance's own address, by which the peer knows it.
+    async fn open(own: IpAddr, address: &str) -> Option<Self> {
+        let peer: SocketAddr = address.parse().ok()?;
+        let socket = TcpSocket::new_v4().ok()?;
+        socket.bind(SocketAddr::new(own, 0)).ok()?;
+        let stream = timeout(CONNECT, socket.connect(peer)).await.ok()?.ok()?;
+        let mut system = RpcSystem::new(network(stream, Side::Client), None);
+        let client = system.bootstrap(Side::Server);
+        let driver = spawn_local(async move {
+            // It ends with the connection, which the next delivery finds.
+            system.await.ok();
+        });
+        Some(Self {
+            address: address.to_owned(),
+            client,
+            driver,
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
 /// Delivers a peer's messages, one envelope after the other, each until it is acknowledged.
 async fn deliver(hub: Rc<Hub>, name: Instance) {
-    let mut link: Option<(String, mailbox::Client)> = None;
+    let mut link: Option<Connection> = None;
     let Some(wake) = hub.peers.wake(&name) else {
         return;
     };
     loop {
-        let Some((envelope, address, epoch)) = hub.peers.next(&name) else {
+        let Some(envelope) = hub.peers.next(&name) else {
             wake.notified().await;
             continue;
         };
-        hub.gauges.messages(envelope.messages.len());
-        let bytes = match postcard::to_stdvec(&envelope) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                let record = Record::new("messages_unwritten").with("error", error.to_string());
-                hub.log(&record);
-                continue;
-            }
-        };
+        hub.gauges.messages(envelope.count);
         // An envelope of a session that has ended meanwhile is void.
-        while hub.peers.current(&name, epoch) {
-            if link.as_ref().is_none_or(|(known, _)| *known != address) {
-                link = connect(&address)
-                    .await
-                    .map(|client| (address.clone(), client));
+        while hub.peers.current(&name, envelope.epoch) {
+            if link
+                .as_ref()
+                .is_none_or(|known| known.address != envelope.address)
+            {
+                link = Connection::open(hub.peers.own, &envelope.address).await;
             }
-            let Some((_, client)) = &link else {
+            let Some(connection) = &link else {
                 sleep(AGAIN).await;
                 continue;
             };
-            let mut request = client.deliver_request();
-            request.get().set_envelope(&bytes);
+            let mut request = connection.client.deliver_request();
+            request.get().set_envelope(&envelope.bytes);
             match timeout(DELIVERY, request.send().promise).await {
                 Ok(Ok(_)) => break,
                 Ok(Err(error)) => {
@@ -278,31 +353,26 @@
     }
 }
 
-async fn connect(address: &str) -> Option<mailbox::Client> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .ok()?
-        .ok()?;
-    let mut system = RpcSystem::new(network(stream, Side::Client), None);
-    let client: mailbox::Client = system.bootstrap(Side::Server);
-    spawn_local(system);
-    Some(client)
-}
-
-/// Serves peers that connect.
+/// Serves peers that connect, one connection for each: a peer that connects anew has given the former one up, and what
+/// tells so may be lost on the way.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
+    let mut served: HashMap<IpAddr, JoinHandle<()>> = HashMap::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, from)) = listener.accept().await else {
             sleep(Duration::from_millis(10)).await;
             continue;
         };
+        served.retain(|_, connection| !connection.is_finished());
         let hub = hub.clone();
-        spawn_local(async move {
+        let connection = spawn_local(async move {
             let client: mailbox::Client = capnp_rpc::new_client(Served { hub });
             let network = network(stream, Side::Server);
             // A connection ends with its peer, which says so itself or falls silent.
             RpcSystem::new(network, Some(client.client)).await.ok();
         });
+        if let Some(former) = served.insert(from.ip(), connection) {
+            former.abort();
+        }
     }
 }
 
