Runs that stand still are started elsewhere

Expected: endpoints whose tasks stand still answer every call, so that nothing found them; each task there held its room until its caller's time had passed, and the endpoint got more. Its own word on how far a run has come tells it apart.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod owner;
 mod ownership;
+pub mod pace;
 pub mod patience;
 pub mod queue;
 mod requests;
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -22,6 +22,7 @@
         Refusal,
         Running, //
     },
+    pace::Pace,
     queue::Handle,
     task::Room,
 };
@@ -131,6 +132,8 @@
     answered: Option<Time>,
     /// How often its start was sent, or its stop.
     pub tries: u8,
+    /// How it comes along.
+    pub pace: Pace,
     /// Whether an earlier start of this run may still arrive.
     pub doubt: bool,
     /// Whether its end must be stored before the endpoint forgets it.
@@ -159,6 +162,8 @@
         /// Its batch, where it is known.
         batch: Option<Handle>,
     },
+    /// A run stands still.
+    Still(TaskId, Handle),
     /// A run that nobody wanted is gone.
     Cleared(TaskId),
     /// Another owner has a higher token.
@@ -458,6 +463,7 @@
             match &entry.task {
                 Name::Known(task) if self.knows(task, entry.run) => {
                     listed.insert(*task);
+                    self.pace(task, entry.percent, now, &mut events);
                 }
                 _ => {
                     unknown.insert((entry.task, entry.run));
@@ -481,6 +487,20 @@
         (events, order)
     }
 
+    /// Takes note of how a run comes along.
+    fn pace(&mut self, task: &TaskId, percent: Option<u8>, now: Time, events: &mut Vec<Event>) {
+        let Some(execution) = self.executions.get_mut(task) else {
+            return;
+        };
+        let Some(percent) = percent.filter(|_| execution.phase == Phase::Running) else {
+            return;
+        };
+        execution.pace.seen(percent, now);
+        if execution.pace.still(now) {
+            events.push(Event::Still(*task, execution.batch));
+        }
+    }
+
     fn knows(&self, task: &TaskId, run: Run) -> bool {
         self.executions
             .get(task)
@@ -649,12 +669,23 @@
         }
         self.failures = (self.failures.0 + 1, job);
         if self.failures.0 >= FAILURES || self.probation {
-            self.rest = now + self.penalty;
-            self.penalty = Span((self.penalty.0 * 2).min(REST.1 .0));
-            self.probation = true;
+            self.rest(now);
         }
     }
 
+    /// Lets it get no task for a while, and then one to try it with.
+    pub fn rest(&mut self, now: Time) {
+        self.rest = now + self.penalty;
+        self.penalty = Span((self.penalty.0 * 2).min(REST.1 .0));
+        self.probation = true;
+    }
+
+    /// Tells whether it doesn't rest yet and every run on it stands still.
+    pub fn stands_still(&self, now: Time) -> bool {
+        let mut runs = self.executions.values();
+        now >= self.rest && runs.all(|run| run.phase != Phase::Running || run.pace.still(now))
+    }
+
     /// Decides what a refused start means.
     pub fn refused(&mut self, task: TaskId, run: Run, refusal: Refusal, now: Time) -> Refused {
         let Some(execution) = self.executions.get_mut(&task) else {
@@ -708,8 +739,9 @@
 
 impl Execution {
     /// Makes a run whose start is about to leave.
-    pub fn new(batch: Handle, run: Run, need: Room) -> Self {
+    pub fn new(batch: Handle, run: Run, need: Room, estimate: Span) -> Self {
         Self {
+            pace: Pace::new(estimate),
             batch,
             run,
             need,
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -351,6 +351,8 @@
     pub task: Name,
     /// The run.
     pub run: Run,
+    /// How much of its work is done, in hundredths, where the endpoint says so.
+    pub percent: Option<u8>,
 }
 
 /// A run that has ended on an endpoint.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -88,6 +88,8 @@
 struct Progress {
     next: Run,
     failures: u32,
+    /// How often it was taken from an endpoint where it stood still.
+    restarts: u32,
 }
 
 /// What a call was for.
@@ -328,6 +330,7 @@
         let progress = Progress {
             next: Run::FIRST,
             failures: 0,
+            restarts: 0,
         };
         let tasks = batch.tasks.iter().map(|i| (*i, progress)).collect();
         self.load(entry, batch, tasks, false, now);
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -23,6 +23,7 @@
             Reply,
             RunEnd, //
         },
+        pace::RESTARTS,
         queue::Handle, //
     },
     Effects,
@@ -278,6 +279,7 @@
                     };
                     self.ended(end, batch, out);
                 }
+                Event::Still(task, handle) => self.restart(id, task, handle, now, out),
                 Event::Cleared(task) => {
                     self.busy.remove(&task);
                 }
@@ -293,6 +295,34 @@
         }
     }
 
+    /// Takes a task from an endpoint where it stands still, and lets the endpoint rest if all that runs there does.
+    ///
+    /// Left there, the run kept its room until its caller's time had passed, and its endpoint got more.
+    fn restart(
+        &mut self,
+        id: &Endpoint,
+        task: TaskId,
+        handle: Handle,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let load = self.loads.get_mut(&handle);
+        let progress = load.and_then(|load| load.tasks.get_mut(&task.index));
+        let Some(progress) = progress.filter(|progress| progress.restarts < RESTARTS) else {
+            return;
+        };
+        progress.restarts += 1;
+        let record = Record::new("run_still").job(task.job);
+        let record = record.with("task", task.to_string());
+        out.log(record.with("endpoint", id.as_str()));
+        if let Some(state) = self.endpoints.get_mut(id) {
+            if state.stands_still(now) {
+                state.rest(now);
+            }
+        }
+        self.stop(task, handle, Fate::Again, out);
+    }
+
     pub(super) fn reborn(&mut self, id: &Endpoint, now: Time, out: &mut Effects) {
         let mut events = Vec::new();
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -106,6 +106,7 @@
             let progress = numbers.map(|(next, failures)| Progress {
                 next: *next,
                 failures: *failures,
+                restarts: 0,
             });
             let tasks = held.batch.tasks.iter().copied().zip(progress).collect();
             let key = (held.entry.name.clone(), held.batch.serial);
@@ -126,7 +127,8 @@
             let Some(load) = self.loads.get(&handle) else {
                 continue;
             };
-            let mut execution = Execution::new(handle, run.run, load.batch.need);
+            let mut execution =
+                Execution::new(handle, run.run, load.batch.need, load.batch.estimate);
             execution.stored = load.batch.stored;
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
                 state.adopt(run.task, execution, now);
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -176,7 +176,8 @@
             out.tell(&load.entry, Message::Begun(load.batch.serial));
         }
         load.started = true;
-        let mut execution = Execution::new(waiting.batch, run, load.batch.need);
+        let mut execution =
+            Execution::new(waiting.batch, run, load.batch.need, load.batch.estimate);
         execution.stored = load.batch.stored;
         let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -79,9 +79,9 @@
     finished: Vec<FinishedRow>,
 }
 
-/// Task, run, checkpoint, percent, and what else may come: only the first two are of use.
+/// Task, run, checkpoint, percent, and what else may come. The percent is a help only: one that is no number is left out.
 #[derive(Deserialize)]
-struct RunningRow(String, u32, Rest, Rest, #[serde(default)] Rest);
+struct RunningRow(String, u32, Rest, serde_json::Value, #[serde(default)] Rest);
 
 /// Number, task, run, how it ended, checkpoint.
 #[derive(Deserialize)]
@@ -163,6 +163,10 @@
     let running = body.running.into_iter().map(|row| Running {
         task: parse(row.0),
         run: Run(row.1),
+        percent: row
+            .3
+            .as_f64()
+            .map(|percent| percent.clamp(0.0, 100.0) as u8),
     });
     let ended = body.finished.into_iter().map(|row| Ended {
         serial: row.0,
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -46,7 +46,11 @@
 #[derive(Debug, Clone, Copy)]
 struct Active {
     run: Run,
-    ends: Time,
+    /// How long it takes at full pace, and how much of that is done.
+    takes: Span,
+    done: Span,
+    /// Up to when that is known.
+    at: Time,
     fails: bool,
     /// Its place in the history.
     place: usize,
@@ -58,6 +62,8 @@
     pub listing: Listing,
     /// Its clock runs this much slower than true time.
     pub slow: f64,
+    /// The share of a sound endpoint's speed at which its tasks come along; at zero they stand still.
+    pub pace: f64,
     pub running: BTreeMap<TaskId, Active_>,
     pub history: Vec<Begun>,
     pub up: bool,
@@ -76,11 +82,19 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Active_(Active);
 
+impl Active {
+    fn pass(&mut self, pace: f64, now: Time) {
+        self.done = self.done + Span((now.since(self.at).0 as f64 * pace) as u64);
+        self.at = now;
+    }
+}
+
 impl Worker {
     pub(crate) fn new(listing: Listing, slow: f64) -> Self {
         Self {
             listing,
             slow,
+            pace: 1.0,
             running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
@@ -104,15 +118,19 @@
         if lapsed {
             self.lapsed = now;
         }
+        let pace = self.pace;
+        for run in self.running.values_mut() {
+            run.0.pass(pace, now);
+        }
         let over: Vec<TaskId> = self
             .running
             .iter()
-            .filter(|(_, run)| run.0.ends <= now || lapsed)
+            .filter(|(_, run)| run.0.done >= run.0.takes || lapsed)
             .map(|(task, _)| *task)
             .collect();
         for task in over {
             let run = self.running[&task].0;
-            let how = match (run.ends <= now, run.fails) {
+            let how = match (run.done >= run.takes, run.fails) {
                 (true, false) => End::Done,
                 (true, true) => End::Failed,
                 (false, _) => End::Lapsed,
@@ -209,7 +227,9 @@
                 self.extend(Some(*lease), now);
                 let active = Active {
                     run: *run,
-                    ends: now + takes,
+                    takes,
+                    done: Span(0),
+                    at: now,
                     fails,
                     place: self.history.len(),
                 };
@@ -263,6 +283,7 @@
         let running = self.running.iter().map(|(task, run)| Running {
             task: Name::Known(*task),
             run: run.0.run,
+            percent: Some((run.0.done.0 * 100 / run.0.takes.0.max(1)) as u8),
         });
         Reply::Looked {
             clock: self.clock(now),
--- a/tests/dispatch/overload.rs
+++ b/tests/dispatch/overload.rs
@@ -114,3 +114,25 @@
     assert!(queue.remove(waiting(2)));
     assert_eq!(order(&queue), [3, 1]);
 }
+
+/// A quarter of the endpoints answer every call, take every task, and leave it standing still for six seconds. Each job with
+/// a task there was lost: its run kept its room until its caller's time had passed. Such a run is stopped when its percent
+/// has not risen for a quarter of its estimate and 100 ms, and started elsewhere.
+#[test]
+fn tasks_that_stand_still_are_started_elsewhere() {
+    let (mut lost, mut late, mut all) = (0, 0, 0);
+    for seed in 0..5 {
+        let mut world = World::new(seed, 3, 2, CALM);
+        for w in [1, 6] {
+            world.pace_at(Span::millis(500), w, 0.0, Span::seconds(6));
+        }
+        world.load(50, Span::millis(150));
+        world.run(Span::seconds(8));
+        world.settle();
+        all += world.jobs.len();
+        lost += world.jobs.len() - world.count(|a| *a == Answer::Completed);
+        late += world.jobs.keys().filter(|id| !world.on_time(**id)).count();
+    }
+    assert!(lost * 50 <= all, "{lost} of {all} are lost");
+    assert!(late * 5 <= all, "{late} of {all} are late or lost");
+}
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -102,6 +102,7 @@
     Cut(HashSet<usize>, bool),
     Part(usize, usize, bool),
     Silence(usize, bool),
+    Pace(usize, f64),
     Crash(usize),
     Drain(usize),
     Leave(usize),
@@ -597,6 +598,7 @@
                     false => self.silent.remove(&w),
                 };
             }
+            Event::Pace(w, pace) => self.workers[w].pace = pace,
             Event::Crash(w) => {
                 let now = self.now;
                 self.workers[w].crash(now);
@@ -888,6 +890,12 @@
         self.at(after + span, Event::Silence(w, false));
     }
 
+    /// Lets the tasks of an endpoint come along at a share of their speed; it answers all calls as before.
+    pub(crate) fn pace_at(&mut self, after: Span, w: usize, pace: f64, span: Span) {
+        self.at(after, Event::Pace(w, pace));
+        self.at(after + span, Event::Pace(w, 1.0));
+    }
+
     pub(crate) fn crash_at(&mut self, after: Span, w: usize) {
         self.at(after, Event::Crash(w));
     }
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -173,6 +173,7 @@
     let unknown_run = Running {
         task: Name::Known(task),
         run: Run(1),
+        percent: None,
     };
     let now = START + Span::millis(1);
     state.answered(7, START, now);
@@ -201,7 +202,7 @@
         step: 0,
         index: 0,
     };
-    let execution = Execution::new(Handle(1), Run::FIRST, listing(1).capacity);
+    let execution = Execution::new(Handle(1), Run::FIRST, listing(1).capacity, Span::millis(60));
     state.start(task, execution, String::new(), START).unwrap();
     let mut looks = 0;
     for n in 0..100 {
