An endpoint rests when nothing on it comes along

A run that has just been started there is no sign of health: with it counted as one, an endpoint where everything stood still got 31 tasks in 3 s and rested never. What counts is when a run there came along last.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -206,6 +206,8 @@
     penalty: Span,
     /// Whether it is tried with one task.
     probation: bool,
+    /// When some run on it came along last.
+    moved: Time,
     unknown: BTreeSet<(Name, Run)>,
     reading: Option<Reading>,
     /// When every lease that it may have been given has passed.
@@ -239,6 +241,7 @@
             failures: (0, 0),
             penalty: REST.0,
             probation: false,
+            moved: now,
             unknown: BTreeSet::new(),
             reading: None,
             lapse: now + LEASE + Span::millis(50),
@@ -495,7 +498,9 @@
         let Some(percent) = percent.filter(|_| execution.phase == Phase::Running) else {
             return;
         };
-        execution.pace.seen(percent, now);
+        if execution.pace.seen(percent, now) {
+            self.moved = now;
+        }
         if execution.pace.still(now) {
             events.push(Event::Still(*task, execution.batch));
         }
@@ -531,7 +536,7 @@
             return;
         };
         match end.end {
-            End::Done => self.sound(),
+            End::Done => self.sound(now),
             End::Failed => self.failed(task.job.0, now),
             _ => {}
         }
@@ -656,7 +661,8 @@
         self.unsure = true;
     }
 
-    fn sound(&mut self) {
+    fn sound(&mut self, now: Time) {
+        self.moved = now;
         self.failures = (0, 0);
         self.probation = false;
         self.penalty = REST.0;
@@ -680,10 +686,11 @@
         self.probation = true;
     }
 
-    /// Tells whether it doesn't rest yet and every run on it stands still.
-    pub fn stands_still(&self, now: Time) -> bool {
-        let mut runs = self.executions.values();
-        now >= self.rest && runs.all(|run| run.phase != Phase::Running || run.pace.still(now))
+    /// Tells whether it doesn't rest yet, and nothing on it has come along for as long as a run stands still.
+    pub fn stands_still(&self, task: &TaskId, now: Time) -> bool {
+        let run = self.executions.get(task);
+        let patience = run.map(|run| run.pace.patience());
+        now >= self.rest && patience.is_some_and(|span| now.since(self.moved) > span)
     }
 
     /// Decides what a refused start means.
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -295,7 +295,7 @@
         }
     }
 
-    /// Takes a task from an endpoint where it stands still, and lets the endpoint rest if all that runs there does.
+    /// Takes a task from an endpoint where it stands still, and lets the endpoint rest if nothing there comes along.
     ///
     /// Left there, the run kept its room until its caller's time had passed, and its endpoint got more.
     fn restart(
@@ -316,7 +316,7 @@
         let record = record.with("task", task.to_string());
         out.log(record.with("endpoint", id.as_str()));
         if let Some(state) = self.endpoints.get_mut(id) {
-            if state.stands_still(now) {
+            if state.stands_still(&task, now) {
                 state.rest(now);
             }
         }
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -9,6 +9,9 @@
 /// How long a run may show no progress whatever its estimate: an endpoint tells of its runs every 120 ms.
 const STILL: Span = Span::millis(100);
 
+/// A run at this percent may have ended, and its end be on its way.
+const NEARLY: u8 = 99;
+
 /// How often a task is taken from an endpoint where it stands still. One that stands still everywhere does so by itself, and would
 /// make every endpoint look sick in turn.
 pub const RESTARTS: u32 = 3;
@@ -32,19 +35,25 @@
         }
     }
 
-    /// Takes note of what its endpoint says of it.
-    pub fn seen(&mut self, percent: u8, now: Time) {
-        if self.moved.is_none() || percent > self.percent {
+    /// Takes note of what its endpoint says of it; returns whether it has come along.
+    pub fn seen(&mut self, percent: u8, now: Time) -> bool {
+        let further = percent > self.percent;
+        if self.moved.is_none() || further {
             self.percent = percent;
             self.moved = Some(now);
         }
+        further
+    }
+
+    /// Returns how long it may show no progress.
+    pub fn patience(&self) -> Span {
+        Span((self.estimate.0 as f64 * STILL_SHARE) as u64 + STILL.0)
     }
 
     /// Tells whether it stands still. An endpoint whose tasks stand still answers all calls, and takes new tasks: the caller
     /// sees its job end with its time. Without the word of its endpoint nothing is known.
     pub fn still(&self, now: Time) -> bool {
-        let patience = Span((self.estimate.0 as f64 * STILL_SHARE) as u64 + STILL.0);
-        let over = self.moved.is_some_and(|at| now.since(at) > patience);
-        over && self.percent < 99
+        let over = self.moved.is_some_and(|at| now.since(at) > self.patience());
+        over && self.percent < NEARLY
     }
 }
