Endpoints whose entries lapsed in an outage have their time from the store's return on

An instance that had started during the outage had them from its peers alone, and took what the store listed first for the whole truth; and the time for entries to come back was counted from the last call that had failed, up to a second before the return.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -228,6 +228,11 @@
         self.configuration.as_ref()
     }
 
+    /// Returns the list of endpoints that it goes by.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
     /// Tells whether it can serve callers, and stays.
     pub fn ready(&self) -> bool {
         let known = self.configuration.is_some() && self.listed;
--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -29,15 +29,50 @@
 pub struct Cache {
     entries: BTreeMap<Endpoint, Entry>,
     version: u64,
-    /// When the store failed last.
-    failed: Option<Time>,
+    store: Store,
     dirty: bool,
 }
 
+/// How the store does.
+#[derive(Debug, Default)]
+enum Store {
+    /// It has answered since long.
+    #[default]
+    Well,
+    /// Its last answer was none.
+    Away,
+    /// It has answered again since then.
+    Back(Time),
+}
+
 impl Cache {
     /// Takes note that the store failed.
-    pub fn fail(&mut self, now: Time) {
-        self.failed = Some(now);
+    pub fn fail(&mut self) {
+        self.store = Store::Away;
+    }
+
+    /// Takes note that the store answered.
+    ///
+    /// Endpoints have their time from its return on, not from the last call that failed: that may have been a second before, and
+    /// a quarter of all endpoints were taken for gone that were just about to write their entries anew.
+    pub fn answered(&mut self, now: Time) {
+        match self.store {
+            Store::Away => self.store = Store::Back(now),
+            Store::Back(since) if now.since(since) >= RETURN => self.store = Store::Well,
+            _ => {}
+        }
+    }
+
+    /// Takes over what peers told of endpoints that this instance hasn't read yet. One that starts while the store is away
+    /// knows them from its peers alone; those that are missing when the store returns are no more gone for it than for them.
+    pub fn adopt(&mut self, roster: &Roster) {
+        for listing in &roster.endpoints {
+            let entry = Entry {
+                listing: listing.clone(),
+                lapsed: None,
+            };
+            self.entries.entry(listing.id.clone()).or_insert(entry);
+        }
     }
 
     /// Takes a row that has changed.
@@ -55,7 +90,7 @@
 
     /// Takes note that a row has vanished.
     pub fn remove(&mut self, id: &Endpoint, version: u64, now: Time) {
-        let lapses = self.recently_failed(now);
+        let lapses = self.may_lapse(now);
         let Some(entry) = self.entries.get_mut(id) else {
             return;
         };
@@ -95,13 +130,18 @@
         self.dirty = true;
     }
 
-    fn recently_failed(&self, now: Time) -> bool {
-        self.failed.is_some_and(|at| now.since(at) < RETURN)
+    /// Tells whether an entry may be missing although its endpoint lives.
+    fn may_lapse(&self, now: Time) -> bool {
+        match self.store {
+            Store::Well => false,
+            Store::Away => true,
+            Store::Back(since) => now.since(since) < RETURN,
+        }
     }
 
     /// Returns the list if it has changed since it was taken last.
     pub fn take(&mut self, now: Time) -> Option<Roster> {
-        if !self.recently_failed(now) {
+        if !self.may_lapse(now) {
             let before = self.entries.len();
             self.entries.retain(|_, entry| entry.lapsed.is_none());
             self.dirty |= self.entries.len() != before;
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -262,12 +262,16 @@
     loop {
         match client.follow(record::ENDPOINTS, version).await {
             Ok((rows, at)) => {
+                cache.borrow_mut().answered(now());
+                if version.is_none() {
+                    hub.look(|dispatcher| cache.borrow_mut().adopt(dispatcher.roster()));
+                }
                 take_endpoints(&client, &cache, rows, version.is_none());
                 version = Some(at);
                 read_once = true;
             }
             Err(Failure::Status(status)) if store::lacks_history(status) => version = None,
-            Err(_) => cache.borrow_mut().fail(now()),
+            Err(_) => cache.borrow_mut().fail(),
         }
         let roster = cache.borrow_mut().take(now());
         if let Some(roster) = roster.filter(|_| read_once) {
