Envelopes for a former life of an instance hide none of the present one

The peer was still sending the last envelope of its session with the former life when the new one answered; its serial was taken for that of the present session, and as many envelopes after it were acknowledged and dropped. Ruled out: the connections, on which nothing failed, and the owner, which had never got the batches.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -206,6 +206,8 @@
     penalty: Span,
     /// Whether it is tried with one task.
     probation: bool,
+    /// The longest that one of its runs was seen to take from one percent to a higher one; none where that was never seen.
+    gap: Option<Span>,
     /// When some run on it came along last.
     moved: Time,
     unknown: BTreeSet<(Name, Run)>,
@@ -241,6 +243,7 @@
             failures: (0, 0),
             penalty: REST.0,
             probation: false,
+            gap: None,
             moved: now,
             unknown: BTreeSet::new(),
             reading: None,
@@ -498,10 +501,11 @@
         let Some(percent) = percent.filter(|_| execution.phase == Phase::Running) else {
             return;
         };
-        if execution.pace.seen(percent, now) {
+        if let Some(gap) = execution.pace.seen(percent, now) {
             self.moved = now;
+            self.gap = self.gap.max(Some(gap));
         }
-        if execution.pace.still(now) {
+        if execution.pace.still(self.gap, now) {
             events.push(Event::Still(*task, execution.batch));
         }
     }
@@ -689,7 +693,7 @@
     /// Tells whether it doesn't rest yet, and nothing on it has come along for as long as a run stands still.
     pub fn stands_still(&self, task: &TaskId, now: Time) -> bool {
         let run = self.executions.get(task);
-        let patience = run.map(|run| run.pace.patience());
+        let patience = run.and_then(|run| run.pace.patience(self.gap));
         now >= self.rest && patience.is_some_and(|span| now.since(self.moved) > span)
     }
 
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -35,25 +35,32 @@
         }
     }
 
-    /// Takes note of what its endpoint says of it; returns whether it has come along.
-    pub fn seen(&mut self, percent: u8, now: Time) -> bool {
-        let further = percent > self.percent;
-        if self.moved.is_none() || further {
-            self.percent = percent;
-            self.moved = Some(now);
+    /// Takes note of what its endpoint says of it; returns how long it took since that was less.
+    pub fn seen(&mut self, percent: u8, now: Time) -> Option<Span> {
+        let before = self.moved;
+        if before.is_some() && percent <= self.percent {
+            return None;
         }
-        further
+        self.percent = percent;
+        self.moved = Some(now);
+        before.map(|at| now.since(at))
     }
 
-    /// Returns how long it may show no progress.
-    pub fn patience(&self) -> Span {
-        Span((self.estimate.0 as f64 * STILL_SHARE) as u64 + STILL.0)
+    /// Returns how long it may show no progress on an endpoint that tells of progress every `gap` at the longest.
+    ///
+    /// One that was never seen to tell of any says nothing by it, and one that does so rarely says little: all their longer
+    /// runs would be taken for ones that stand still, and be started over and over.
+    pub fn patience(&self, gap: Option<Span>) -> Option<Span> {
+        let own = Span((self.estimate.0 as f64 * STILL_SHARE) as u64 + STILL.0);
+        gap.map(|gap| own.max(gap.times(2)))
     }
 
     /// Tells whether it stands still. An endpoint whose tasks stand still answers all calls, and takes new tasks: the caller
-    /// sees its job end with its time. Without the word of its endpoint nothing is known.
-    pub fn still(&self, now: Time) -> bool {
-        let over = self.moved.is_some_and(|at| now.since(at) > self.patience());
-        over && self.percent < NEARLY
+    /// sees its job end with its time.
+    pub fn still(&self, gap: Option<Span>, now: Time) -> bool {
+        let (Some(patience), Some(moved)) = (self.patience(gap), self.moved) else {
+            return false;
+        };
+        now.since(moved) > patience && self.percent < NEARLY
     }
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -6,6 +6,7 @@
 pub mod gauges;
 pub mod heartbeats;
 pub mod hub;
+pub mod inbox;
 pub mod journal;
 pub mod peers;
 pub mod rows;
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -35,7 +35,10 @@
     },
 };
 
-use super::hub::Hub;
+use super::{
+    hub::Hub,
+    inbox::Inbox, //
+};
 use crate::{
     dispatch::{
         message::{
@@ -96,31 +99,23 @@
     task: Option<JoinHandle<()>>,
 }
 
-/// The last envelope that came from a peer.
-#[derive(Clone, Copy, PartialEq, Eq)]
-struct Last {
-    incarnation: u64,
-    session: u32,
-    serial: u64,
-}
-
 /// Messages to peers and from them.
 pub struct Peers {
     identity: Identity,
     /// Its own address.
     own: IpAddr,
     links: RefCell<HashMap<Instance, Link>>,
-    last: RefCell<HashMap<Instance, Last>>,
+    inbox: RefCell<Inbox>,
 }
 
 impl Peers {
     /// Makes a side that has no links yet.
     pub fn new(identity: Identity, own: IpAddr) -> Self {
         Self {
+            inbox: RefCell::new(Inbox::new(identity.incarnation)),
             identity,
             own,
             links: RefCell::default(),
-            last: RefCell::default(),
         }
     }
 
@@ -216,25 +211,6 @@
         let links = self.links.borrow();
         links.get(name).is_some_and(|link| link.epoch == epoch)
     }
-
-    /// Tells whether an envelope came before, over another connection.
-    fn repeated(&self, envelope: &Envelope) -> bool {
-        let last = Last {
-            incarnation: envelope.sender.incarnation,
-            session: envelope.sender.session,
-            serial: envelope.serial,
-        };
-        let mut known = self.last.borrow_mut();
-        let name = &envelope.sender.contact.name;
-        if let Some(known) = known.get(name) {
-            let same = (known.incarnation, known.session) == (last.incarnation, last.session);
-            if same && last.serial <= known.serial {
-                return true;
-            }
-        }
-        known.insert(name.clone(), last);
-        false
-    }
 }
 
 /// An envelope as it is sent.
@@ -393,7 +369,10 @@
             self.hub.log(&record);
             capnp::Error::failed(error.to_string())
         })?;
-        if !self.hub.peers.repeated(&envelope) {
+        let mut inbox = self.hub.peers.inbox.borrow_mut();
+        let repeated = inbox.repeated(&envelope.sender, envelope.serial);
+        drop(inbox);
+        if !repeated {
             self.hub.feed(Input::Received {
                 from: envelope.sender,
                 messages: envelope.messages,
