--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -62,8 +62,8 @@
         Owner, //
     },
     ownership::{
-        Company,
-        Former, //
+        Former,
+        Startup, //
     },
     requests::Requests,
     route::Configuration,
@@ -168,7 +168,7 @@
     /// When it gave a rack away last, or saw no need to.
     rebalanced: Time,
     began: Time,
-    company: Company,
+    startup: Startup,
     stepped: Time,
     expired: Time,
     coordinated: Time,
@@ -210,7 +210,7 @@
             ceded: Vec::new(),
             rebalanced: now,
             began: now,
-            company: Company::default(),
+            startup: Startup::default(),
             stepped: Time::default(),
             expired: Time::default(),
             coordinated: Time::default(),
@@ -491,7 +491,7 @@
                 self.entry.rooms(name, heartbeat.rooms);
             }
             if lives && !lived {
-                self.company.meet(self.members.get(name), now);
+                self.startup.heard(self.members.get(name), now);
                 self.durable.doubt_empty();
                 self.greet(&from.contact, now, out);
             }
@@ -631,7 +631,7 @@
         }
         self.entry.void(now, out);
         self.began = now;
-        self.company = Company::default();
+        self.startup = Startup::default();
         self.update_owners();
     }
 
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -61,24 +61,25 @@
     fenced: bool,
 }
 
-/// Whom an instance has met since it began.
+/// Which members an instance has heard since it began.
 #[derive(Debug, Default)]
-pub(super) struct Company {
-    /// When it met the last one.
+pub(super) struct Startup {
+    /// When it heard the last one for the first time.
     last: Option<Time>,
-    /// How many owned no racks when they were met, and how many did.
-    young: usize,
-    old: usize,
+    /// How many owned no racks when they were heard first.
+    fresh: usize,
+    /// How many did.
+    established: usize,
 }
 
-impl Company {
+impl Startup {
     /// Takes note of a member that is heard for the first time, or again.
-    pub(super) fn meet(&mut self, member: Option<&Member>, now: Time) {
+    pub(super) fn heard(&mut self, member: Option<&Member>, now: Time) {
         self.last = Some(now);
         let status = member.and_then(|member| member.status.as_ref());
         match status.is_some_and(|status| !status.racks.is_empty()) {
-            true => self.old += 1,
-            false => self.young += 1,
+            true => self.established += 1,
+            false => self.fresh += 1,
         }
     }
 
@@ -87,9 +88,9 @@
     ///
     /// After a loss of all instances callers wait for the first claims: 0.35 s less of that is as much work of all endpoints. One
     /// that starts among others waits longer: a rack whose owner it hasn't heard yet is none of its business.
-    fn is_fresh(&self, known: usize, now: Time) -> bool {
+    fn is_common(&self, known: usize, now: Time) -> bool {
         let quiet = self.last.is_some_and(|at| now.since(at) >= QUIET);
-        quiet && self.old == 0 && self.young * 2 >= known
+        quiet && self.established == 0 && self.fresh * 2 >= known
     }
 }
 
@@ -97,7 +98,7 @@
     /// Tells whether it has listened long enough to claim racks that nobody seems to own.
     fn settled(&self, now: Time) -> bool {
         let known = self.members.all().count();
-        now.since(self.began) >= SETTLE || self.company.is_fresh(known, now)
+        now.since(self.began) >= SETTLE || self.startup.is_common(known, now)
     }
 
     /// Decides who owns what: gives up what another owns with a higher token, claims what nobody owns.
