--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -32,6 +32,22 @@
         },
         queue::Queue,
     },
+    dispatch::{
+        id::Epoch,
+        message::{
+            Contact,
+            Heartbeat as Announcement,
+            Input,
+            Sender,
+            Status, //
+        },
+        route::{
+            Configuration,
+            Route as Queueing, //
+        },
+        Dispatcher,
+        Identity, //
+    },
     endpoint::wire::Load,
     prelude::*,
     record::route::Route,
@@ -266,6 +282,86 @@
     group.finish();
 }
 
+/// Routes of a large configuration.
+const ROUTES: usize = 1_500;
+
+/// A dispatcher that has a large configuration and hears members which all lack it, one heartbeat of each in a period.
+fn documents(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("documents");
+    for count in [34, 147] {
+        group.bench_function(
+            BenchmarkId::new("a period in which no peer has the configuration", count),
+            |bench| {
+                let mut now = Time(1_000_000);
+                let mut dispatcher = dispatcher(now);
+                let senders: Vec<Sender> = (1..count).map(sender).collect();
+                bench.iter(|| {
+                    now = now + Span::millis(100);
+                    let heard = senders.iter().map(|from| (from.clone(), heard(now)));
+                    black_box(dispatcher.step(now, Input::Heartbeats(heard.collect())));
+                    black_box(dispatcher.step(now, Input::Tick));
+                });
+            },
+        );
+    }
+    group.finish();
+}
+
+fn dispatcher(now: Time) -> Dispatcher {
+    let identity = Identity {
+        contact: sender(0).contact,
+        centre: "a".to_owned(),
+        incarnation: 1,
+        share: 250,
+        epoch: Epoch(1),
+    };
+    let mut dispatcher = Dispatcher::new(identity, now);
+    let route = |i: usize| Queueing {
+        name: format!("route-of-team-{i}"),
+        host: format!("host-{i}.example"),
+        prefix: format!("/queue-{i}/"),
+        service: "cells".to_owned(),
+        ..Queueing::default()
+    };
+    let configuration = Configuration {
+        version: 7,
+        routes: (0..ROUTES).map(route).collect(),
+        ..Configuration::default()
+    };
+    dispatcher.step(now, Input::Configured(Box::new(configuration)));
+    dispatcher
+}
+
+fn sender(number: usize) -> Sender {
+    Sender {
+        contact: Contact {
+            name: name(format!("instance-{number}")),
+            address: format!("10.0.0.{number}:7720"),
+        },
+        centre: "a".to_owned(),
+        incarnation: 1,
+        to: 0,
+        session: 0,
+    }
+}
+
+fn heard(now: Time) -> Announcement {
+    Announcement {
+        sent: now,
+        status: Status {
+            epoch: Epoch(1),
+            configuration: 0,
+            roster: 0,
+            draining: false,
+            share: 250,
+            racks: Vec::new(),
+            shards: Vec::new(),
+            pending: Vec::new(),
+        },
+        rooms: Vec::new(),
+    }
+}
+
 fn main() {
     let mut criterion = Criterion::default()
         .warm_up_time(Duration::from_millis(500))
@@ -276,5 +372,6 @@
     admission(&mut criterion);
     health(&mut criterion);
     membership(&mut criterion);
+    documents(&mut criterion);
     criterion.final_summary();
 }
