--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -287,7 +287,9 @@
     }
     let trials = std::env::var("DECODER_TRIALS").ok();
     let trials = trials.and_then(|text| text.parse().ok()).unwrap_or(2_000);
-    let mut check = quickcheck::QuickCheck::new().tests(trials);
+    let mut check = quickcheck::QuickCheck::new()
+        .tests(trials)
+        .max_tests(trials);
     check.quickcheck(random as fn(Vec<u8>) -> bool);
     check.quickcheck(changed as fn(usize, Vec<(usize, u8)>) -> bool);
 }
