What dispatchers tell each other doesn't know how jobs are stored

An accepted job stands beside the submission in task.rs, so that message.rs imports nothing of durable.rs, which imports it: the circle of files round the messages is open. Names and places only; the form in the store is the same.

--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -12,7 +12,6 @@
     HashMap, //
 };
 
-pub use self::record::Record;
 use self::{
     record::{
         Progress,
@@ -36,13 +35,14 @@
         Knowledge,
         Output,
         Question,
-        Record as Entry,
+        Record,
         RunEnd,
         StoreCall,
         StoreReply,
         Verdict, //
     },
     owner::Effects,
+    task::Accepted, //
 };
 use crate::prelude::*;
 
@@ -129,7 +129,7 @@
             return Vec::new();
         };
         if state.phase != Phase::Empty && state.phase != Phase::Reading {
-            let entry = Entry::new("shard_released").with("shard", shard.to_string());
+            let entry = Record::new("shard_released").with("shard", shard.to_string());
             out.outputs.push(Output::Log(entry.with("reason", why)));
         }
         self.calls.retain(|_, of| *of != shard);
@@ -204,7 +204,7 @@
     }
 
     /// Returns what was asked for, and how far it has come, of a job that has not ended.
-    pub fn job(&self, job: JobId) -> Option<(&Record, &Progress)> {
+    pub fn job(&self, job: JobId) -> Option<(&Accepted, &Progress)> {
         let job = self.shards.get(&job.shard())?.jobs.get(&job)?;
         Some((job.record.as_deref()?, &job.progress))
     }
--- a/src/dispatch/durable/record.rs
+++ b/src/dispatch/durable/record.rs
@@ -16,7 +16,7 @@
         JobState,
         RunEnd, //
     },
-    task::Submission, //
+    task::Accepted, //
 };
 use crate::prelude::*;
 
@@ -26,21 +26,6 @@
 /// Ends the key of a job's progress.
 const PROGRESS: &str = ".progress";
 
-/// A job as it was accepted; its row is never changed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Record {
-    /// What its caller handed in.
-    pub submission: Submission,
-    /// The queue that it came by.
-    pub route: String,
-    /// The service whose endpoints run it.
-    pub service: String,
-    /// How many runs of a task may fail.
-    pub attempts: u32,
-    /// How long after its arrival it is on time.
-    pub objective: Span,
-}
-
 /// Where a job stands.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -95,24 +80,22 @@
     pub serial: u64,
 }
 
-impl Record {
-    /// Returns the progress of a job of which nothing has run.
-    pub fn begin(&self) -> Progress {
-        Progress {
+impl Progress {
+    /// Begins with a job of which nothing has run.
+    pub fn begin(job: &Accepted) -> Self {
+        Self {
             state: State::Open,
-            steps: vec![Ends::default(); self.submission.steps.len()],
+            steps: vec![Ends::default(); job.submission.steps.len()],
         }
     }
-}
 
-impl Progress {
     /// Takes note of the end of a run; returns whether it changed anything.
-    pub fn end(&mut self, record: &Record, end: &RunEnd) -> bool {
+    pub fn end(&mut self, job: &Accepted, end: &RunEnd) -> bool {
         if self.state != State::Open {
             return false;
         }
         let task = end.task;
-        let wanted = record.submission.steps.get(task.step as usize);
+        let wanted = job.submission.steps.get(task.step as usize);
         let (Some(wanted), Some(ends)) = (wanted, self.steps.get_mut(task.step as usize)) else {
             return false;
         };
@@ -130,11 +113,11 @@
             if !failures.insert(source) {
                 return false;
             }
-            if failures.len() >= record.attempts as usize {
+            if failures.len() >= job.attempts as usize {
                 self.state = State::Failed;
             }
         }
-        let steps = record.submission.steps.iter().zip(&self.steps);
+        let steps = job.submission.steps.iter().zip(&self.steps);
         let mut steps = steps.map(|(wanted, ends)| ends.done.len() == wanted.count as usize);
         if self.state == State::Open && steps.all(|whole| whole) {
             self.state = State::Completed;
@@ -156,7 +139,7 @@
 /// A row of a shard.
 pub(super) enum Row {
     Lock,
-    Record(JobId, Record),
+    Record(JobId, Accepted),
     Progress(JobId, Progress),
 }
 
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -17,20 +17,20 @@
             Knowledge,
             Message,
             Output,
-            Record as Entry,
+            Record,
             RunEnd,
             StoreReply,
             StoreRequest,
             Verdict, //
         },
         owner::Effects,
+        task::Accepted, //
     },
     record::{
         self,
         progress_key,
         record_key,
         Progress,
-        Record,
         Row,
         State,
         LOCK, //
@@ -104,7 +104,7 @@
     pub(super) from: Contact,
     pub(super) serial: u64,
     pub(super) job: JobId,
-    pub(super) record: Box<Record>,
+    pub(super) record: Box<Accepted>,
     /// When it came.
     pub(super) at: Time,
 }
@@ -129,7 +129,7 @@
 /// A stored job.
 #[derive(Debug)]
 pub(super) struct Job {
-    pub(super) record: Option<Box<Record>>,
+    pub(super) record: Option<Box<Accepted>>,
     pub(super) progress: Progress,
     /// The state that is stored, none before the job is.
     pub(super) shown: Option<State>,
@@ -192,7 +192,7 @@
         from: &Contact,
         serial: u64,
         job: JobId,
-        record: Box<Record>,
+        record: Box<Accepted>,
         now: Time,
         out: &mut Effects,
     ) {
@@ -223,7 +223,7 @@
             }
             None => {
                 let fresh = Job {
-                    progress: record.begin(),
+                    progress: Progress::begin(&record),
                     record: Some(record),
                     shown: None,
                     counted: HashMap::new(),
@@ -542,7 +542,7 @@
                     job.progress = progress;
                 }
                 Err(fault) => {
-                    let entry = Entry::new("row_malformed").with("key", key);
+                    let entry = Record::new("row_malformed").with("key", key);
                     out.outputs.push(Output::Log(entry.with("fault", fault)));
                 }
             }
@@ -560,7 +560,7 @@
                 self.ended.push_back((now, *id));
             }
         }
-        let entry = Entry::new("shard_held").with("shard", id.to_string());
+        let entry = Record::new("shard_held").with("shard", id.to_string());
         let entry = entry.with("jobs", self.jobs.len());
         out.outputs
             .push(Output::Log(entry.with("open", acts.len())));
@@ -650,7 +650,7 @@
         let ended = change.state != State::Open;
         job.shown = Some(change.state);
         if first {
-            let entry = Entry::routine("job_stored").job(id);
+            let entry = Record::routine("job_stored").job(id);
             out.outputs.push(Output::Log(entry));
             if !ended {
                 acts.push(Act::Run(id, now));
@@ -664,7 +664,7 @@
             job.record = None;
             job.counted = HashMap::new();
             self.ended.push_back((now, id));
-            let entry = Entry::routine("job_ended").job(id);
+            let entry = Record::routine("job_ended").job(id);
             let entry = entry.with("state", format!("{:?}", change.state));
             out.outputs.push(Output::Log(entry));
         }
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -8,13 +8,16 @@
 
 use super::{
     super::{
-        durable::record::Progress as Stored,
-        durable::Record as Accepted,
+        durable::record::{
+            Ends,
+            Progress as Stored, //
+        },
         id::{
             JobId,
             TaskId, //
         },
         owner::Effects,
+        task::Accepted, //
     },
     Entry,
     Job,
@@ -33,9 +36,7 @@
             left: (0..step.count).filter(|i| !ends.done.contains(i)).collect(),
             placed: false,
         });
-        let begun = |ends: &super::super::durable::record::Ends| {
-            !ends.done.is_empty() || !ends.failures.is_empty()
-        };
+        let begun = |ends: &Ends| !ends.done.is_empty() || !ends.failures.is_empty();
         let job = Job {
             tickets: Vec::new(),
             service: accepted.service.clone(),
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -8,7 +8,6 @@
 };
 
 use super::{
-    durable,
     id::{
         Epoch,
         JobId,
@@ -20,6 +19,7 @@
     },
     route::Configuration,
     task::{
+        Accepted,
         Room,
         Submission, //
     },
@@ -519,7 +519,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// To hand it in.
-    Accept(Box<durable::Record>),
+    Accept(Box<Accepted>),
     /// To know how it stands.
     State,
     /// That it ends.
--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -91,3 +91,18 @@
         Span(ends.into_iter().max().unwrap_or(0))
     }
 }
+
+/// A job as it was accepted and stored.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// What its caller handed in.
+    pub submission: Submission,
+    /// The queue that it came by.
+    pub route: String,
+    /// The service whose endpoints run it.
+    pub service: String,
+    /// How many runs of a task may fail.
+    pub attempts: u32,
+    /// How long after its arrival it is on time.
+    pub objective: Span,
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -4,7 +4,7 @@
 
 use poplarknot::{
     dispatch::{
-        durable::Record,
+        durable::record::Progress,
         entry::Entry,
         id::{
             JobId,
@@ -24,6 +24,7 @@
         owner::Effects,
         route::Route,
         task::{
+            Accepted,
             Room,
             Step,
             Submission, //
@@ -296,7 +297,7 @@
         best_effort: false,
         unsupported: None,
     };
-    let record = Record {
+    let record = Accepted {
         submission,
         route: "queue".to_owned(),
         service: "cells".to_owned(),
@@ -304,7 +305,7 @@
         objective: Span::seconds(1),
     };
     let mut out = Effects::default();
-    entry.run(JobId(7), &record, &record.begin(), NOW, NOW);
+    entry.run(JobId(7), &record, &Progress::begin(&record), NOW, NOW);
     entry.begin(NOW, &mut out);
     batches(&out).remove(0)
 }
