Large fleets watch each other closely only where they share work

Cause: every instance told every other one ten times a second that it lives.

Change: up to 48 instances watch each other as before. In a larger fleet an instance watches up to 32 of its data centre and those with which it shared work within a second; all others hear from it 80 times a second together. Nobody is taken for gone without having been watched closely for 400 ms; who finds a member gone says so. Messages are signs of life from when they left, and a batch that left a distant entry over 300 ms ago is sent back unstarted. Room told to one member no longer counts as told to all.

Ruled out: relays (two deaths silence a data centre, and sessions are agreed by two), random probes alone (an owner's death must be known in 0.6 s where its batches are).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -297,7 +297,16 @@
                 let senders: Vec<Sender> = (1..count).map(sender).collect();
                 bench.iter(|| {
                     now = now + Span::millis(100);
-                    let heard = senders.iter().map(|from| (from.clone(), heard(now)));
+                    let heard = senders.iter().map(|from| {
+                        let sent = now;
+                        (
+                            Sender {
+                                sent,
+                                ..from.clone()
+                            },
+                            heard(),
+                        )
+                    });
                     black_box(dispatcher.step(now, Input::Heartbeats(heard.collect())));
                     black_box(dispatcher.step(now, Input::Tick));
                 });
@@ -342,12 +351,13 @@
         incarnation: 1,
         to: 0,
         session: 0,
+        sent: Time::default(),
     }
 }
 
-fn heard(now: Time) -> Announcement {
+fn heard() -> Announcement {
     Announcement {
-        sent: now,
+        watching: true,
         status: Status {
             epoch: Epoch(1),
             configuration: 0,
@@ -357,6 +367,7 @@
             racks: Vec::new(),
             shards: Vec::new(),
             pending: Vec::new(),
+            absences: Vec::new(),
         },
         rooms: Vec::new(),
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -21,13 +21,15 @@
 pub mod roster;
 pub mod route;
 pub mod task;
+pub mod watch;
 
 use std::{
     collections::{
         BTreeMap,
         HashMap, //
     },
-    rc::Rc, //
+    rc::Rc,
+    slice, //
 };
 
 use self::{
@@ -70,6 +72,9 @@
 };
 use crate::prelude::*;
 
+/// After which a batch of a member that isn't a neighbour comes too late: half of what a member may be silent.
+const BELATED: Span = Span(member::SILENCE.0 / 2);
+
 /// Between audits of batches that have been out for long.
 const AUDITS: Span = Span::millis(250);
 
@@ -198,8 +203,8 @@
             )),
             requests: Requests::default(),
             documents: Documents::default(),
+            members: Members::new(&identity.contact.name, identity.centre.as_str()),
             identity,
-            members: Members::default(),
             configuration: None,
             roster: Roster::default(),
             listed: false,
@@ -371,6 +376,7 @@
             }
             Input::Received { from, messages } => {
                 if self.meet(&from, now, out) {
+                    self.members.hear(&from.contact.name, from.sent, now);
                     for message in messages {
                         self.message(&from.contact, message, now, out);
                     }
@@ -463,7 +469,7 @@
         if self.members.find(contact, now) {
             let record = Record::new("member_found").with("member", contact.name.as_str());
             out.outputs.push(Output::Log(record));
-            self.heartbeat(Some(contact), Vec::new(), now, out);
+            self.heartbeat(slice::from_ref(&contact.name), &[], now, out);
         }
     }
 
@@ -473,6 +479,7 @@
         now: Time,
         out: &mut Effects,
     ) {
+        let claims = self.members.claims();
         for (from, heartbeat) in heartbeats {
             if !self.meet(&from, now, out) {
                 continue;
@@ -482,7 +489,10 @@
             let lived = known.is_some_and(|m| m.live);
             self.epoch = self.epoch.max(heartbeat.status.epoch);
             self.members
-                .heartbeat(name, heartbeat.status, heartbeat.sent, now);
+                .heartbeat(name, heartbeat.status, from.sent, now);
+            if heartbeat.watching {
+                self.members.asked(name, now);
+            }
             let lives = self.members.get(name).is_some_and(|m| m.live);
             // Room counts only from a rack's owner.
             self.update_owners();
@@ -496,7 +506,10 @@
                 self.greet(&from.contact, now, out);
             }
         }
-        self.deal(now, out);
+        // What changes with time alone is found at the next tick.
+        if self.members.claims() != claims {
+            self.deal(now, out);
+        }
         self.want(now, out);
     }
 
@@ -539,6 +552,16 @@
         true
     }
 
+    /// Tells whether what comes of a member left it so long ago that it may be dead since.
+    ///
+    /// Of one that isn't a neighbour nothing else may have come lately. Its batch would be run until its silence is found, and
+    /// its caller, whose connection broke when it died, may have come again elsewhere by then.
+    fn is_belated(&self, name: &Instance, now: Time) -> bool {
+        let member = self.members.get(name).filter(|m| !m.watch.is_near());
+        let heard = member.and_then(|member| member.heard);
+        heard.is_some_and(|at| now.since(at) > BELATED)
+    }
+
     fn message(&mut self, from: &Contact, message: Message, now: Time, out: &mut Effects) {
         match message {
             Message::Members(contacts) => {
@@ -546,7 +569,10 @@
                     self.find(&contact, now, out);
                 }
             }
-            Message::Batch(batch) => self.owner.accept(from, *batch, now, out),
+            Message::Batch(batch) => match self.is_belated(&from.name, now) {
+                true => self.owner.decline(from, *batch, out),
+                false => self.owner.accept(from, *batch, now, out),
+            },
             Message::Cancel(serial) => self.owner.cancel(from, serial, now, out),
             Message::Report {
                 serial,
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -1,7 +1,12 @@
 //! What the instance tells its peers: that it lives, what and what room it has.
 
+use std::slice;
+
 use super::{
-    member::HEARTBEAT,
+    member::{
+        Member,
+        HEARTBEAT, //
+    },
     message::{
         Claim,
         Contact,
@@ -14,6 +19,7 @@
         Vacancy, //
     },
     owner::Effects,
+    watch,
     Dispatcher, //
 };
 use crate::prelude::*;
@@ -25,10 +31,13 @@
 /// Between heartbeats that tell the room of all racks: one that told a change may have been lost.
 const REFRESH: Span = Span::millis(500);
 
-/// Peers that are told of room every [`ROOMS`]; with more of them the interval grows, so that an instance sends 400
-/// heartbeats a second at the most.
+/// Members watched closely that are told of room every [`ROOMS`]; with more of them the interval grows, so that they are
+/// sent 400 heartbeats a second at the most.
 const AUDIENCE: u64 = 8;
 
+/// Members that aren't watched closely and are told in one tick: 200 a second, twice what is due.
+const SPREAD: usize = 2;
+
 /// Racks in one heartbeat, so that it fits in one packet.
 const RACKS: usize = 6;
 
@@ -39,36 +48,48 @@
         out.outputs.push(Output::Log(record));
         let members = self.members.live().map(|m| m.contact.clone()).collect();
         out.messages.push((to.clone(), Message::Members(members)));
-        let rooms = self.owner.rooms(true, now);
+        let rooms = self.owner.vacancies(now);
         let own = self.identity.contact.name.clone();
         self.entry.rooms(&own, rooms.clone());
-        self.heartbeat(Some(to), rooms, now, out);
+        self.heartbeat(slice::from_ref(&to.name), &rooms, now, out);
     }
 
-    /// Sends heartbeats with `rooms` to one member or to all.
+    /// Sends heartbeats with `rooms` to members.
     pub(super) fn heartbeat(
         &mut self,
-        to: Option<&Contact>,
-        rooms: Vec<Vacancy>,
+        to: &[Instance],
+        rooms: &[Vacancy],
         now: Time,
         out: &mut Effects,
     ) {
+        let needed = |name: &Instance| {
+            let member = self.members.get(name);
+            member.is_some_and(|member| member.watch.is_needed(now))
+        };
+        let (watched, others): (Vec<Instance>, Vec<Instance>) =
+            to.iter().cloned().partition(needed);
+        for (names, watching) in [(watched, true), (others, false)] {
+            let tell = |name| self.members.tell(name, now);
+            let to: Vec<Contact> = names.iter().filter_map(tell).collect();
+            if !to.is_empty() {
+                self.send_heartbeat(&to, watching, rooms, out);
+            }
+        }
+    }
+
+    fn send_heartbeat(&self, to: &[Contact], watching: bool, rooms: &[Vacancy], out: &mut Effects) {
         let mut parts: Vec<Vec<Vacancy>> = rooms.chunks(RACKS).map(<[Vacancy]>::to_vec).collect();
         if parts.is_empty() {
             parts.push(Vec::new());
         }
         let status = self.own_status();
-        let to: Vec<Contact> = match to {
-            Some(to) => vec![to.clone()],
-            None => self.members.all().map(|m| m.contact.clone()).collect(),
-        };
         for rooms in parts {
             let heartbeat = Heartbeat {
-                sent: now,
+                watching,
                 status: status.clone(),
                 rooms,
             };
-            out.outputs.push(Output::Heartbeat(to.clone(), heartbeat));
+            out.outputs.push(Output::Heartbeat(to.to_vec(), heartbeat));
         }
     }
 
@@ -84,6 +105,7 @@
             racks: self.owner.racks().map(claim).chain(ceded).collect(),
             shards: self.durable.coordinations(),
             pending: self.entry.pending().into_iter().collect(),
+            absences: self.members.absences(),
         }
     }
 
@@ -93,10 +115,41 @@
         }
     }
 
-    /// Tells peers that it lives, and of room that has changed.
+    /// Tells peers that it lives, and of room that has changed: those that it watches closely often, the others at their
+    /// interval, and all of them where something changed that they must know.
     pub(super) fn tell(&mut self, now: Time, out: &mut Effects) {
-        let peers = self.members.live().count() as u64;
-        let interval = Span(ROOMS.0 * peers.max(AUDIENCE) / AUDIENCE);
+        self.watch(now);
+        let some = self.due(now);
+        if !some.is_empty() {
+            let rooms = self.owner.vacancies(now);
+            self.heartbeat(&some, &rooms, now, out);
+        }
+        self.tell_close(now, out);
+    }
+
+    /// Returns the members that are to be told by themselves: those that are watched closely since just now, and of the others
+    /// those whose turn it is.
+    fn due(&self, now: Time) -> Vec<Instance> {
+        let urgent = self.announced == Time::default();
+        let distant = self.members.all().filter(|m| !m.is_close(now));
+        let interval = watch::interval(distant.count());
+        let due = |m: &&Member| match m.is_close(now) {
+            true => m.watch.is_new(),
+            false => urgent || now.since(m.watch.told) >= interval,
+        };
+        let mut due: Vec<&Member> = self.members.all().filter(due).collect();
+        if !urgent && due.len() > SPREAD {
+            // Those that became due together are spread out: a burst of datagrams holds up what else is on the link.
+            due.sort_by_key(|member| (!member.is_close(now), member.watch.told));
+            let close = due.iter().filter(|m| m.is_close(now)).count();
+            due.truncate(SPREAD.max(close));
+        }
+        due.into_iter().map(|m| m.contact.name.clone()).collect()
+    }
+
+    fn tell_close(&mut self, now: Time, out: &mut Effects) {
+        let close = self.members.all().filter(|m| m.is_close(now));
+        let interval = Span(ROOMS.0 * (close.count() as u64).max(AUDIENCE) / AUDIENCE);
         let due = now.since(self.announced) >= HEARTBEAT;
         let changed = now.since(self.rooms) >= interval && self.owner.changed(now);
         if !due && !changed {
@@ -110,10 +163,24 @@
         (self.announced, self.rooms) = (now, now);
         let own = self.identity.contact.name.clone();
         self.entry.rooms(&own, rooms.clone());
-        self.heartbeat(None, rooms, now, out);
+        let close = self.members.all().filter(|m| m.is_close(now));
+        let close: Vec<Instance> = close.map(|m| m.contact.name.clone()).collect();
+        self.heartbeat(&close, &rooms, now, out);
         self.want(now, out);
     }
 
+    /// Watches those closely with which it shares work: their death must be found before their callers, or its own, come
+    /// again, and their room decides where the next tasks go.
+    fn watch(&mut self, now: Time) {
+        self.members.arrange(now);
+        for name in self.entry.owners() {
+            self.members.watch(name, now);
+        }
+        for name in self.owner.entries() {
+            self.members.watch(name, now);
+        }
+    }
+
     /// Asks owners whose racks have tasks waiting for some, where an own rack has room and nothing waits.
     pub(super) fn want(&mut self, now: Time, out: &mut Effects) {
         if self.draining() {
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -9,7 +9,8 @@
     collections::{
         BTreeMap,
         BTreeSet,
-        HashMap, //
+        HashMap,
+        HashSet, //
     },
     rc::Rc,
 };
@@ -542,6 +543,12 @@
         }
     }
 
+    /// Returns the owners that have batches.
+    pub fn owners(&self) -> HashSet<&Instance> {
+        let batches = self.jobs.values().flat_map(|job| job.batches.values());
+        batches.map(|sent| &sent.owner).collect()
+    }
+
     /// Asks owners for batches that have been out for long.
     pub fn audit(&self, now: Time, out: &mut Effects) {
         let mut asked: BTreeMap<Instance, Vec<u64>> = BTreeMap::new();
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -12,9 +12,15 @@
         Token, //
     },
     message::{
+        Absence,
         Contact,
-        Sender, //
-        Status,
+        Sender,
+        Status, //
+    },
+    watch::{
+        self,
+        neighbours,
+        Watch, //
     },
 };
 use crate::prelude::*;
@@ -35,6 +41,10 @@
 /// [`SETTLE`]: as long as a heartbeat takes to come again.
 pub const QUIET: Span = HEARTBEAT;
 
+/// How long a member that was found, or has just been lost, is called as often as one that is watched closely: it may be
+/// starting, and after a loss of all instances callers wait until they hear each other.
+const AWAITED: Span = Span::seconds(3);
+
 /// How much the clocks of two machines may run apart, as a share: ten times what crystals do.
 const DRIFT: f64 = 0.001;
 
@@ -53,8 +63,10 @@
     pub incarnation: u64,
     /// The session with it.
     pub session: u32,
-    /// When its last heartbeat left, on this instance's clock; never, if it only was listed.
+    /// When the last that came of it left, on this instance's clock; never, if it only was listed.
     pub heard: Option<Time>,
+    /// When the heartbeat with its status left, on its own clock.
+    told: Time,
     /// The least that its clock was seen behind this one, in microseconds: the difference of the clocks and the
     /// shortest time on the way.
     offset: Option<i64>,
@@ -64,6 +76,22 @@
     pub since: Time,
     /// What it said last.
     pub status: Option<Status>,
+    /// How closely it is watched.
+    pub watch: Watch,
+}
+
+impl Member {
+    /// Tells whether its silence of [`SILENCE`] means that it is gone.
+    pub fn is_close(&self, now: Time) -> bool {
+        let awaited = !self.live && now.since(self.since) < AWAITED;
+        awaited || self.watch.is_close(now)
+    }
+
+    /// Tells whether nothing has come of it for so long that it is gone.
+    fn is_gone(&self, now: Time) -> bool {
+        let silent = |at| now.since(at) > SILENCE && self.watch.counts(now);
+        self.heard.is_none_or(silent)
+    }
 }
 
 /// What became of messages that arrived.
@@ -78,13 +106,33 @@
 }
 
 /// All other instances that this one knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Members {
+    /// This instance.
+    own: Instance,
+    /// Its data centre.
+    centre: String,
     known: BTreeMap<Instance, Member>,
     claims: u64,
+    /// How many were known, and the count of claims, when the neighbours were chosen.
+    arranged: Option<(usize, u64)>,
+    /// Members that this instance found to be gone, and when.
+    absences: Vec<(Absence, Time)>,
 }
 
 impl Members {
+    /// Makes a fleet of one.
+    pub fn new(own: &Instance, centre: impl Into<String>) -> Self {
+        Self {
+            own: own.clone(),
+            centre: centre.into(),
+            known: BTreeMap::new(),
+            claims: 0,
+            arranged: None,
+            absences: Vec::new(),
+        }
+    }
+
     /// Takes note of a member; returns whether it is new or has moved.
     pub fn find(&mut self, contact: &Contact, now: Time) -> bool {
         // A seed is named by its address until it says its name.
@@ -106,10 +154,12 @@
             incarnation: 0,
             session: 0,
             heard: None,
+            told: Time::default(),
             offset: None,
             live: false,
             since: now,
             status: None,
+            watch: Watch::default(),
         };
         self.known.insert(contact.name.clone(), member);
         true
@@ -156,7 +206,9 @@
             member.status = None;
             member.offset = None;
             member.heard = None;
+            member.told = Time::default();
             member.live = false;
+            member.since = now;
         }
         match anew {
             true => Reception::Anew,
@@ -164,11 +216,11 @@
         }
     }
 
-    /// Takes note of a heartbeat that left at `sent` on its sender's clock.
+    /// Takes note that something left a member at `sent` on its clock: a heartbeat, or messages.
     ///
-    /// Either side may be so slow that heartbeats lie in its buffers. A heartbeat counts from when it left: otherwise a
+    /// Either side may be so slow that heartbeats lie in its buffers. What comes counts from when it left: otherwise a
     /// slow owner would start tasks for an entry that gave it up long ago and has placed them elsewhere.
-    pub fn heartbeat(&mut self, name: &Instance, status: Status, sent: Time, now: Time) {
+    pub fn hear(&mut self, name: &Instance, sent: Time, now: Time) {
         let Some(member) = self.known.get_mut(name) else {
             return;
         };
@@ -178,48 +230,130 @@
             behind.min(offset + (since as f64 * DRIFT) as i64)
         });
         member.offset = Some(offset);
-        let heard = Time((sent.0 as i64 + offset).max(1) as u64);
-        if member.heard.is_some_and(|known| known > heard) {
+        let left = Time((sent.0 as i64 + offset).max(1) as u64);
+        member.heard = member.heard.max(Some(left));
+    }
+
+    /// Takes note of a heartbeat that left at `sent` on its sender's clock.
+    pub fn heartbeat(&mut self, name: &Instance, status: Status, sent: Time, now: Time) {
+        self.hear(name, sent, now);
+        for absence in &status.absences {
+            self.suspect(absence, now);
+        }
+        let Some(member) = self.known.get_mut(name) else {
+            return;
+        };
+        if member.told > sent {
             return;
         }
-        member.heard = Some(heard);
+        member.told = sent;
         let claimed = member.status.as_ref().map(|known| &known.racks);
         if claimed != Some(&status.racks) {
             self.claims += 1;
         }
         member.status = Some(status);
-        if !member.live && now.since(heard) <= SILENCE {
+        let lately = member.heard.is_some_and(|at| now.since(at) <= SILENCE);
+        if !member.live && lately {
             member.live = true;
             member.since = now;
             self.claims += 1;
         }
     }
 
-    /// Gives up those that have been silent too long, each with a new session; returns them.
+    /// Watches a member closely that another found to be gone.
+    fn suspect(&mut self, absence: &Absence, now: Time) {
+        let Some(member) = self.known.get_mut(&absence.name) else {
+            return;
+        };
+        if member.live && member.incarnation == absence.incarnation {
+            member.watch.need(now);
+        }
+    }
+
+    /// Watches a member closely for as long as work is shared with it.
+    pub fn watch(&mut self, name: &Instance, now: Time) {
+        if let Some(member) = self.known.get_mut(name) {
+            member.watch.need(now);
+        }
+    }
+
+    /// Takes note that a member watches this one closely, and waits for its heartbeats.
+    pub fn asked(&mut self, name: &Instance, now: Time) {
+        if let Some(member) = self.known.get_mut(name) {
+            member.watch.ask(now);
+        }
+    }
+
+    /// Chooses the members that are always watched closely, where the fleet has changed.
+    pub fn arrange(&mut self, now: Time) {
+        let key = Some((self.known.len(), self.claims));
+        if self.arranged == key {
+            return;
+        }
+        self.arranged = key;
+        let near = neighbours(&self.own, &self.centre, self.known.values());
+        for (name, member) in &mut self.known {
+            member.watch.settle(near.contains(name), now);
+        }
+    }
+
+    /// Takes note that a member is told of this one, and returns where it is reached.
+    pub fn tell(&mut self, name: &Instance, now: Time) -> Option<Contact> {
+        let member = self.known.get_mut(name)?;
+        member.watch.told = now;
+        Some(member.contact.clone())
+    }
+
+    /// Gives up those that have been silent too long, each with a new session; returns them. One that isn't watched closely
+    /// is, from when it should have been heard.
     pub fn expire(&mut self, now: Time) -> Vec<Member> {
+        let patience = self.patience();
         let mut lost = Vec::new();
-        for member in self.known.values_mut() {
-            let silent = member.heard.is_none_or(|at| now.since(at) > SILENCE);
-            if member.live && silent {
+        for member in self.known.values_mut().filter(|member| member.live) {
+            if member.is_gone(now) {
                 member.live = false;
                 member.session += 1;
                 member.since = now;
                 lost.push(member.clone());
                 member.status = None;
                 self.claims += 1;
+            } else if member.heard.is_some_and(|at| now.since(at) > patience) {
+                member.watch.need(now);
             }
         }
+        let absence = |member: &Member| Absence {
+            name: member.contact.name.clone(),
+            incarnation: member.incarnation,
+        };
+        self.absences
+            .retain(|(_, at)| now.since(*at) < watch::LINGER);
+        self.absences
+            .extend(lost.iter().map(|member| (absence(member), now)));
         self.known
             .retain(|_, member| member.live || now.since(member.since) < FORGOTTEN);
         lost
     }
 
+    /// Returns how long a member that isn't watched closely may be silent: one of its heartbeats may get lost.
+    fn patience(&self) -> Span {
+        watch::interval(self.known.len()).times(2) + SILENCE
+    }
+
+    /// Returns the members that this instance found to be gone of late.
+    pub fn absences(&self) -> Vec<Absence> {
+        let absences = self.absences.iter();
+        absences.map(|(absence, _)| absence.clone()).collect()
+    }
+
     /// Gives up all of them.
     pub fn void(&mut self, now: Time) -> Vec<Member> {
         for member in self.known.values_mut() {
             member.heard = None;
         }
-        self.expire(now)
+        let lost = self.expire(now);
+        // This instance stood still, not they.
+        self.absences.clear();
+        lost
     }
 
     /// Returns a member.
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -165,6 +165,8 @@
     pub to: u64,
     /// Grows each time that one side gave the other up: what was said before is void.
     pub session: u32,
+    /// When this left, on its clock: what lay in a buffer is no sign of life.
+    pub sent: Time,
 }
 
 /// What the dispatcher wants done.
@@ -631,8 +633,8 @@
 /// connection to each of 36 peers, it took more than half of a processor share of 0.12 cores.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// When it left, on its sender's clock: one that lay in a buffer is no sign of life.
-    pub sent: Time,
+    /// Whether its sender watches the receiver closely, and waits for its heartbeats.
+    pub watching: bool,
     /// The member's standing.
     pub status: Status,
     /// The room of racks where it has changed.
@@ -640,7 +642,7 @@
 }
 
 /// What a member says of itself.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// The highest epoch that it has heard of.
     pub epoch: Epoch,
@@ -658,6 +660,17 @@
     pub shards: Vec<Coordination>,
     /// Its jobs of which nothing has started, by queue.
     pub pending: Vec<(String, u32)>,
+    /// Members that it found to be gone of late.
+    pub absences: Vec<Absence>,
+}
+
+/// A life of a member that one that watched it closely found to be gone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absence {
+    /// The member.
+    pub name: Instance,
+    /// Its life.
+    pub incarnation: u64,
 }
 
 /// A shard that a member coordinates.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -311,6 +311,22 @@
         }
     }
 
+    /// Sends a batch back of which nothing was started.
+    pub fn decline(&self, entry: &Contact, batch: Batch, out: &mut Effects) {
+        let message = Message::Returned {
+            serial: batch.serial,
+            tasks: batch.tasks,
+            started: false,
+            hint: None,
+        };
+        out.tell(entry, message);
+    }
+
+    /// Returns the entries of the batches that it runs.
+    pub fn entries(&self) -> HashSet<&Instance> {
+        self.loads.values().map(|load| &load.entry.name).collect()
+    }
+
     /// Takes a batch in.
     pub fn accept(&mut self, entry: &Contact, batch: Batch, now: Time, out: &mut Effects) {
         let key = (entry.name.clone(), batch.serial);
@@ -318,14 +334,7 @@
             return;
         }
         if !self.racks.contains_key(&batch.rack) {
-            let message = Message::Returned {
-                serial: batch.serial,
-                tasks: batch.tasks,
-                started: false,
-                hint: None,
-            };
-            out.tell(entry, message);
-            return;
+            return self.decline(entry, batch, out);
         }
         let progress = Progress {
             next: Run::FIRST,
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -42,27 +42,13 @@
         states.filter(|state| state.takes(now)).count()
     }
 
-    /// Tells the room of racks where it has changed, or of all.
+    /// Tells the room of racks where it has changed since it was told to all, or of all.
     pub fn rooms(&mut self, all: bool, now: Time) -> Vec<Vacancy> {
-        let mut rooms = Vec::new();
-        for (id, rack) in &self.racks {
-            let open = self.open(rack, now);
-            if !all && !rack.changed && open == rack.open {
-                continue;
-            }
-            let states = rack
-                .endpoints
-                .iter()
-                .filter_map(|id| self.endpoints.get(id));
-            let takes = states.filter(|state| state.takes(now));
-            let movable = |w: &Waiting| self.loads.get(&w.batch).is_some_and(|l| !l.batch.tied);
-            rooms.push(Vacancy {
-                rack: *id,
-                free: takes.map(|state| state.free).collect(),
-                movable: rack.queue.iter().filter(movable).count() as u32,
-                backlog: rack.queue.work(),
-            });
-        }
+        let told = |rack: &Rack| all || rack.changed || rack.open != self.open(rack, now);
+        let racks = self.racks.iter().filter(|(_, rack)| told(rack));
+        let rooms: Vec<Vacancy> = racks
+            .map(|(id, rack)| self.vacancy(*id, rack, now))
+            .collect();
         for vacancy in &rooms {
             if let Some(rack) = self.racks.get_mut(&vacancy.rack) {
                 rack.changed = false;
@@ -72,6 +58,27 @@
         rooms
     }
 
+    /// Tells the room of all racks, to some: the others have yet to be told what has changed.
+    pub fn vacancies(&self, now: Time) -> Vec<Vacancy> {
+        let racks = self.racks.iter();
+        racks
+            .map(|(id, rack)| self.vacancy(*id, rack, now))
+            .collect()
+    }
+
+    fn vacancy(&self, id: RackId, rack: &Rack, now: Time) -> Vacancy {
+        let states = rack.endpoints.iter();
+        let states = states.filter_map(|id| self.endpoints.get(id));
+        let takes = states.filter(|state| state.takes(now));
+        let movable = |w: &Waiting| self.loads.get(&w.batch).is_some_and(|l| !l.batch.tied);
+        Vacancy {
+            rack: id,
+            free: takes.map(|state| state.free).collect(),
+            movable: rack.queue.iter().filter(movable).count() as u32,
+            backlog: rack.queue.work(),
+        }
+    }
+
     /// Returns the racks where nothing waits, with the room of the endpoints that have some.
     pub fn spacious(&self, now: Time) -> Vec<(RackId, Vec<Room>)> {
         let idle = self.racks.iter().filter(|(_, rack)| rack.queue.is_empty());
--- a/src/instance/heartbeats.rs
+++ b/src/instance/heartbeats.rs
@@ -8,7 +8,10 @@
 use serde::Deserialize;
 use tokio::net::UdpSocket;
 
-use super::hub::Hub;
+use super::hub::{
+    now,
+    Hub, //
+};
 use crate::dispatch::message::{
     Contact,
     Heartbeat,
@@ -50,6 +53,7 @@
             Ok(body) => body,
             Err(error) => return unsent(hub, "all", &error.to_string()),
         };
+        let sent = now();
         for to in to {
             let address = match to.address.parse::<SocketAddr>() {
                 Ok(address) => address,
@@ -59,7 +63,7 @@
                 }
             };
             // The fields of a datagram follow each other without anything between.
-            match postcard::to_extend(&hub.peers.sender(&to.name), Vec::new()) {
+            match postcard::to_extend(&hub.peers.sender(&to.name, sent), Vec::new()) {
                 Ok(mut bytes) => {
                     bytes.extend_from_slice(&body);
                     self.socket.try_send_to(&bytes, address).ok();
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -36,8 +36,11 @@
 };
 
 use super::{
-    hub::Hub,
-    inbox::Inbox, //
+    hub::{
+        now,
+        Hub, //
+    },
+    inbox::Inbox,
 };
 use crate::{
     dispatch::{
@@ -164,8 +167,8 @@
         link.bytes = 0;
     }
 
-    /// Names this instance to a peer, in the session with it.
-    pub fn sender(&self, to: &Instance) -> Sender {
+    /// Names this instance to a peer, in the session with it, in what leaves now.
+    pub fn sender(&self, to: &Instance, now: Time) -> Sender {
         let links = self.links.borrow();
         let link = links.get(to);
         Sender {
@@ -174,12 +177,13 @@
             incarnation: self.identity.incarnation,
             to: link.map_or(0, |link| link.incarnation),
             session: link.map_or(0, |link| link.session),
+            sent: now,
         }
     }
 
     /// Takes the next envelope for a peer.
     fn next(&self, name: &Instance) -> Option<Sealed> {
-        let sender = self.sender(name);
+        let sender = self.sender(name, now());
         let mut links = self.links.borrow_mut();
         let link = links.get_mut(name)?;
         let count = link.fitting();
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -339,6 +339,7 @@
             incarnation: host.life,
             to: incarnation,
             session,
+            sent: self.now,
         }
     }
 
--- a/tests/inbox.rs
+++ b/tests/inbox.rs
@@ -6,6 +6,7 @@
         Sender, //
     },
     instance::inbox::Inbox,
+    prelude::*,
 };
 
 /// The present life of the receiver, and the one before it.
@@ -22,6 +23,7 @@
         incarnation: 5,
         to,
         session,
+        sent: Time(1),
     }
 }
 
