Two instances of a data centre read the endpoints' rows and tell the others what has changed

Cause: each instance read the rows that all endpoints write anew every 1.5 s, twice a second. They filled the links of weak machines, and batches waited behind them; on the large deployment they were the largest price by far.

Change: the two strongest live members of a data centre read; a further one begins when fewer than two ahead of it say that they have read within 1.2 s. What has changed goes as a message, which counts only for a list that has what came before it. A list that is asked for whole is asked for only if what was lacked hasn't come meanwhile.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -362,6 +362,7 @@
             epoch: Epoch(1),
             configuration: 0,
             roster: 0,
+            reading: false,
             draining: false,
             share: 250,
             racks: Vec::new(),
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod patience;
 pub mod queue;
+mod reading;
 mod requests;
 pub mod roster;
 pub mod route;
@@ -67,6 +68,7 @@
         Former,
         Startup, //
     },
+    reading::Reading,
     requests::Requests,
     route::Configuration,
 };
@@ -161,6 +163,7 @@
     configuration: Option<Configuration>,
     roster: Roster,
     listed: bool,
+    reading: Reading,
     /// The owner of each rack that another instance has, with its token.
     owners: Rc<HashMap<RackId, (Instance, Token)>>,
     /// The counts of changes, of members' claims and of its own, up to which `owners` is known.
@@ -208,6 +211,7 @@
             configuration: None,
             roster: Roster::default(),
             listed: false,
+            reading: Reading::default(),
             owners: Rc::default(),
             claims: None,
             former: BTreeMap::new(),
@@ -368,7 +372,12 @@
                 }
             }
             Input::Configured(configuration) => self.configure(*configuration, "store", out),
-            Input::Listed(roster) => self.list(roster, now, out),
+            Input::Listed(roster) => {
+                let earlier = self.roster.clone();
+                self.list(roster, now, out);
+                self.tell_change(&earlier, out);
+            }
+            Input::Read(done) => self.reading.note(done, now),
             Input::Found(contacts) => {
                 for contact in contacts {
                     self.find(&contact, now, out);
@@ -608,6 +617,11 @@
                     self.entry.lost(&to, now, out);
                 }
             }
+            Message::RosterChange(change) => {
+                if let Some(roster) = self.roster.with(&change).filter(|_| self.listed) {
+                    self.list(roster, now, out);
+                }
+            }
             Message::Fetch { document, offset } => {
                 self.send_piece(&from.name, document, offset, out);
             }
@@ -690,6 +704,7 @@
         self.ceded.retain(|(_, at)| now.since(*at) < CEDED);
         self.deal(now, out);
         self.rebalance(now, out);
+        self.choose_readers(now);
         if now.since(self.coordinated) >= COORDINATE {
             self.coordinated = now;
             self.coordinate(now, out);
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -72,17 +72,24 @@
             let tell = |name| self.members.tell(name, now);
             let to: Vec<Contact> = names.iter().filter_map(tell).collect();
             if !to.is_empty() {
-                self.send_heartbeat(&to, watching, rooms, out);
+                self.send_heartbeat(&to, watching, rooms, now, out);
             }
         }
     }
 
-    fn send_heartbeat(&self, to: &[Contact], watching: bool, rooms: &[Vacancy], out: &mut Effects) {
+    fn send_heartbeat(
+        &self,
+        to: &[Contact],
+        watching: bool,
+        rooms: &[Vacancy],
+        now: Time,
+        out: &mut Effects,
+    ) {
         let mut parts: Vec<Vec<Vacancy>> = rooms.chunks(RACKS).map(<[Vacancy]>::to_vec).collect();
         if parts.is_empty() {
             parts.push(Vec::new());
         }
-        let status = self.own_status();
+        let status = self.own_status(now);
         for rooms in parts {
             let heartbeat = Heartbeat {
                 watching,
@@ -93,13 +100,14 @@
         }
     }
 
-    fn own_status(&self) -> Status {
+    fn own_status(&self, now: Time) -> Status {
         let claim = |(rack, token)| Claim { rack, token };
         let ceded = self.ceded.iter().map(|(claim, _)| *claim);
         Status {
             epoch: self.epoch,
             configuration: self.document_version(Document::Configuration),
             roster: self.document_version(Document::Roster),
+            reading: self.reading.is_fresh(now),
             draining: self.draining(),
             share: self.identity.share,
             racks: self.owner.racks().map(claim).chain(ceded).collect(),
--- a/src/dispatch/documents.rs
+++ b/src/dispatch/documents.rs
@@ -67,8 +67,8 @@
 /// A document that this instance lacks.
 #[derive(Debug, Default)]
 struct Transfer {
-    /// Since when.
-    lacking: Option<Time>,
+    /// Since when, and which version of it was the newest then.
+    lacking: Option<(Time, u64)>,
     /// Peers that were asked in vain.
     attempts: u32,
     partial: Option<Partial>,
@@ -89,16 +89,20 @@
     /// Chooses a peer to ask, where none is being asked that still lives and answers.
     fn choose(
         &mut self,
-        own: &Instance,
+        own: (&Instance, u64),
         delay: Span,
         mut holders: Vec<Holder>,
         now: Time,
     ) -> Option<Instance> {
-        if holders.is_empty() {
+        let newest = holders.iter().map(|holder| holder.version).max();
+        let Some(newest) = newest else {
             *self = Self::default();
             return None;
-        }
-        let since = *self.lacking.get_or_insert(now);
+        };
+        let (own, version) = own;
+        // What was lacked has come; of what has changed since then each hears in its own time.
+        let lacking = self.lacking.filter(|(_, lacked)| *lacked > version);
+        let (since, _) = *self.lacking.insert(lacking.unwrap_or((now, newest)));
         if now.since(since) < delay {
             return None;
         }
@@ -203,7 +207,7 @@
             let holders = self.holders(document, version);
             let own = &self.identity.contact.name;
             let transfer = &mut self.documents.exchange(document).transfer;
-            if let Some(name) = transfer.choose(own, document.delay(), holders, now) {
+            if let Some(name) = transfer.choose((own, version), document.delay(), holders, now) {
                 let record = Record::new("document_asked").with("document", document.to_string());
                 out.outputs
                     .push(Output::Log(record.with("member", name.as_str())));
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -71,6 +71,19 @@
     pub endpoints: Vec<Listing>,
 }
 
+/// What has changed from one version of the list of endpoints to another.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RosterChange {
+    /// The version before it.
+    pub after: u64,
+    /// The version with it.
+    pub version: u64,
+    /// Endpoints that are new, or whose entry has changed.
+    pub changed: Vec<Listing>,
+    /// Endpoints that aren't listed any more.
+    pub gone: Vec<Endpoint>,
+}
+
 /// A member as it can be reached.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -106,8 +119,10 @@
     Cancelled(JobId),
     /// A configuration was read.
     Configured(Box<Configuration>),
-    /// The endpoints were read.
+    /// The endpoints were read, and something had changed.
     Listed(Roster),
+    /// The endpoints were read, or couldn't be.
+    Read(bool),
     /// Members were found in the store.
     Found(Vec<Contact>),
     /// A peer's messages of one session arrived.
@@ -450,6 +465,8 @@
     },
     /// A piece of a document.
     Piece(Box<Piece>),
+    /// What has changed on the list of endpoints.
+    RosterChange(Box<RosterChange>),
     /// A caller cancels a job that the sender doesn't have.
     CancelJob(JobId),
     /// The receiver coordinates the job's shard: a caller hands it in, asks for it or cancels it.
@@ -650,6 +667,8 @@
     pub configuration: u64,
     /// The version of its list of endpoints.
     pub roster: u64,
+    /// Whether it reads the list of endpoints from the store.
+    pub reading: bool,
     /// Whether it is about to end.
     pub draining: bool,
     /// Its processor share, in thousandths of a core: the more it has, the more racks it takes.
--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -63,15 +63,21 @@
         }
     }
 
-    /// Takes over what peers told of endpoints that this instance hasn't read yet. One that starts while the store is away
+    /// Takes over what peers told of endpoints that this instance hasn't read itself. One that starts while the store is away
     /// knows them from its peers alone; those that are missing when the store returns are no more gone for it than for them.
     pub fn adopt(&mut self, roster: &Roster) {
+        if roster.version < self.version {
+            return;
+        }
+        self.version = roster.version;
+        let mut known = std::mem::take(&mut self.entries);
         for listing in &roster.endpoints {
+            let lapsed = known.remove(&listing.id).and_then(|entry| entry.lapsed);
             let entry = Entry {
                 listing: listing.clone(),
-                lapsed: None,
+                lapsed,
             };
-            self.entries.entry(listing.id.clone()).or_insert(entry);
+            self.entries.insert(listing.id.clone(), entry);
         }
     }
 
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -26,7 +26,8 @@
             Listing,
             Record, //
         },
-        roster::Cache, //
+        roster::Cache,
+        Dispatcher, //
     },
     http::{
         self,
@@ -60,6 +61,9 @@
 /// and each read that returns at once for a heartbeat would cost a call.
 const ENDPOINTS: Duration = Duration::from_millis(500);
 
+/// Between looks whether this instance is to read the endpoints, while others do.
+const FOLLOWING: Duration = Duration::from_millis(50);
+
 /// Between reads of the instances while no peer is heard.
 const LONELY: Duration = Duration::from_millis(1_000);
 
@@ -258,9 +262,16 @@
     let mut client = Client::new(&hub, &address);
     let cache = RefCell::new(Cache::default());
     let mut version = None;
-    let mut read_once = false;
     loop {
-        match client.follow(record::ENDPOINTS, version).await {
+        if !hub.look(Dispatcher::reads) {
+            // What others tell meanwhile isn't in what was read before.
+            version = None;
+            sleep(FOLLOWING).await;
+            continue;
+        }
+        let read = client.follow(record::ENDPOINTS, version).await;
+        hub.feed(Input::Read(read.is_ok()));
+        match read {
             Ok((rows, at)) => {
                 cache.borrow_mut().answered(now());
                 if version.is_none() {
@@ -268,13 +279,12 @@
                 }
                 take_endpoints(&client, &cache, rows, version.is_none());
                 version = Some(at);
-                read_once = true;
             }
             Err(Failure::Status(status)) if store::lacks_history(status) => version = None,
             Err(_) => cache.borrow_mut().fail(),
         }
         let roster = cache.borrow_mut().take(now());
-        if let Some(roster) = roster.filter(|_| read_once) {
+        if let Some(roster) = roster.filter(|_| version.is_some()) {
             hub.feed(Input::Listed(roster));
         }
         sleep(ENDPOINTS).await;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -32,6 +32,8 @@
     pub messages: usize,
     /// Their size in bytes.
     pub bytes: usize,
+    /// Of these, those that tell what has changed on the list of endpoints.
+    pub changes: usize,
     /// Heartbeats that it has sent.
     pub heartbeats: usize,
     /// Their size in bytes.
@@ -168,6 +170,7 @@
         let at = self.index(&to.name);
         self.traffic[at].messages += 1;
         self.traffic[at].bytes += size;
+        self.traffic[at].changes += usize::from(matches!(message, Message::RosterChange(_)));
         self.largest = self.largest.max(size);
         if self.mute.contains(&i) {
             return;
