Tasks stay with the instance that took their job in, and the rest with one other

Cause: each task of a job went to the rack with the most room, so that a job of eight tasks went to as many owners. It was as late as the message to the last of them, and all instances that had heard the same figures met at the same rack.

Change: of the racks with room, those of the instance itself go first, then one that has tasks of the step, then any with room for all that is left, which each job draws for itself.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -197,6 +197,7 @@
         Self {
             entry: Entry::new(
                 identity.incarnation << SERIAL_BITS,
+                &identity.contact.name,
                 identity.centre.as_str(),
             ),
             owner: Owner::new(&identity.contact.name),
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -17,6 +17,7 @@
 
 use self::rack::{
     choose,
+    Demand,
     Rack, //
 };
 use super::{
@@ -131,8 +132,10 @@
 }
 
 /// The jobs that an instance has taken in.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Entry {
+    /// Its instance.
+    own: Instance,
     /// The data centre of its instance.
     centre: String,
     jobs: BTreeMap<JobId, Job>,
@@ -147,11 +150,17 @@
 
 impl Entry {
     /// Starts the numbers of batches at `serial`, which must be above those of any former life.
-    pub fn new(serial: u64, centre: impl Into<String>) -> Self {
+    pub fn new(serial: u64, own: &Instance, centre: impl Into<String>) -> Self {
         Self {
+            own: own.clone(),
             centre: centre.into(),
             serial,
-            ..Self::default()
+            jobs: BTreeMap::new(),
+            by_ticket: HashMap::new(),
+            by_serial: HashMap::new(),
+            racks: BTreeMap::new(),
+            held_back: Vec::new(),
+            refused: 0,
         }
     }
 
@@ -424,9 +433,19 @@
         let wanted = &submission.steps[step as usize];
         let mut shares: BTreeMap<RackId, Vec<u32>> = BTreeMap::new();
         let mut loose = Vec::new();
+        let mut demand = Demand {
+            job: id,
+            step: wanted,
+            service: &job.service,
+            hint,
+            rest: tasks.len() as u64,
+            own: &self.own,
+            centre: &self.centre,
+        };
         for task in tasks {
-            let service = job.service.as_str();
-            match choose(&mut self.racks, wanted, service, hint, &self.centre) {
+            let rack = choose(&mut self.racks, &demand, &shares);
+            demand.rest -= 1;
+            match rack {
                 Some(rack) => shares.entry(rack).or_default().push(task),
                 None => loose.push(task),
             }
--- a/src/dispatch/entry/rack.rs
+++ b/src/dispatch/entry/rack.rs
@@ -1,9 +1,16 @@
 //! Racks as an entry sees them, and which one a task goes to.
 
-use std::collections::BTreeMap;
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap, //
+};
 
 use super::super::{
-    id::RackId,
+    id::{
+        weight,
+        JobId,
+        RackId, //
+    },
     message::Contact,
     task::{
         Room,
@@ -28,19 +35,45 @@
     pub(super) labels: Vec<String>,
 }
 
-/// Chooses the rack for one task of a step, and takes its room there.
+/// What is to be placed, and from where.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Demand<'a> {
+    pub(super) job: JobId,
+    pub(super) step: &'a Step,
+    pub(super) service: &'a str,
+    /// A rack that has asked for tasks.
+    pub(super) hint: Option<RackId>,
+    /// How many tasks of the step are still to be placed, this one among them.
+    pub(super) rest: u64,
+    /// The instance that places them.
+    pub(super) own: &'a Instance,
+    /// Its data centre.
+    pub(super) centre: &'a str,
+}
+
+/// Chooses the rack for one task of a step, and takes its room there; `chosen` are those that have others of the step.
 ///
 /// A task whose data lies on a rack goes there: anywhere else it takes a multiple of its time, and its rack's queue
 /// would have to be longer than that to be worse. Any other goes where there is room, in its own data centre
 /// first; where there is room nowhere, to the rack with the least work ahead. Owners with idle endpoints ask for
 /// tasks of others, which evens out what was chosen on old figures.
-pub(super) fn choose(
+///
+/// Of the racks with room, those of the instance itself go first, and one that has tasks of the step already: a job is as late as
+/// the last of its tasks, and each further owner is one more message that may be held up. Spread evenly, a job of eight tasks went to
+/// as many owners. Of the other racks with room for what is left, each job draws its own: sent to the one with the most, the jobs
+/// that came before it told of them met there.
+pub(super) fn choose<T>(
     racks: &mut BTreeMap<RackId, Rack>,
-    step: &Step,
-    service: &str,
-    hint: Option<RackId>,
-    centre: &str,
+    demand: &Demand<'_>,
+    chosen: &BTreeMap<RackId, T>,
 ) -> Option<RackId> {
+    let Demand {
+        step,
+        service,
+        hint,
+        centre,
+        ..
+    } = *demand;
     // A rack of which no endpoint takes tasks can't be reached, or is being taken over.
     let usable = |rack: &Rack| rack.owner.is_some() && !rack.free.is_empty();
     let fits = |rack: &Rack| usable(rack) && rack.service == service && rack.carries(step);
@@ -49,7 +82,7 @@
     let home = racks.iter().find(|(_, rack)| fits(rack) && tied(rack));
     let chosen = hinted.or(home.map(|(id, _)| *id)).or_else(|| {
         let fit = racks.iter().filter(|(_, rack)| fits(rack));
-        let key = |rack: &Rack| {
+        let key = |id: &RackId, rack: &Rack| {
             let room = rack.room(&step.need);
             let far = rack.centre != centre;
             let ahead = rack.backlog * 1_000 / rack.cpu.max(1);
@@ -57,10 +90,13 @@
                 room == 0,
                 if room == 0 { ahead } else { 0 },
                 far,
-                u64::MAX - room,
+                !rack.is_of(demand.own),
+                !chosen.contains_key(id),
+                Reverse(room.min(demand.rest)),
+                weight(id.0 ^ demand.job.0, ""),
             )
         };
-        let best = fit.min_by_key(|(_, rack)| key(rack));
+        let best = fit.min_by_key(|(id, rack)| key(id, rack));
         best.map(|(id, _)| *id)
     })?;
     if let Some(rack) = racks.get_mut(&chosen) {
@@ -76,6 +112,10 @@
         label.is_none_or(|label| self.labels.contains(label)) && self.cpu >= step.need.cpu
     }
 
+    fn is_of(&self, instance: &Instance) -> bool {
+        self.owner.as_ref().is_some_and(|o| o.name == *instance)
+    }
+
     /// Counts how often a need fits into what is free.
     pub(super) fn room(&self, need: &Room) -> u64 {
         self.free.iter().map(|free| free.times(need, 64)).sum()
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -56,7 +56,7 @@
         draining: false,
     };
     let rack = listing.rack_id();
-    let mut entry = Entry::new(0, "a");
+    let mut entry = Entry::new(0, &"own".parse().unwrap(), "a");
     entry.list(&[listing]);
     entry.own(&HashMap::from([(rack, owner.clone())]));
     let vacancy = Vacancy {
@@ -69,7 +69,60 @@
     (entry, owner)
 }
 
+/// Makes an entry with racks of eight endpoints, one owner each: the first is its own instance, all of the same data centre. Each
+/// endpoint has room for one task, on as many of a rack's endpoints as `free` says.
+fn fleet(free: &[usize]) -> Entry {
+    let room = Room {
+        cpu: 1_000,
+        memory: 8_000,
+        gpu: 0,
+    };
+    let listing = |i: usize| Listing {
+        id: format!("w-{i}").parse().unwrap(),
+        service: "cells".to_owned(),
+        address: format!("w-{i}:80"),
+        centre: "a".to_owned(),
+        rack: format!("r{}", i / 8),
+        labels: Vec::new(),
+        capacity: room,
+        draining: false,
+    };
+    let listings: Vec<Listing> = (0..free.len() * 8).map(listing).collect();
+    let own: Instance = "own".parse().unwrap();
+    let mut entry = Entry::new(0, &own, "a");
+    entry.list(&listings);
+    let owner = |i: usize| Contact {
+        name: if i == 0 {
+            own.clone()
+        } else {
+            format!("owner-{i}").parse().unwrap()
+        },
+        address: format!("10.0.0.{i}:7720"),
+    };
+    let racks = (0..free.len()).map(|i| (listings[i * 8].rack_id(), owner(i)));
+    let owners: HashMap<_, _> = racks.collect();
+    entry.own(&owners);
+    for (i, free) in free.iter().enumerate() {
+        let vacancy = Vacancy {
+            rack: listings[i * 8].rack_id(),
+            // A rack without room is still one that takes tasks.
+            free: vec![room; *free]
+                .into_iter()
+                .chain([Room::default()])
+                .collect(),
+            movable: 0,
+            backlog: 8_000,
+        };
+        entry.rooms(&owner(i).name, vec![vacancy]);
+    }
+    entry
+}
+
 fn submit(entry: &mut Entry, tasks: u32) -> Vec<Batch> {
+    submit_as(entry, JobId(1), tasks)
+}
+
+fn submit_as(entry: &mut Entry, id: JobId, tasks: u32) -> Vec<Batch> {
     let step = Step {
         count: tasks,
         need: Room {
@@ -81,7 +134,7 @@
         ..Step::default()
     };
     let submission = Submission {
-        id: JobId(1),
+        id,
         spec: String::new(),
         steps: vec![step],
         best_effort: true,
@@ -96,7 +149,7 @@
         ..Route::default()
     };
     let mut out = Effects::default();
-    entry.submit(Ticket(1), submission, &route, None, NOW, &mut out);
+    entry.submit(Ticket(id.0), submission, &route, None, NOW, &mut out);
     batches(&out)
 }
 
@@ -116,6 +169,37 @@
     out.outputs.iter().filter_map(answer).collect()
 }
 
+/// A caller hands in a job of eight tasks while most endpoints are idle. Spread evenly it went to eight owners, and was as late as the
+/// message to the last of them. It stays with the instance that took it in; what has no room there goes to one other owner.
+#[test]
+fn a_wide_job_stays_in_one_place() {
+    let mut idle = fleet(&[8; 28]);
+    let batches = submit(&mut idle, 8);
+    assert_eq!(batches.len(), 1, "{batches:?}");
+    assert_eq!(batches[0].tasks.len(), 8);
+    let mut busy = fleet(&[3, 8, 8, 8, 8, 8]);
+    let mut sizes: Vec<usize> = submit(&mut busy, 8).iter().map(|b| b.tasks.len()).collect();
+    sizes.sort_unstable();
+    assert_eq!(sizes, [3, 5]);
+}
+
+/// An instance without room of its own takes forty jobs in before any owner tells how much is left. Each of them went to the rack
+/// with the most room, as did those of all other instances, and they waited there for each other. They are dealt out over all racks
+/// that have room for a whole job.
+#[test]
+fn jobs_draw_different_racks() {
+    let mut used: HashMap<_, usize> = HashMap::new();
+    for job in 0..40 {
+        let mut entry = fleet(&[0, 8, 6, 6, 6, 6, 6, 6, 6, 6]);
+        for batch in submit_as(&mut entry, JobId(job * 7_919 + 1), 4) {
+            *used.entry(batch.rack).or_default() += batch.tasks.len();
+        }
+    }
+    let most = used.values().max().copied().unwrap_or_default();
+    assert!(used.len() >= 8, "only {} racks", used.len());
+    assert!(most <= 40, "{most} of 160 tasks meet on one rack");
+}
+
 /// An owner sends a task back twice, and both batches that follow from it are told done, or so it seems. The other task of
 /// the job has not ended: its caller must not be told complete.
 #[test]
