Reverted: envelopes ahead of the acknowledgement of the first of them

The likely cause, not shown: what waited for an acknowledgement left together in one envelope, and now leaves one by one, which is more packets on a link that is full.

--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -18,16 +18,6 @@
     rpc_twoparty_capnp::Side,
     RpcSystem, //
 };
-use futures::{
-    future::{
-        pending,
-        LocalBoxFuture, //
-    },
-    stream::{
-        FuturesOrdered,
-        StreamExt, //
-    },
-};
 use serde::Deserialize;
 use tokio::{
     net::{
@@ -85,9 +75,6 @@
 /// Bytes of the messages in one envelope, as far as they are several: a tenth of [`DELIVERY`] on a link of 25 Mbit/s.
 const ENVELOPE: usize = 64 << 10;
 
-/// Envelopes that leave ahead of the acknowledgement of the first of them. Together they are no larger than one may be.
-const AHEAD: usize = 8;
-
 /// What travels: messages with their sender and their place in the session.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Envelope {
@@ -224,13 +211,6 @@
         links.get(name).map(|link| link.wake.clone())
     }
 
-    /// Returns where a peer is reached for which something waits.
-    fn address(&self, name: &Instance) -> Option<String> {
-        let links = self.links.borrow();
-        let link = links.get(name).filter(|link| !link.messages.is_empty());
-        link.map(|link| link.address.clone())
-    }
-
     fn current(&self, name: &Instance, epoch: u64) -> bool {
         let links = self.links.borrow();
         links.get(name).is_some_and(|link| link.epoch == epoch)
@@ -304,155 +284,55 @@
     }
 }
 
-impl Connection {
-    /// Sends an envelope; what has been sent before on this connection arrives first.
-    fn deliver(&self, envelope: &[u8]) -> Acknowledgement {
-        let mut request = self.client.deliver_request();
-        request.get().set_envelope(envelope);
-        let answer = timeout(DELIVERY, request.send().promise);
-        Box::pin(async move {
-            match answer.await {
-                Ok(Ok(_)) => Ok(()),
-                Ok(Err(error)) => Err(Failure::Broken(error.extra)),
-                Err(_) => Err(Failure::Silent),
-            }
-        })
-    }
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
     }
 }
 
-/// Delivers a peer's messages in order, some envelopes ahead of their acknowledgements.
+/// Delivers a peer's messages, one envelope after the other, each until it is acknowledged.
 async fn deliver(hub: Rc<Hub>, name: Instance) {
+    let mut link: Option<Connection> = None;
     let Some(wake) = hub.peers.wake(&name) else {
         return;
     };
-    let mut link: Option<Connection> = None;
-    let mut flight = Flight::default();
     loop {
-        flight.keep(|envelope| hub.peers.current(&name, envelope.epoch));
-        let Some(address) = flight.address().or_else(|| hub.peers.address(&name)) else {
+        let Some(envelope) = hub.peers.next(&name) else {
             wake.notified().await;
             continue;
         };
-        if link.as_ref().is_none_or(|known| known.address != address) {
-            flight.recall();
-            link = Connection::open(hub.peers.own, &address).await;
-        }
-        let Some(connection) = &link else {
-            sleep(AGAIN).await;
-            continue;
-        };
-        flight.send(connection);
-        while flight.has_room() {
-            let Some(envelope) = hub.peers.next(&name) else {
-                break;
+        hub.gauges.messages(envelope.count);
+        // An envelope of a session that has ended meanwhile is void.
+        while hub.peers.current(&name, envelope.epoch) {
+            if link
+                .as_ref()
+                .is_none_or(|known| known.address != envelope.address)
+            {
+                link = Connection::open(hub.peers.own, &envelope.address).await;
+            }
+            let Some(connection) = &link else {
+                sleep(AGAIN).await;
+                continue;
             };
-            hub.gauges.messages(envelope.count);
-            flight.push(envelope, connection);
-        }
-        let failed = tokio::select! {
-            answer = flight.answered() => answer.err(),
-            () = wake.notified() => None,
-        };
-        if let Some(failure) = failed {
-            hub.log(&failure.record(&name));
+            let mut request = connection.client.deliver_request();
+            request.get().set_envelope(&envelope.bytes);
+            match timeout(DELIVERY, request.send().promise).await {
+                Ok(Ok(_)) => break,
+                Ok(Err(error)) => {
+                    let record = Record::new("messages_broken").with("member", name.as_str());
+                    hub.log(&record.with("error", error.extra));
+                }
+                Err(_) => {
+                    let record = Record::new("messages_unanswered").with("member", name.as_str());
+                    hub.log(&record);
+                }
+            }
             link = None;
             sleep(Duration::from_millis(2)).await;
         }
     }
 }
 
-/// Why an envelope wasn't acknowledged.
-#[derive(Debug, thiserror::Error)]
-enum Failure {
-    #[error("no answer")]
-    Silent,
-    #[error("{0}")]
-    Broken(String),
-}
-
-impl Failure {
-    fn record(&self, member: &Instance) -> Record {
-        let event = match self {
-            Self::Silent => "messages_unanswered",
-            Self::Broken(_) => "messages_broken",
-        };
-        let record = Record::new(event).with("member", member.as_str());
-        record.with("error", self.to_string())
-    }
-}
-
-/// An acknowledgement that is awaited.
-type Acknowledgement = LocalBoxFuture<'static, Result<(), Failure>>;
-
-/// Envelopes that have left and aren't acknowledged, the oldest first.
-///
-/// While each waited for the one before it, a batch that came just after another to the same owner left one way and back later:
-/// 14 ms half of the time, on links that were a third full. A connection keeps the order, and what is sent again over another one
-/// is sent again from the oldest on, so that the receiver, which drops what it has, takes all in their order.
-#[derive(Default)]
-struct Flight {
-    envelopes: VecDeque<Sealed>,
-    /// Of the first of them; the others were on a connection that is given up.
-    answers: FuturesOrdered<Acknowledgement>,
-}
-
-impl Flight {
-    /// Drops what is of a session that has ended.
-    fn keep(&mut self, current: impl Fn(&Sealed) -> bool) {
-        if !self.envelopes.iter().all(&current) {
-            self.envelopes.retain(current);
-            self.recall();
-        }
-    }
-
-    /// Takes all for unsent.
-    fn recall(&mut self) {
-        self.answers.clear();
-    }
-
-    /// Returns where the oldest goes.
-    fn address(&self) -> Option<String> {
-        self.envelopes.front().map(|e| e.address.clone())
-    }
-
-    /// Sends what isn't on a connection.
-    fn send(&mut self, connection: &Connection) {
-        for envelope in self.envelopes.iter().skip(self.answers.len()) {
-            self.answers.push_back(connection.deliver(&envelope.bytes));
-        }
-    }
-
-    fn has_room(&self) -> bool {
-        let bytes: usize = self.envelopes.iter().map(|e| e.bytes.len()).sum();
-        self.envelopes.len() < AHEAD && bytes < ENVELOPE
-    }
-
-    fn push(&mut self, envelope: Sealed, connection: &Connection) {
-        self.answers.push_back(connection.deliver(&envelope.bytes));
-        self.envelopes.push_back(envelope);
-    }
-
-    /// Waits until the oldest is acknowledged, for good where there is none.
-    async fn answered(&mut self) -> Result<(), Failure> {
-        let Some(answer) = self.answers.next().await else {
-            return pending().await;
-        };
-        match answer {
-            Ok(()) => {
-                self.envelopes.pop_front();
-            }
-            Err(_) => self.recall(),
-        }
-        answer
-    }
-}
-
 /// Serves peers that connect, one connection for each: a peer that connects anew has given the former one up, and what
 /// tells so may be lost on the way.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
