Owners with room look for waiting tasks only when some are told

Change: looked for when a heartbeat tells of tasks that could move, and with the own heartbeats as before.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -490,6 +490,10 @@
         out: &mut Effects,
     ) {
         let claims = self.members.claims();
+        let movable = |(_, heartbeat): &(Sender, Heartbeat)| {
+            heartbeat.rooms.iter().any(|vacancy| vacancy.movable > 0)
+        };
+        let movable = heartbeats.iter().any(movable);
         for (from, heartbeat) in heartbeats {
             if !self.meet(&from, now, out) {
                 continue;
@@ -520,7 +524,9 @@
         if self.members.claims() != claims {
             self.deal(now, out);
         }
-        self.want(now, out);
+        if movable {
+            self.want(now, out);
+        }
     }
 
     /// Judges a message by its sender's life and session; returns whether it counts.
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -275,7 +275,7 @@
     pub fn busiest(&self, to: RackId) -> Option<(RackId, Contact)> {
         let service = &self.racks.get(&to)?.service;
         let others = self.racks.iter();
-        let others = others.filter(|(id, r)| **id != to && r.service == *service && r.movable > 0);
+        let others = others.filter(|(id, r)| r.movable > 0 && **id != to && r.service == *service);
         let (id, rack) = others.max_by_key(|(_, rack)| rack.movable)?;
         Some((*id, rack.owner.clone()?))
     }
--- a/src/dispatch/entry/rack.rs
+++ b/src/dispatch/entry/rack.rs
@@ -79,7 +79,7 @@
     let fits = |rack: &Rack| usable(rack) && rack.service == service && rack.carries(step);
     let tied = |rack: &Rack| step.affinity.as_ref() == Some(&rack.name);
     let hinted = hint.filter(|id| racks.get(id).is_some_and(&fits));
-    let home = racks.iter().find(|(_, rack)| fits(rack) && tied(rack));
+    let home = racks.iter().find(|(_, rack)| tied(rack) && fits(rack));
     let chosen = hinted.or(home.map(|(id, _)| *id)).or_else(|| {
         let fit = racks.iter().filter(|(_, rack)| fits(rack));
         let key = |id: &RackId, rack: &Rack| {
