The log tells when an instance begins to read the endpoints' rows, and when it leaves that to others

Cause: on-call engineers can't tell from the log who in a data centre reads the store's rows, and since when; what an instance knows of endpoints depends on it.

Change: one line each, with how many were ahead of it and how many of these read.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -711,7 +711,7 @@
         self.ceded.retain(|(_, at)| now.since(*at) < CEDED);
         self.deal(now, out);
         self.rebalance(now, out);
-        self.choose_readers(now);
+        self.choose_readers(now, out);
         if now.since(self.coordinated) >= COORDINATE {
             self.coordinated = now;
             self.coordinate(now, out);
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -81,7 +81,7 @@
 }
 
 impl Member {
-    /// Tells whether its silence of [`SILENCE`] means that it is gone.
+    /// Tells whether it is told of this instance at the short interval.
     pub fn is_close(&self, now: Time) -> bool {
         let awaited = !self.live && now.since(self.since) < AWAITED;
         awaited || self.watch.is_close(now)
--- a/src/dispatch/reading.rs
+++ b/src/dispatch/reading.rs
@@ -15,6 +15,8 @@
     message::{
         Listing,
         Message,
+        Output,
+        Record,
         Roster,
         RosterChange, //
     },
@@ -119,7 +121,7 @@
     }
 
     /// Decides whether to read the list of endpoints.
-    pub(super) fn choose_readers(&mut self, now: Time) {
+    pub(super) fn choose_readers(&mut self, now: Time, out: &mut Effects) {
         let near = self.members.takers();
         let near = near.filter(|member| member.centre == self.identity.centre);
         let own = preference(self.identity.share, &self.identity.contact.name);
@@ -130,7 +132,14 @@
         let ahead: Vec<&Member> = near.filter(is_ahead).collect();
         let reads = |m: &&&Member| m.status.as_ref().is_some_and(|status| status.reading);
         let reading = ahead.iter().filter(reads).count();
-        self.reading.decide(ahead.len(), reading, now);
+        let (ahead, due) = (ahead.len(), self.reading.due);
+        self.reading.decide(ahead, reading, now);
+        if self.reading.due != due {
+            let event = if due { "reading_left" } else { "reading_begun" };
+            let record = Record::new(event).with("ahead", ahead);
+            out.outputs
+                .push(Output::Log(record.with("reading", reading)));
+        }
     }
 
     /// Tells the members of the data centre that don't read what has changed on the list of endpoints.
