Evacuated data centres get no start

Each instance follows them in the store beside the configuration, with the version of the store that they hold as of, and every heartbeat carries them, so that one that the store turns away, or that starts while it is away, hears of them from peers; a higher version replaces a lower one. Owners start nothing there; what runs ends by itself; what waits comes back to its entry, which places it elsewhere at once. Entries leave such racks out when they place, and when they tell whether a job can be run at all: what can run nowhere is refused, and what waited for that is ended, instead of being kept until its caller gives up.

Why tasks come back is a type now (another owner, room elsewhere, nothing there can run them), in place of an optional hint. A rack that can't run a task since no endpoint of it is large enough sends it back the same way: entries compared a task with the sum of a rack's endpoints.

Tests: six in the simulated world (the store turns the owner away; loss of all; a death and a drain; one after the other; every data centre at once), one with real processes, a restart and a store without history among it.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,6 +9,7 @@
 pub mod durable;
 pub mod endpoint;
 pub mod entry;
+pub mod evacuation;
 pub mod id;
 pub mod member;
 pub mod message;
@@ -37,6 +38,7 @@
     documents::Documents,
     durable::Durable,
     entry::Entry,
+    evacuation::Evacuation,
     id::{
         Epoch,
         RackId,
@@ -146,6 +148,8 @@
     pub peers: usize,
     /// The configuration's version.
     pub configuration: u64,
+    /// Data centres that are evacuated.
+    pub evacuated: usize,
 }
 
 /// All state of an instance.
@@ -161,6 +165,7 @@
     requests: Requests,
     documents: Documents,
     configuration: Option<Configuration>,
+    evacuation: Evacuation,
     roster: Roster,
     listed: bool,
     reading: Reading,
@@ -210,6 +215,7 @@
             members: Members::new(&identity.contact.name, identity.centre.as_str()),
             identity,
             configuration: None,
+            evacuation: Evacuation::default(),
             roster: Roster::default(),
             listed: false,
             reading: Reading::default(),
@@ -299,6 +305,7 @@
             racks: self.owner.racks().count(),
             peers: self.members.live().count(),
             configuration: self.configuration.as_ref().map_or(0, |c| c.version),
+            evacuated: self.evacuation.centres.len(),
         }
     }
 
@@ -373,6 +380,12 @@
                 }
             }
             Input::Configured(configuration) => self.configure(*configuration, "store", out),
+            Input::Evacuated(evacuation) => self.evacuate(evacuation, "store", now, out),
+            Input::EvacuationChanged(change) => {
+                if let Some(evacuation) = self.evacuation.with(&change) {
+                    self.evacuate(evacuation, "store", now, out);
+                }
+            }
             Input::Listed(roster) => {
                 let earlier = self.roster.clone();
                 self.list(roster, now, out);
@@ -451,6 +464,29 @@
         }
     }
 
+    /// Starts nothing in the data centres that are evacuated from now on, unless something newer is known.
+    fn evacuate(&mut self, evacuation: Evacuation, from: &str, now: Time, out: &mut Effects) {
+        if evacuation.version <= self.evacuation.version {
+            return;
+        }
+        let former = std::mem::replace(&mut self.evacuation, evacuation);
+        let centres = &self.evacuation.centres;
+        let begun = centres.difference(&former.centres);
+        let begun = begun.map(|centre| ("centre_evacuated", centre));
+        let over = former.centres.difference(centres);
+        let over = over.map(|centre| ("centre_returned", centre));
+        for (event, centre) in begun.chain(over) {
+            let record = Record::new(event).with("centre", centre.as_str());
+            let record = record.with("version", self.evacuation.version);
+            out.outputs.push(Output::Log(record.with("from", from)));
+        }
+        if former.centres != *centres {
+            self.owner.evacuate(centres);
+            self.entry.evacuate(centres);
+            self.entry.work(now, out);
+        }
+    }
+
     /// Tells the entry of the racks whose service the configuration knows. Another program may list endpoints of a service
     /// that nobody configured: their racks would be claimed, and looked at for good.
     fn list_racks(&mut self) {
@@ -502,6 +538,8 @@
             let known = self.members.get(name);
             let lived = known.is_some_and(|m| m.live);
             self.epoch = self.epoch.max(heartbeat.status.epoch);
+            let evacuation = heartbeat.status.evacuation.clone();
+            self.evacuate(evacuation, from.contact.name.as_str(), now, out);
             self.members
                 .heartbeat(name, heartbeat.status, from.sent, now);
             if heartbeat.watching {
@@ -602,9 +640,9 @@
                 serial,
                 tasks,
                 started,
-                hint,
+                cause,
             } => {
-                self.entry.returned(serial, tasks, started, hint, now, out);
+                self.entry.returned(serial, tasks, started, cause, now, out);
                 self.entry.work(now, out);
             }
             Message::Audit(serials) => self.owner.audit(from, serials, out),
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -107,6 +107,7 @@
             epoch: self.epoch,
             configuration: self.document_version(Document::Configuration),
             roster: self.document_version(Document::Roster),
+            evacuation: self.evacuation.clone(),
             reading: self.reading.is_fresh(now),
             draining: self.draining(),
             share: self.identity.share,
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -190,6 +190,8 @@
     pub listing: Listing,
     /// Whether the platform lists it no more.
     pub delisted: bool,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
     /// The owner's token.
     pub token: Token,
     /// How far it can be used.
@@ -236,6 +238,7 @@
             free: listing.capacity,
             listing,
             delisted: false,
+            evacuated: false,
             token,
             standing: Standing::Claimed,
             executions: BTreeMap::new(),
@@ -263,14 +266,24 @@
     /// Tells whether a task may be started here now.
     pub fn takes(&self, now: Time) -> bool {
         self.standing == Standing::Open
-            && !self.listing.draining
-            && !self.delisted
+            && self.stays()
             && self.reading.is_some()
             && now >= self.rest
             && self.late.is_empty()
             && (!self.probation || self.executions.is_empty())
     }
 
+    /// Tells whether tasks may be started here at all.
+    fn stays(&self) -> bool {
+        !self.listing.draining && !self.delisted && !self.evacuated
+    }
+
+    /// Tells whether a task that needs this much, and a label, could ever be started here.
+    pub fn carries(&self, need: &Room, label: Option<&String>) -> bool {
+        let labelled = label.is_none_or(|label| self.listing.labels.contains(label));
+        self.stays() && labelled && self.listing.capacity.fits(need)
+    }
+
     /// Takes over a run of the former owner.
     pub fn adopt(&mut self, task: TaskId, mut execution: Execution, now: Time) {
         execution.phase = Phase::Running;
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -142,6 +142,8 @@
     by_ticket: HashMap<Ticket, JobId>,
     by_serial: HashMap<u64, JobId>,
     racks: BTreeMap<RackId, Rack>,
+    /// Data centres where nothing may be started.
+    evacuated: BTreeSet<String>,
     /// Stored jobs that wait until what ran of them elsewhere has ended.
     held_back: Vec<(Time, JobId)>,
     serial: u64,
@@ -159,6 +161,7 @@
             by_ticket: HashMap::new(),
             by_serial: HashMap::new(),
             racks: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             held_back: Vec::new(),
             refused: 0,
         }
@@ -207,9 +210,13 @@
                 service: listing.service.clone(),
                 centre: listing.centre.clone(),
                 name: listing.rack.clone(),
+                evacuated: self.evacuated.contains(&listing.centre),
                 ..Rack::default()
             });
             rack.cpu += listing.capacity.cpu;
+            if !rack.sizes.contains(&listing.capacity) {
+                rack.sizes.push(listing.capacity);
+            }
             for label in &listing.labels {
                 if !rack.labels.contains(label) {
                     rack.labels.push(label.clone());
@@ -227,6 +234,14 @@
         self.racks = racks;
     }
 
+    /// Places nothing in these data centres from now on.
+    pub fn evacuate(&mut self, centres: &BTreeSet<String>) {
+        self.evacuated.clone_from(centres);
+        for rack in self.racks.values_mut() {
+            rack.evacuated = centres.contains(&rack.centre);
+        }
+    }
+
     /// Takes note of the owners.
     pub fn own(&mut self, owners: &HashMap<RackId, Contact>) {
         for (id, rack) in &mut self.racks {
@@ -558,10 +573,24 @@
             let Loose {
                 step, tasks, hint, ..
             } = loose;
-            self.place(id, step, tasks, hint, now, out);
+            match self.is_stranded(id, step) {
+                true => self.end(id, "no endpoint can run it", now, out),
+                false => self.place(id, step, tasks, hint, now, out),
+            }
         }
     }
 
+    /// Tells whether a caller waits for a step that no endpoint could ever run: its data centres were evacuated, or what could run
+    /// it has shrunk or left. Kept, the job would be told so only when its time is over.
+    fn is_stranded(&self, id: JobId, step: u32) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.stored) else {
+            return false;
+        };
+        let step = &job.submission.steps[step as usize];
+        let mut racks = self.racks.values();
+        !racks.any(|rack| rack.service == job.service && rack.carries(step))
+    }
+
     /// Returns the owners that have batches.
     pub fn owners(&self) -> HashSet<&Instance> {
         let batches = self.jobs.values().flat_map(|job| job.batches.values());
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -4,8 +4,8 @@
 
 use super::{
     super::{
-        id::RackId,
         message::{
+            Cause,
             Outcome,
             Output,
             Record, //
@@ -89,7 +89,7 @@
         serial: u64,
         tasks: Vec<u32>,
         started: bool,
-        hint: Option<RackId>,
+        cause: Cause,
         now: Time,
         out: &mut Effects,
     ) {
@@ -104,6 +104,7 @@
         };
         let record = Record::routine("tasks_returned").job(id);
         let record = record.with("batch", serial).with("tasks", tasks.len());
+        let record = record.with("reason", cause.to_string());
         let begun = if started {
             "some had started"
         } else {
@@ -128,12 +129,12 @@
             // Its owner has nothing left to say of it, and the caller's answer may have waited for just that.
             return self.end(id, "given up", now, out);
         }
-        // Without a hint the owner has lost the rack, and runs may be left that its next owner stops. A rack whose
-        // loss isn't known here yet would send the tasks back at once, over and over.
-        let at = match (hint, started) {
-            (None, true) => now + DOUBT,
-            (None, false) => now + ELSEWHERE,
-            (Some(_), _) => now,
+        // On a rack that was lost, runs may be left that its next owner stops. What isn't known here yet, its loss or that
+        // it can't run them, would send the tasks back at once, over and over.
+        let (at, hint) = match (cause, started) {
+            (Cause::Lost, true) => (now + DOUBT, None),
+            (Cause::Lost, false) | (Cause::Unfit, _) => (now + ELSEWHERE, None),
+            (Cause::Room(rack), _) => (now, Some(rack)),
         };
         job.loose.push(Loose {
             step,
--- a/src/dispatch/entry/rack.rs
+++ b/src/dispatch/entry/rack.rs
@@ -33,6 +33,11 @@
     /// Cores of all its endpoints that stay, in thousandths.
     pub(super) cpu: u64,
     pub(super) labels: Vec<String>,
+    /// What its endpoints have that stay, each size once: a task that is larger than any of them can never start, however much
+    /// the rack has in all.
+    pub(super) sizes: Vec<Room>,
+    /// Whether its data centre is evacuated.
+    pub(super) evacuated: bool,
 }
 
 /// What is to be placed, and from where.
@@ -109,7 +114,8 @@
     /// Tells whether some endpoint of it can have what a step needs.
     pub(super) fn carries(&self, step: &Step) -> bool {
         let label = step.label.as_ref();
-        label.is_none_or(|label| self.labels.contains(label)) && self.cpu >= step.need.cpu
+        let labelled = label.is_none_or(|label| self.labels.contains(label));
+        !self.evacuated && labelled && self.sizes.iter().any(|size| size.fits(&step.need))
     }
 
     fn is_of(&self, instance: &Instance) -> bool {
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -8,6 +8,10 @@
 };
 
 use super::{
+    evacuation::{
+        self,
+        Evacuation, //
+    },
     id::{
         Epoch,
         JobId,
@@ -119,6 +123,10 @@
     Cancelled(JobId),
     /// A configuration was read.
     Configured(Box<Configuration>),
+    /// The evacuated data centres were read, all of them.
+    Evacuated(Evacuation),
+    /// A data centre is evacuated, or taken back.
+    EvacuationChanged(evacuation::Change),
     /// The endpoints were read, and something had changed.
     Listed(Roster),
     /// The endpoints were read, or couldn't be.
@@ -428,8 +436,8 @@
         tasks: Vec<u32>,
         /// Whether a start of the batch ever left.
         started: bool,
-        /// Who has room for them now.
-        hint: Option<RackId>,
+        /// Why they come back.
+        cause: Cause,
     },
     /// Which of these batches does the receiver hold?
     Audit(Vec<u64>),
@@ -501,6 +509,27 @@
     },
 }
 
+/// Why tasks come back from an owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    /// Their rack has no owner there any more, and runs of theirs may be left on it.
+    Lost,
+    /// That rack has room for them now.
+    Room(RackId),
+    /// No endpoint of their rack may or can run them, and nothing of them runs there.
+    Unfit,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Lost => "the rack has another owner",
+            Self::Room(_) => "another rack has room",
+            Self::Unfit => "no endpoint of the rack can run it",
+        })
+    }
+}
+
 /// What every instance must have in its newest version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Document {
@@ -667,6 +696,8 @@
     pub configuration: u64,
     /// The version of its list of endpoints.
     pub roster: u64,
+    /// The data centres that it knows as evacuated.
+    pub evacuation: Evacuation,
     /// Whether it reads the list of endpoints from the store.
     pub reading: bool,
     /// Whether it is about to end.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     HashMap,
     HashSet, //
 };
@@ -33,6 +34,7 @@
     message::{
         Batch,
         CallId,
+        Cause,
         Contact,
         Held,
         Listing,
@@ -121,6 +123,8 @@
     /// Entries that were heard once and are not any more.
     gone: HashSet<Instance>,
     given_up: GivenUp,
+    /// Data centres where nothing may be started.
+    evacuated: BTreeSet<String>,
     /// Ends that endpoints list until they are stored, with the time at which each was reported last.
     ends: BTreeMap<(Endpoint, u64), (RunEnd, Option<Time>)>,
     patience: Patience,
@@ -259,6 +263,7 @@
         *self = Self {
             serial: self.serial,
             claims: self.claims + 1,
+            evacuated: std::mem::take(&mut self.evacuated),
             ..Self::new(own)
         };
     }
@@ -282,7 +287,8 @@
                 state.listing = listing.clone();
                 continue;
             }
-            let state = State::claim(listing.clone(), rack.token, now);
+            let mut state = State::claim(listing.clone(), rack.token, now);
+            state.evacuated = self.evacuated.contains(&listing.centre);
             self.endpoints.insert(listing.id.clone(), state);
             rack.endpoints.push(listing.id.clone());
         }
@@ -298,6 +304,17 @@
         }
     }
 
+    /// Starts nothing in these data centres from now on; what runs there ends by itself.
+    pub fn evacuate(&mut self, centres: &BTreeSet<String>) {
+        self.evacuated.clone_from(centres);
+        for state in self.endpoints.values_mut() {
+            state.evacuated = centres.contains(&state.listing.centre);
+        }
+        for rack in self.racks.values_mut() {
+            rack.changed = true;
+        }
+    }
+
     fn drop_endpoint(&mut self, id: &Endpoint, out: &mut Effects) {
         out.log(Record::new("endpoint_gone").with("endpoint", id.as_str()));
         if let Some(state) = self.endpoints.get(id) {
@@ -317,7 +334,7 @@
             serial: batch.serial,
             tasks: batch.tasks,
             started: false,
-            hint: None,
+            cause: Cause::Lost,
         };
         out.tell(entry, message);
     }
@@ -545,7 +562,7 @@
             serial,
             tasks: self.tasks.keys().copied().collect(),
             started: self.started,
-            hint: None,
+            cause: Cause::Lost,
         };
         out.tell(&self.entry, message);
         if !self.done.is_empty() {
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -1,5 +1,7 @@
 //! Placement: which task starts next, and on which endpoint.
 
+use std::collections::BTreeMap;
+
 use super::{
     super::{
         endpoint::{
@@ -12,11 +14,15 @@
             TaskId, //
         },
         message::{
+            Cause,
             Message,
             Outcome,
             Record, //
         },
-        queue::Waiting,
+        queue::{
+            Handle,
+            Waiting, //
+        },
         task::Room, //
     },
     Effects,
@@ -33,6 +39,9 @@
 /// The share of its estimate that a task takes at the least: estimates are off by up to four tenths.
 const LEAST_SHARE: f64 = 0.6;
 
+/// A need and a label for which there is no room, and whether the rack could ever have it.
+type Misfit = (Room, Option<String>, bool);
+
 impl Owner {
     /// Does what is due: places what waits, looks where something runs, gives up what has lapsed.
     pub fn work(&mut self, now: Time, out: &mut Effects) {
@@ -85,8 +94,9 @@
         }
         rack.queue.demote(now);
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
-        let mut misfits: Vec<(Room, Option<String>)> = Vec::new();
+        let mut misfits: Vec<Misfit> = Vec::new();
         let mut hopeless = Vec::new();
+        let mut unfit: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
         for waiting in waiting {
             let Some(load) = self.loads.get(&waiting.batch) else {
                 continue;
@@ -96,26 +106,36 @@
                 hopeless.push(waiting.batch);
                 continue;
             }
-            let kind = (load.batch.need, load.batch.label.clone());
+            let (need, label) = (load.batch.need, load.batch.label.as_ref());
             let task = load.task(waiting.index);
             let absent = !self.present.contains(&load.entry.name);
             if absent || self.busy.contains_key(&task) {
                 continue;
             }
-            let room = match misfits.contains(&kind) {
-                true => None,
-                false => self.pick(id, load, now),
+            let same = |(n, l, _): &&Misfit| *n == need && l.as_ref() == label;
+            let carried = match misfits.iter().find(same) {
+                Some((.., carried)) => *carried,
+                None => {
+                    if let Some(endpoint) = self.pick(id, load, now) {
+                        self.start(id, &endpoint, waiting, task, now, out);
+                        continue;
+                    }
+                    let carried = self.carries(id, load);
+                    misfits.push((need, label.cloned(), carried));
+                    carried
+                }
             };
-            if let Some(endpoint) = room {
-                self.start(id, &endpoint, waiting, task, now, out);
+            if !carried {
+                unfit.entry(waiting.batch).or_default().push(waiting.index);
             } else if now + least > load.useful && !load.started {
                 hopeless.push(waiting.batch);
-            } else if misfits.len() >= LOOK_AHEAD {
+            } else if misfits.len() > LOOK_AHEAD {
                 break;
-            } else if !misfits.contains(&kind) {
-                misfits.push(kind);
             }
         }
+        for (handle, tasks) in unfit {
+            self.send_tasks_back(handle, tasks, Cause::Unfit, out);
+        }
         hopeless.dedup();
         for handle in hopeless {
             if let Some(load) = self.loads.get(&handle) {
@@ -127,21 +147,32 @@
         }
     }
 
+    /// Tells whether an endpoint of a rack could ever run a batch's tasks: its data centre may have been evacuated since it was
+    /// sent here, or an endpoint's capacity may have shrunk. Left waiting, the tasks would wait until their caller gives up.
+    fn carries(&self, rack: RackId, load: &Load) -> bool {
+        let Some(rack) = self.racks.get(&rack) else {
+            return false;
+        };
+        let states = rack
+            .endpoints
+            .iter()
+            .filter_map(|id| self.endpoints.get(id));
+        let (need, label) = (&load.batch.need, load.batch.label.as_ref());
+        states.into_iter().any(|state| state.carries(need, label))
+    }
+
     /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks.
     pub(super) fn pick(&self, rack: RackId, load: &Load, now: Time) -> Option<Endpoint> {
         let batch = &load.batch;
         let fits = |state: &&State| {
-            let labelled = batch
-                .label
-                .as_ref()
-                .is_none_or(|label| state.listing.labels.contains(label));
             let of_step = |(task, _): &(&TaskId, &Execution)| {
                 task.job == batch.job && task.step == batch.step
             };
             let spread = batch
                 .per_endpoint
                 .is_none_or(|most| state.executions.iter().filter(of_step).count() < most as usize);
-            state.takes(now) && state.free.fits(&batch.need) && labelled && spread
+            let carried = state.carries(&batch.need, batch.label.as_ref());
+            state.takes(now) && state.free.fits(&batch.need) && carried && spread
         };
         let rack = self.racks.get(&rack)?;
         let states = rack
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -7,6 +7,7 @@
         endpoint::Standing,
         id::RackId,
         message::{
+            Cause,
             Message,
             Outcome,
             Vacancy, //
@@ -100,13 +101,13 @@
 
     /// Gives tasks that wait on a rack to another one that has room and nothing waiting.
     pub fn spare(&mut self, from: RackId, to: RackId, mut rooms: Vec<Room>, out: &mut Effects) {
-        let Some(rack) = self.racks.get_mut(&from) else {
+        let Some(rack) = self.racks.get(&from) else {
             return;
         };
         let mut given: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
         for waiting in waiting {
-            let Some(load) = self.loads.get_mut(&waiting.batch) else {
+            let Some(load) = self.loads.get(&waiting.batch) else {
                 continue;
             };
             let task = load.task(waiting.index);
@@ -118,30 +119,46 @@
                 continue;
             };
             room.take(&need);
-            rack.queue.remove(waiting);
-            rack.changed = true;
-            load.tasks.remove(&waiting.index);
-            load.batch.tasks.retain(|index| *index != waiting.index);
             given.entry(waiting.batch).or_default().push(waiting.index);
         }
         for (handle, tasks) in given {
-            let Some(load) = self.loads.get(&handle) else {
-                continue;
-            };
-            let message = Message::Returned {
-                serial: load.batch.serial,
-                tasks,
-                started: load.started,
-                hint: Some(to),
-            };
-            out.tell(&load.entry, message);
-            let (over, none) = (load.tasks.is_empty(), load.batch.tasks.is_empty());
-            if none {
-                self.remove_load(handle);
-            } else if over {
-                // What was kept of it had ended before, and its end is told with the last of it.
-                self.finish(handle, Outcome::Done, out);
+            self.send_tasks_back(handle, tasks, Cause::Room(to), out);
+        }
+    }
+
+    /// Sends tasks of a batch back that wait, and of which nothing runs.
+    pub(super) fn send_tasks_back(
+        &mut self,
+        handle: Handle,
+        tasks: Vec<u32>,
+        cause: Cause,
+        out: &mut Effects,
+    ) {
+        let Some(load) = self.loads.get_mut(&handle) else {
+            return;
+        };
+        if let Some(rack) = self.racks.get_mut(&load.batch.rack) {
+            for index in tasks.iter().copied() {
+                let batch = handle;
+                rack.queue.remove(Waiting { batch, index });
             }
+            rack.changed = true;
+        }
+        load.tasks.retain(|index, _| !tasks.contains(index));
+        load.batch.tasks.retain(|index| !tasks.contains(index));
+        let message = Message::Returned {
+            serial: load.batch.serial,
+            tasks,
+            started: load.started,
+            cause,
+        };
+        out.tell(&load.entry, message);
+        let (over, none) = (load.tasks.is_empty(), load.batch.tasks.is_empty());
+        if none {
+            self.remove_load(handle);
+        } else if over {
+            // What was kept of it had ended before, and its end is told with the last of it.
+            self.finish(handle, Outcome::Done, out);
         }
     }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -138,7 +138,7 @@
     spawn_local(peers::serve(hub.clone(), peers));
     spawn_local(heartbeats::serve(hub.clone()));
     let store = site.store.clone();
-    spawn_local(feeds::configuration(hub.clone(), store.clone()));
+    spawn_local(feeds::operator(hub.clone(), store.clone()));
     spawn_local(feeds::endpoints(hub.clone(), store.clone()));
     let seeds = seeds(&site);
     spawn_local(feeds::instances(hub.clone(), store, contact, seeds));
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -20,6 +20,10 @@
 };
 use crate::{
     dispatch::{
+        evacuation::{
+            Change,
+            Evacuation, //
+        },
         message::{
             Contact,
             Input,
@@ -223,13 +227,14 @@
     }
 }
 
-/// Follows the configuration.
-pub async fn configuration(hub: Rc<Hub>, address: String) {
+/// Follows what the operator writes: the configuration, and the evacuations.
+pub async fn operator(hub: Rc<Hub>, address: String) {
     let mut client = Client::new(&hub, &address);
     let mut version = None;
     loop {
         match client.follow(record::OPERATOR, version).await {
             Ok((rows, at)) => {
+                take_evacuations(&hub, &rows, version.is_none().then_some(at));
                 version = Some(at);
                 for row in rows {
                     take_configuration(&client, row);
@@ -241,6 +246,26 @@
     }
 }
 
+/// Takes what rows of the operator's table say of evacuations; `whole` is the version of the store if they are all rows of it.
+fn take_evacuations(hub: &Rc<Hub>, rows: &[Row], whole: Option<u64>) {
+    let stands = |row: &&Row| row.content != Content::Dropped;
+    if let Some(version) = whole {
+        let rows = rows.iter().filter(stands);
+        let centres = rows.filter_map(|row| record::evacuated(&row.key));
+        let centres = centres.map(str::to_owned).collect();
+        return hub.feed(Input::Evacuated(Evacuation { version, centres }));
+    }
+    for row in rows {
+        if let Some(centre) = record::evacuated(&row.key) {
+            hub.feed(Input::EvacuationChanged(Change {
+                centre: centre.to_owned(),
+                evacuated: stands(&row),
+                version: row.version,
+            }));
+        }
+    }
+}
+
 fn take_configuration(client: &Client, row: Row) {
     if row.key != record::CONFIGURATION {
         return;
--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -170,6 +170,7 @@
         set("racks", standing.racks);
         set("peers", standing.peers);
         set("configuration", standing.configuration as usize);
+        set("evacuated", standing.evacuated);
         self.registry.render()
     }
 }
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -34,6 +34,9 @@
 /// See [`OPERATOR`].
 pub const CONFIGURATION: &str = "config";
 
+/// Begins the key of a row in the operator's table that evacuates a data centre for as long as it stands, whatever it holds.
+const EVACUATE: &str = "evacuate/";
+
 /// The table in which every endpoint keeps a row.
 pub const ENDPOINTS: &str = "servers";
 
@@ -103,6 +106,11 @@
     idle_timeout_ms: Option<u64>,
 }
 
+/// Returns the data centre that a row of the operator's table evacuates, if it is such a row.
+pub fn evacuated(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATE)
+}
+
 /// Reads a configuration.
 ///
 /// # Errors
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -5,6 +5,8 @@
 
 #[path = "dispatch/endpoint.rs"]
 mod endpoint;
+#[path = "dispatch/evacuation.rs"]
+mod evacuation;
 #[path = "dispatch/overload.rs"]
 mod overload;
 #[path = "dispatch/rows.rs"]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -12,6 +12,10 @@
 
 use poplarknot::{
     dispatch::{
+        evacuation::{
+            Change,
+            Evacuation, //
+        },
         id::{
             Epoch,
             JobId,
@@ -106,6 +110,8 @@
     Crash(usize),
     Drain(usize),
     Leave(usize),
+    Evacuate(String, bool),
+    TurnAway(usize, bool),
 }
 
 #[derive(Debug)]
@@ -161,6 +167,10 @@
     roster: Roster,
     rows: Rows,
     away: bool,
+    /// The data centres that the operator has evacuated.
+    evacuation: Evacuation,
+    /// Instances that the store turns away: they hear nothing new from it.
+    turned_away: HashSet<usize>,
     /// Whether jobs are stored, with two steps one after the other.
     stored: bool,
     /// Looks that wait for an end.
@@ -204,6 +214,8 @@
             roster: Roster::default(),
             rows: Rows::default(),
             away: false,
+            evacuation: Evacuation::default(),
+            turned_away: HashSet::new(),
             stored: false,
             parked: Vec::new(),
         };
@@ -313,6 +325,9 @@
             ..Configuration::default()
         };
         self.feed(i, Input::Configured(Box::new(configuration)));
+        if !self.turned_away.contains(&i) {
+            self.feed(i, Input::Evacuated(self.evacuation.clone()));
+        }
         self.feed(i, Input::Listed(self.roster.clone()));
         self.feed(i, Input::Found(contacts));
         let life = self.hosts[i].life;
@@ -610,6 +625,27 @@
                 self.relist();
             }
             Event::Drain(i) => self.feed(i, Input::Drain),
+            Event::Evacuate(centre, evacuated) => self.evacuate(centre, evacuated),
+            Event::TurnAway(i, on) => {
+                match on {
+                    true => self.turned_away.insert(i),
+                    false => self.turned_away.remove(&i),
+                };
+            }
+        }
+    }
+
+    fn evacuate(&mut self, centre: String, evacuated: bool) {
+        let change = Change {
+            centre,
+            evacuated,
+            version: self.evacuation.version + 1,
+        };
+        self.evacuation = self.evacuation.with(&change).unwrap();
+        for i in 0..self.hosts.len() {
+            if !self.turned_away.contains(&i) && !self.frozen(i) {
+                self.feed(i, Input::EvacuationChanged(change.clone()));
+            }
         }
     }
 
@@ -905,6 +941,25 @@
         self.at(after, Event::Leave(w));
     }
 
+    /// Evacuates a data centre for a while.
+    pub(crate) fn evacuate_at(&mut self, after: Span, centre: &str, span: Span) {
+        self.at(after, Event::Evacuate(centre.to_owned(), true));
+        self.at(after + span, Event::Evacuate(centre.to_owned(), false));
+    }
+
+    /// Lets the store turn an instance away for a while.
+    pub(crate) fn turn_away_at(&mut self, after: Span, i: usize, span: Span) {
+        self.at(after, Event::TurnAway(i, true));
+        self.at(after + span, Event::TurnAway(i, false));
+    }
+
+    /// Counts the starts in a data centre from one moment to another.
+    pub(crate) fn starts_in(&self, centre: &str, from: Time, until: Time) -> usize {
+        let here = self.workers.iter().filter(|w| w.listing.centre == centre);
+        let history = here.flat_map(|w| &w.history);
+        history.filter(|b| b.from > from && b.from < until).count()
+    }
+
     pub(crate) fn drain_at(&mut self, after: Span, i: usize) {
         self.at(after, Event::Drain(i));
     }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -13,6 +13,7 @@
         message::{
             Answer,
             Batch,
+            Cause,
             Contact,
             Listing,
             Message,
@@ -209,7 +210,7 @@
     let later = NOW + Span::millis(50);
     let mut out = Effects::default();
     for _ in 0..2 {
-        entry.returned(first.serial, vec![1], false, None, NOW, &mut out);
+        entry.returned(first.serial, vec![1], false, Cause::Lost, NOW, &mut out);
     }
     entry.work(later, &mut out);
     let again = batches(&out);
@@ -285,7 +286,7 @@
 fn given_up(entry: &mut Entry) -> Batch {
     let first = submit(entry, 2).remove(0);
     let mut out = Effects::default();
-    entry.returned(first.serial, vec![1], false, None, NOW, &mut out);
+    entry.returned(first.serial, vec![1], false, Cause::Lost, NOW, &mut out);
     entry.work(NOW + Span::millis(50), &mut out);
     let second = batches(&out).remove(0);
     let mut out = Effects::default();
@@ -317,7 +318,7 @@
     let (mut entry, _) = entry();
     let first = given_up(&mut entry);
     let mut out = Effects::default();
-    entry.returned(first.serial, vec![0], false, None, NOW, &mut out);
+    entry.returned(first.serial, vec![0], false, Cause::Lost, NOW, &mut out);
     assert!(matches!(answers(&out)[..], [Answer::Refused { .. }]));
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -364,6 +364,70 @@
     Ok(())
 }
 
+/// The operator evacuates a data centre. From then on nothing new starts there, also when an instance is killed and reads
+/// of it at its start, and when the store has forgotten its history; what runs there ends by itself. Taken back, it works again.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuated_centre_gets_nothing_new() -> Result {
+    let mut fleet = Fleet::start(program(), 2, 4, LONG).await?;
+    let first = fleet.nodes[0].submit(90, 12, 900);
+    let here = |fleet: &Fleet| -> usize {
+        [0, 2]
+            .map(|i| fleet.runners[i].history().len())
+            .iter()
+            .sum()
+    };
+    let evacuate = async {
+        until("it runs there", || async {
+            (here(&fleet) > 0).then_some(())
+        })
+        .await?;
+        fleet.store.set("op", "evacuate/ulemiste", &json!({}));
+        until("all know", || async {
+            let told = |node: &Node| node.log().contains("centre_evacuated");
+            fleet.nodes.iter().all(told).then_some(())
+        })
+        .await
+    };
+    let (answer, told) = tokio::join!(first, evacuate);
+    told?;
+    assert_eq!(state(&answer?), "completed", "{}", fleet.logs());
+    let before = here(&fleet);
+    assert_eq!(
+        state(&fleet.nodes[1].submit(91, 6, 900).await?),
+        "completed"
+    );
+    fleet.nodes[0].signal(Signal::SIGKILL)?;
+    fleet.nodes[0].exit().await?;
+    fleet.nodes[0] = fleet.nodes[0].restart(program()).await?;
+    fleet.nodes[0].ready().await?;
+    fleet.store.compact();
+    for id in 92..96 {
+        assert_eq!(
+            state(&fleet.nodes[id % 2].submit(id as u64, 2, 900).await?),
+            "completed"
+        );
+    }
+    assert_eq!(here(&fleet), before, "{}", fleet.logs());
+    fleet.store.remove("op", "evacuate/ulemiste");
+    until("all know", || async {
+        let told = |node: &Node| node.log().contains("centre_returned");
+        fleet.nodes.iter().all(told).then_some(())
+    })
+    .await?;
+    assert_eq!(
+        state(&fleet.nodes[0].submit(97, 12, 900).await?),
+        "completed"
+    );
+    assert!(here(&fleet) > before);
+    let metrics = fleet.nodes[0].metrics().await?;
+    assert!(
+        metrics.contains(r#"poplarknot_standing{kind="evacuated"} 0"#),
+        "{metrics}"
+    );
+    fleet.judge();
+    Ok(())
+}
+
 /// All instances are killed at once and started again: nothing but the store has survived. They find each other and
 /// serve.
 #[tokio::test(flavor = "multi_thread")]
