--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -362,6 +362,7 @@
             epoch: Epoch(1),
             configuration: 0,
             roster: 0,
+            evacuation: Default::default(),
             reading: false,
             draining: false,
             share: 250,
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -634,7 +634,11 @@
                 done,
                 started,
             } => {
-                self.entry.report(serial, outcome, done, started, now, out);
+                let job = self.entry.report(serial, outcome, done, started, now, out);
+                if let Some(act) = job.and_then(|job| self.durable.fail(job)) {
+                    self.act(vec![act], now, out);
+                    self.call_store(now, out);
+                }
             }
             Message::Returned {
                 serial,
@@ -695,9 +699,10 @@
             }
             Message::Noted {
                 endpoint,
+                life,
                 serial,
                 late,
-            } => self.owner.noted(&endpoint, serial, late, now),
+            } => self.owner.noted(&endpoint, life, serial, late, now),
         }
     }
 
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -223,6 +223,11 @@
         shard.ended(from, end, batch, out)
     }
 
+    /// Takes note that endpoints crash under a task of a job, so that it has failed.
+    pub fn fail(&mut self, job: JobId) -> Option<Act> {
+        self.shards.get_mut(&job.shard())?.fail(job)
+    }
+
     /// Does what is due: calls the store, forgets jobs that ended long ago, gives shards up that may be another's.
     pub fn work(&mut self, now: Time, out: &mut Effects) -> Vec<Act> {
         let suspicious = self.suspicious(now);
--- a/src/dispatch/durable/record.rs
+++ b/src/dispatch/durable/record.rs
@@ -11,7 +11,10 @@
 };
 
 use super::super::{
-    id::JobId,
+    id::{
+        JobId,
+        Life, //
+    },
     message::{
         JobState,
         RunEnd, //
@@ -76,7 +79,10 @@
 pub struct Source {
     /// The endpoint.
     pub endpoint: Endpoint,
-    /// Counts the ends of one life of it.
+    /// The life of it that listed the end.
+    #[serde(default)]
+    pub life: Life,
+    /// Counts the ends of that life.
     pub serial: u64,
 }
 
@@ -108,6 +114,7 @@
             let failures = ends.failures.entry(task.index).or_default();
             let source = Source {
                 endpoint: end.endpoint.clone(),
+                life: end.life,
                 serial: end.serial,
             };
             if !failures.insert(source) {
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -10,6 +10,7 @@
     super::{
         id::{
             JobId,
+            Life,
             ShardId, //
         },
         message::{
@@ -135,7 +136,7 @@
     pub(super) shown: Option<State>,
     /// Ends that were heard, and whether each came late: told otherwise the second time, its endpoint would forget it
     /// too soon.
-    pub(super) counted: HashMap<(Endpoint, u64), bool>,
+    pub(super) counted: HashMap<(Endpoint, Life, u64), bool>,
     pub(super) ended: bool,
 }
 
@@ -260,6 +261,17 @@
         open.then_some(Act::Release(id))
     }
 
+    /// Takes note that a job has failed otherwise than by the ends of its runs.
+    pub(super) fn fail(&mut self, id: JobId) -> Option<Act> {
+        let job = self.jobs.get_mut(&id)?;
+        if job.progress.state != State::Open {
+            return None;
+        }
+        job.progress.state = State::Failed;
+        self.changed.entry(id).or_default();
+        Some(Act::Release(id))
+    }
+
     /// Answers how a job stands that the dispatcher doesn't find among those whose end is stored.
     pub(super) fn state(&mut self, from: &Contact, serial: u64, id: JobId, out: &mut Effects) {
         match self.jobs.get(&id) {
@@ -320,6 +332,7 @@
     ) -> Option<Act> {
         let noted = |late| Message::Noted {
             endpoint: end.endpoint.clone(),
+            life: end.life,
             serial: end.serial,
             late,
         };
@@ -343,7 +356,7 @@
             out.messages.push((from.clone(), noted(late)));
             return None;
         }
-        let key = (end.endpoint.clone(), end.serial);
+        let key = (end.endpoint.clone(), end.life, end.serial);
         let known = job.counted.get(&key).copied();
         let first = known.is_none();
         let record = job.record.as_ref();
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -1,13 +1,28 @@
 //! An endpoint as its owner sees it: what runs there, until when its leases last, whether it answers.
 
+mod backoff;
+mod clock;
+mod execution;
+mod life;
+
 use std::collections::{
     BTreeMap,
     BTreeSet,
     HashSet, //
 };
 
+pub use self::execution::{
+    Execution,
+    Fate,
+    Phase, //
+};
+use self::{
+    backoff::Backoff,
+    clock::Reading, //
+};
 use super::{
     id::{
+        Life,
         Run,
         TaskId,
         Token, //
@@ -17,12 +32,11 @@
         End,
         Ended,
         Listing,
+        Lists,
         Name,
         Order,
-        Refusal,
-        Running, //
+        Refusal, //
     },
-    pace::Pace,
     queue::Handle,
     task::Room,
 };
@@ -56,9 +70,6 @@
 /// How often a start is sent before its run is barred and placed elsewhere.
 pub const START_TRIES: u8 = 3;
 
-/// An endpoint's clock may be this much slower than ours, as a share.
-const SLOW: f64 = 0.02;
-
 /// How long an endpoint that refuses as unwell gets no new task.
 const UNWELL: Span = Span::millis(500);
 
@@ -72,74 +83,6 @@
 /// How long a failing endpoint rests before it is tried with one task, doubled each time up to the second.
 const REST: (Span, Span) = (Span::millis(1_000), Span::seconds(8));
 
-/// A reading of an endpoint's clock.
-#[derive(Debug, Clone, Copy)]
-struct Reading {
-    /// Milliseconds on its clock.
-    clock: u64,
-    /// When the call left and its answer came: the reading was made between.
-    sent: Time,
-    received: Time,
-}
-
-impl Reading {
-    /// Returns the most that the clock may show now.
-    fn most(&self, now: Time) -> u64 {
-        self.clock + now.since(self.sent).as_millis()
-    }
-
-    /// Returns when the clock will surely have passed `at`.
-    fn passed(&self, at: u64) -> Time {
-        let ahead = at.saturating_sub(self.clock) as f64 * 1_000.0 / (1.0 - SLOW);
-        self.received + Span(ahead as u64 + 1_000)
-    }
-}
-
-/// What a run waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// The answer to its start.
-    Starting,
-    /// Its end.
-    Running,
-    /// Its stop.
-    Stopping,
-}
-
-/// What becomes of the task when its run has ended otherwise than done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
-    /// It is started again.
-    Again,
-    /// Nobody wants it any more.
-    Drop,
-}
-
-/// A run on the endpoint.
-#[derive(Debug, Clone)]
-pub struct Execution {
-    /// Its batch.
-    pub batch: Handle,
-    /// The run.
-    pub run: Run,
-    /// What it takes.
-    pub need: Room,
-    /// What it waits for.
-    pub phase: Phase,
-    /// See [`Fate`].
-    pub fate: Fate,
-    /// When its start, or its stop, was answered.
-    answered: Option<Time>,
-    /// How often its start was sent, or its stop.
-    pub tries: u8,
-    /// How it comes along.
-    pub pace: Pace,
-    /// Whether an earlier start of this run may still arrive.
-    pub doubt: bool,
-    /// Whether its end must be stored before the endpoint forgets it.
-    pub stored: bool,
-}
-
 /// Something that an owner must act on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -149,6 +92,14 @@
     Failed(TaskId, Handle),
     /// A run is gone without a result; it is to be started again, with this number at least.
     Gone(TaskId, Handle, Run),
+    /// A run is given up on an endpoint that has fallen silent: it may have crashed under the run. See [`Event::Gone`].
+    Lapsed(TaskId, Handle, Run),
+    /// The endpoint crashed under a run. See [`Event::Gone`].
+    Crashed(TaskId, Handle, Run),
+    /// An endpoint that had fallen silent under a task had crashed.
+    Convicted(TaskId, Handle),
+    /// An endpoint that had fallen silent under a task has answered: it hadn't crashed.
+    Acquitted(TaskId, Handle),
     /// A run ended whose end must be stored, or may have to be: the endpoint lists it until [`State::noted`].
     Ended {
         /// The task.
@@ -168,7 +119,7 @@
     Cleared(TaskId),
     /// Another owner has a higher token.
     Fenced,
-    /// This life of the endpoint has ended.
+    /// Another endpoint answers at its address.
     Reborn,
 }
 
@@ -192,6 +143,12 @@
     pub delisted: bool,
     /// Whether its data centre is evacuated.
     pub evacuated: bool,
+    /// The latest life of it that is known.
+    life: Life,
+    /// When that began to be known: what left before may have been answered by a former life.
+    renewed: Time,
+    /// Tasks whose runs were given up since it fell silent.
+    abandoned: Vec<(TaskId, Handle)>,
     /// The owner's token.
     pub token: Token,
     /// How far it can be used.
@@ -225,8 +182,7 @@
     /// Whether a look is wanted although nothing seems to run.
     unsure: bool,
     look: Option<CallId>,
-    /// Whether the last look failed.
-    failed_look: bool,
+    backoff: Backoff,
     next_look: Time,
     answered: Time,
 }
@@ -236,6 +192,9 @@
     pub fn claim(listing: Listing, token: Token, now: Time) -> Self {
         Self {
             free: listing.capacity,
+            life: listing.life,
+            renewed: Time::default(),
+            abandoned: Vec::new(),
             listing,
             delisted: false,
             evacuated: false,
@@ -257,7 +216,7 @@
             told: 0,
             unsure: false,
             look: None,
-            failed_look: false,
+            backoff: Backoff::default(),
             next_look: now,
             answered: Time::default(),
         }
@@ -271,6 +230,7 @@
             && now >= self.rest
             && self.late.is_empty()
             && (!self.probation || self.executions.is_empty())
+            && !self.has_suspect()
     }
 
     /// Tells whether tasks may be started here at all.
@@ -343,6 +303,7 @@
         execution.fate = fate;
         execution.tries = 0;
         execution.answered = None;
+        execution.retry = None;
         let run = execution.run;
         Some(self.stop_again(Name::Known(task), run))
     }
@@ -414,16 +375,16 @@
         self.held.first().map_or(self.seen, |held| held - 1)
     }
 
-    /// Lets the endpoint forget an end.
-    pub fn noted(&mut self, serial: u64, now: Time) {
-        if self.held.remove(&serial) {
+    /// Lets the endpoint forget an end of one life of it.
+    pub fn noted(&mut self, life: Life, serial: u64, now: Time) {
+        if life == self.life && self.held.remove(&serial) {
             self.next_look = self.next_look.min(now);
         }
     }
 
     /// Lets the endpoint forget an end once its lease has passed. Until then it gets no new task, so that it does pass.
-    pub fn noted_late(&mut self, serial: u64) {
-        if self.held.contains(&serial) {
+    pub fn noted_late(&mut self, life: Life, serial: u64) {
+        if life == self.life && self.held.contains(&serial) {
             self.late.insert(serial);
         }
     }
@@ -442,9 +403,16 @@
         self.next_look
     }
 
-    /// Takes note of an answer to a start, a stop or a look: its endpoint lives, and its clock was read.
+    /// Takes note of an answer to a start or a stop: its endpoint lives, and its clock was read.
     pub fn answered(&mut self, clock: u64, sent: Time, now: Time) {
+        if sent >= self.renewed {
+            self.read(clock, sent, now);
+        }
+    }
+
+    fn read(&mut self, clock: u64, sent: Time, now: Time) {
         self.answered = now;
+        self.backoff.answered();
         let better = |r: Reading| now.since(r.received) > Span::seconds(1);
         let narrow = |r: Reading| now.since(sent) <= r.received.since(r.sent);
         if self.reading.is_none_or(|r| better(r) || narrow(r)) {
@@ -461,15 +429,22 @@
         &mut self,
         call: CallId,
         sent: Time,
-        running: Vec<Running>,
-        ended: Vec<Ended>,
+        lists: Lists,
         now: Time,
     ) -> (Vec<Event>, Vec<(Name, Run)>) {
         if self.look == Some(call) {
             self.look = None;
         }
-        self.failed_look = false;
-        let mut events = Vec::new();
+        if lists.life.is_before(self.life) {
+            self.next_look = now;
+            return (Vec::new(), Vec::new());
+        }
+        let mut events = match lists.life == self.life {
+            true => self.acquit(),
+            false => self.live(lists.life, now),
+        };
+        self.read(lists.clock, sent, now);
+        let Lists { running, ended, .. } = lists;
         for end in ended {
             if end.serial > self.seen {
                 self.seen = end.serial;
@@ -482,6 +457,7 @@
             match &entry.task {
                 Name::Known(task) if self.knows(task, entry.run) => {
                     listed.insert(*task);
+                    self.confirm(task);
                     self.pace(task, entry.percent, now, &mut events);
                 }
                 _ => {
@@ -585,21 +561,36 @@
     /// Takes a run out that is gone without a result.
     pub fn lose(&mut self, task: TaskId, events: &mut Vec<Event>) {
         if let Some(execution) = self.remove(&task) {
-            events.push(match execution.fate {
-                Fate::Drop => Event::Cleared(task),
-                Fate::Again => Event::Gone(task, execution.batch, execution.run.next()),
+            let (batch, next) = (execution.batch, execution.run.next());
+            events.push(match (execution.fate, execution.crashed) {
+                (Fate::Drop, _) => Event::Cleared(task),
+                (Fate::Again, true) => Event::Crashed(task, batch, next),
+                (Fate::Again, false) => Event::Gone(task, batch, next),
             });
         }
     }
 
     fn remove(&mut self, task: &TaskId) -> Option<Execution> {
         let execution = self.executions.remove(task)?;
+        self.measure();
+        Some(execution)
+    }
+
+    /// Takes what the platform lists of it now. Its capacity may have shrunk or grown while tasks run on it: one that is started
+    /// beyond what it has now would bring an endpoint that doesn't guard its capacity over it.
+    pub fn list(&mut self, listing: Listing) {
+        self.delisted = false;
+        self.listing = listing;
+        self.measure();
+    }
+
+    /// Works out what is free; what is being stopped takes its room until its end is listed.
+    fn measure(&mut self) {
         let mut free = self.listing.capacity;
         for execution in self.executions.values() {
             free.take(&execution.need);
         }
         self.free = free;
-        Some(execution)
     }
 
     /// Takes note that a start was carried out.
@@ -622,17 +613,39 @@
         }
     }
 
-    /// Takes note that a call got no answer.
+    /// Takes note that a call got no answer, or none that can be read.
+    pub fn unanswered(&mut self) {
+        self.backoff.failed();
+    }
+
+    /// Sends the start or the stop of a run again after a pause.
+    pub fn retry(&mut self, task: TaskId, now: Time) {
+        let at = now + self.backoff.pause(&self.listing.id);
+        if let Some(execution) = self.executions.get_mut(&task) {
+            execution.retry = Some(at);
+        }
+    }
+
+    /// Returns the tasks whose start or stop is to be sent again now.
+    pub fn retries(&mut self, now: Time) -> Vec<TaskId> {
+        let mut due = Vec::new();
+        for (task, execution) in &mut self.executions {
+            if execution.retry.is_some_and(|at| at <= now) {
+                execution.retry = None;
+                due.push(*task);
+            }
+        }
+        due
+    }
+
+    /// Takes note that a look got no answer.
     pub fn silent(&mut self, call: CallId, now: Time) {
         if self.look == Some(call) {
             self.look = None;
-            // The first one that fails may be the connection's fault. The next ones wait: an endpoint that refuses connections
-            // answers at once, and would be called thousands of times until it counts as silent.
             self.next_look = match self.standing {
-                Standing::Open if !self.failed_look => now,
-                _ => now + LOOK_AGAIN,
+                Standing::Open if self.backoff.is_first() => now,
+                _ => now + self.backoff.pause(&self.listing.id),
             };
-            self.failed_look = true;
             let heard = now.since(self.answered) < HEARD;
             self.standing = match self.standing {
                 Standing::Open if !heard => Standing::Silent,
@@ -649,17 +662,7 @@
         }
     }
 
-    /// Gives its runs up when it is silent and every lease has passed.
-    pub fn lapse(&mut self, now: Time) -> Vec<Event> {
-        let mut events = Vec::new();
-        if self.standing == Standing::Silent && now > self.lapse {
-            self.lose_all(&mut events);
-        }
-        events
-    }
-
-    /// Takes all runs out as gone.
-    pub fn lose_all(&mut self, events: &mut Vec<Event>) {
+    fn lose_all(&mut self, events: &mut Vec<Event>) {
         let tasks: Vec<TaskId> = self.executions.keys().copied().collect();
         for task in tasks {
             self.lose(task, events);
@@ -760,21 +763,3 @@
     /// Another owner has a higher token.
     Fenced,
 }
-
-impl Execution {
-    /// Makes a run whose start is about to leave.
-    pub fn new(batch: Handle, run: Run, need: Room, estimate: Span) -> Self {
-        Self {
-            pace: Pace::new(estimate),
-            batch,
-            run,
-            need,
-            phase: Phase::Starting,
-            fate: Fate::Again,
-            answered: None,
-            tries: 1,
-            doubt: false,
-            stored: false,
-        }
-    }
-}
--- /dev/null
+++ b/src/dispatch/endpoint/execution.rs
@@ -0,0 +1,81 @@
+//! A run on an endpoint.
+
+use super::super::{
+    id::Run,
+    pace::Pace,
+    queue::Handle,
+    task::Room, //
+};
+use crate::prelude::*;
+
+/// What a run waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The answer to its start.
+    Starting,
+    /// Its end.
+    Running,
+    /// Its stop.
+    Stopping,
+}
+
+/// What becomes of the task when its run has ended otherwise than done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is started again.
+    Again,
+    /// Nobody wants it any more.
+    Drop,
+}
+
+/// A run on the endpoint.
+#[derive(Debug, Clone)]
+pub struct Execution {
+    /// Its batch.
+    pub batch: Handle,
+    /// The run.
+    pub run: Run,
+    /// What it takes.
+    pub need: Room,
+    /// What it waits for.
+    pub phase: Phase,
+    /// See [`Fate`].
+    pub fate: Fate,
+    /// When its start, or its stop, was answered.
+    pub(super) answered: Option<Time>,
+    /// How often its start was sent, or its stop.
+    pub tries: u8,
+    /// How it comes along.
+    pub pace: Pace,
+    /// Whether an earlier start of this run may still arrive.
+    pub doubt: bool,
+    /// Whether its end must be stored before the endpoint forgets it.
+    pub stored: bool,
+    /// Whether endpoints may have crashed under its task before.
+    pub suspect: bool,
+    /// Whether the endpoint began anew after its start had left, and hasn't listed it since.
+    pub(super) crashed: bool,
+    /// When its start or its stop is sent again, where that had no answer.
+    pub(super) retry: Option<Time>,
+}
+
+impl Execution {
+    /// Makes a run whose start is about to leave.
+    pub fn new(batch: Handle, run: Run, need: Room, estimate: Span) -> Self {
+        Self {
+            pace: Pace::new(estimate),
+            batch,
+            run,
+            need,
+            phase: Phase::Starting,
+            fate: Fate::Again,
+            answered: None,
+            tries: 1,
+            doubt: false,
+            stored: false,
+            suspect: false,
+            crashed: false,
+            retry: None,
+        }
+    }
+}
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -4,6 +4,7 @@
 
 use super::{
     super::{
+        id::JobId,
         message::{
             Cause,
             Outcome,
@@ -23,7 +24,7 @@
 use crate::prelude::*;
 
 impl Entry {
-    /// Takes note of how a batch ended.
+    /// Takes note of how a batch ended; returns its job if that is stored and has failed by this.
     pub fn report(
         &mut self,
         serial: u64,
@@ -32,16 +33,11 @@
         started: bool,
         now: Time,
         out: &mut Effects,
-    ) {
-        let Some(id) = self.by_serial.remove(&serial) else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let Some(sent) = job.batches.remove(&serial) else {
-            return;
-        };
+    ) -> Option<JobId> {
+        let id = self.by_serial.remove(&serial)?;
+        let job = self.jobs.get_mut(&id)?;
+        let sent = job.batches.remove(&serial)?;
+        let stored = job.stored;
         job.started |= started || outcome == Outcome::Done;
         match outcome {
             Outcome::Done => {
@@ -73,14 +69,20 @@
                     false => self.advance(id, now, out),
                 }
             }
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Crashed => {
                 job.started = true;
                 job.failed = true;
-                self.end(id, "a task failed too often", now, out);
+                let why = match outcome {
+                    Outcome::Crashed => "endpoints crash under a task",
+                    _ => "a task failed too often",
+                };
+                self.end(id, why, now, out);
+                return stored.then_some(id);
             }
             Outcome::Hopeless => self.end(id, "its time can't be met", now, out),
             Outcome::Dropped => self.end(id, "given up", now, out),
         }
+        None
     }
 
     /// Takes tasks back that their owner doesn't run.
--- a/src/dispatch/id.rs
+++ b/src/dispatch/id.rs
@@ -124,6 +124,34 @@
     }
 }
 
+/// One life of an endpoint, by when it began, in milliseconds since 1970; zero where that isn't told.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize, //
+)]
+pub struct Life(pub u64);
+
+impl Life {
+    /// Tells whether it is known when the life began.
+    pub fn is_known(self) -> bool {
+        self != Self::default()
+    }
+
+    /// Tells whether this life ended before another began.
+    pub fn is_before(self, other: Self) -> bool {
+        self.is_known() && self < other
+    }
+}
+
 /// Counts the claims of racks; every claim takes one above all that its claimant has heard of.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -15,6 +15,7 @@
     id::{
         Epoch,
         JobId,
+        Life,
         RackId,
         Run,
         ShardId,
@@ -41,8 +42,11 @@
 /// An endpoint as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
-    /// Names one life of it: after a crash it has another.
+    /// Its name. One that starts again may keep it, or have another.
     pub id: Endpoint,
+    /// One life of it.
+    #[serde(default)]
+    pub life: Life,
     /// Its service.
     pub service: String,
     /// Where it listens.
@@ -318,14 +322,7 @@
         clock: u64,
     },
     /// What runs and what has ended.
-    Looked {
-        /// Its clock.
-        clock: u64,
-        /// What runs there.
-        running: Vec<Running>,
-        /// What has ended.
-        ended: Vec<Ended>,
-    },
+    Looked(Lists),
     /// It refused.
     Refused {
         /// Its clock.
@@ -345,6 +342,19 @@
     Silent,
 }
 
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Lists {
+    /// Its clock.
+    pub clock: u64,
+    /// The life that says so.
+    pub life: Life,
+    /// What runs there.
+    pub running: Vec<Running>,
+    /// What has ended.
+    pub ended: Vec<Ended>,
+}
+
 /// Why an endpoint refused an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -501,6 +511,8 @@
     Noted {
         /// The endpoint.
         endpoint: Endpoint,
+        /// The life that listed it.
+        life: Life,
         /// The end's number there.
         serial: u64,
         /// Whether the task was given out again before its end was heard: the endpoint may forget the end only when
@@ -612,6 +624,8 @@
 pub struct RunEnd {
     /// The endpoint.
     pub endpoint: Endpoint,
+    /// The life of it that listed the end.
+    pub life: Life,
     /// Counts the ends of one life of the endpoint.
     pub serial: u64,
     /// The task.
@@ -811,6 +825,8 @@
     Done,
     /// A task failed as often as it may.
     Failed,
+    /// Endpoints crashed under a task as often as they may.
+    Crashed,
     /// Its caller's time can't be met any more.
     Hopeless,
     /// It was dropped as its entry asked.
@@ -841,12 +857,30 @@
     pub next: Vec<Run>,
     /// How often each of its tasks failed.
     pub failures: Vec<u32>,
+    /// What is suspected of each of its tasks.
+    pub suspicions: Vec<Suspicion>,
     /// Tasks that are done.
     pub done: Vec<u32>,
     /// Whether a start ever left.
     pub started: bool,
 }
 
+/// What is known of endpoints that crashed, or may have, under a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// How many have crashed.
+    pub crashes: u32,
+    /// How many have fallen silent, and haven't been heard since.
+    pub silences: u32,
+}
+
+impl Suspicion {
+    /// Tells whether there is any.
+    pub fn is_any(self) -> bool {
+        self.crashes + self.silences > 0
+    }
+}
+
 /// A run as it is handed over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Transferred {
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -6,7 +6,9 @@
 mod handover;
 mod place;
 mod probe;
+mod retry;
 mod room;
+mod suspects;
 
 use std::collections::{
     BTreeMap,
@@ -26,6 +28,7 @@
         State, //
     },
     id::{
+        Life,
         RackId,
         Run,
         TaskId,
@@ -44,7 +47,8 @@
         Outcome,
         Output,
         Record,
-        RunEnd, //
+        RunEnd,
+        Suspicion, //
     },
     patience::Patience,
     queue::{
@@ -92,6 +96,19 @@
     failures: u32,
     /// How often it was taken from an endpoint where it stood still.
     restarts: u32,
+    /// Whether endpoints crash under it.
+    suspicion: Suspicion,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            next: Run::FIRST,
+            failures: 0,
+            restarts: 0,
+            suspicion: Suspicion::default(),
+        }
+    }
 }
 
 /// What a call was for.
@@ -125,8 +142,10 @@
     given_up: GivenUp,
     /// Data centres where nothing may be started.
     evacuated: BTreeSet<String>,
+    /// Tasks that wait until more is known of the endpoints that may have crashed under them, with the latest time of that.
+    detained: BTreeMap<TaskId, (Time, Handle)>,
     /// Ends that endpoints list until they are stored, with the time at which each was reported last.
-    ends: BTreeMap<(Endpoint, u64), (RunEnd, Option<Time>)>,
+    ends: BTreeMap<(Endpoint, Life, u64), (RunEnd, Option<Time>)>,
     patience: Patience,
     handles: u64,
     serial: u64,
@@ -273,18 +292,20 @@
         for state in self.endpoints.values_mut() {
             state.delisted = true;
         }
+        let mut renewed = Vec::new();
         for listing in listings {
             let Some(rack) = self.racks.get_mut(&listing.rack_id()) else {
                 continue;
             };
             rack.changed = true;
             if let Some(state) = self.endpoints.get_mut(&listing.id) {
-                state.delisted = false;
                 if listing.draining && !state.listing.draining {
                     let record = Record::new("endpoint_leaving");
                     out.log(record.with("endpoint", listing.id.as_str()));
                 }
-                state.listing = listing.clone();
+                state.list(listing.clone());
+                let events = state.live(listing.life, now);
+                renewed.push((listing.id.clone(), events));
                 continue;
             }
             let mut state = State::claim(listing.clone(), rack.token, now);
@@ -292,6 +313,9 @@
             self.endpoints.insert(listing.id.clone(), state);
             rack.endpoints.push(listing.id.clone());
         }
+        for (id, events) in renewed {
+            self.act(&id, events, now, out);
+        }
         let idle = |state: &State| state.delisted && state.executions.is_empty();
         let gone: Vec<Endpoint> = self
             .endpoints
@@ -353,12 +377,8 @@
         if !self.racks.contains_key(&batch.rack) {
             return self.decline(entry, batch, out);
         }
-        let progress = Progress {
-            next: Run::FIRST,
-            failures: 0,
-            restarts: 0,
-        };
-        let tasks = batch.tasks.iter().map(|i| (*i, progress)).collect();
+        let fresh = |index: &u32| (*index, Progress::default());
+        let tasks = batch.tasks.iter().map(fresh).collect();
         self.load(entry, batch, tasks, false, now);
     }
 
@@ -584,6 +604,12 @@
         }
     }
 
+    /// Tells whether endpoints may have crashed under a task.
+    fn is_suspect(&self, index: u32) -> bool {
+        let progress = self.tasks.get(&index);
+        progress.is_some_and(|progress| progress.suspicion.is_any())
+    }
+
     fn held(self, now: Time) -> Held {
         let mut batch = self.batch;
         batch.slack = (self.due > now).then(|| self.due.since(now));
@@ -594,6 +620,7 @@
             entry: self.entry,
             next: self.tasks.values().map(|p| p.next).collect(),
             failures: self.tasks.values().map(|p| p.failures).collect(),
+            suspicions: self.tasks.values().map(|p| p.suspicion).collect(),
             done: self.done,
             started: self.started,
             batch,
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -8,6 +8,7 @@
             Phase,
             Refused,
             Standing,
+            State,
             START_TRIES, //
         },
         id::{
@@ -44,21 +45,24 @@
         let Some(state) = self.endpoints.get_mut(&id) else {
             return;
         };
-        let (Reply::Done { clock } | Reply::Looked { clock, .. } | Reply::Refused { clock, .. }) =
-            &reply
-        else {
-            if reply == Reply::Silent {
-                self.patience.missed();
+        match &reply {
+            Reply::Done { clock } | Reply::Refused { clock, .. } => {
+                state.answered(*clock, sent, now);
             }
-            return self.unanswered(call, &id, purpose, reply, now, out);
-        };
+            Reply::Looked(_) => {}
+            _ => {
+                if reply == Reply::Silent {
+                    self.patience.missed();
+                }
+                return self.unanswered(call, &id, purpose, reply, now, out);
+            }
+        }
         if purpose != Purpose::Look {
             self.patience.answered(now.since(sent));
         }
-        state.answered(*clock, sent, now);
         let events = match (purpose, reply) {
-            (Purpose::Look, Reply::Looked { running, ended, .. }) => {
-                let (events, unknown) = state.looked(call, sent, running, ended, now);
+            (Purpose::Look, Reply::Looked(lists)) => {
+                let (events, unknown) = state.looked(call, sent, lists, now);
                 for (task, run) in unknown {
                     self.stop_unknown(&id, task, run, out);
                 }
@@ -148,6 +152,9 @@
         if reply == Reply::Reborn {
             return self.act(id, vec![Event::Reborn], now, out);
         }
+        if reply != Reply::Unwell {
+            state.unanswered();
+        }
         if let Reply::Malformed(fault) = &reply {
             let record = Record::new("endpoint_malformed").with("endpoint", id.as_str());
             out.log(record.with("fault", fault.clone()));
@@ -174,9 +181,10 @@
                 }
                 // A stop must arrive: it is sent again until the endpoint answers or its leases have passed.
                 execution.tries = execution.tries.saturating_add(1);
-                let order = state.stop_again(Name::Known(task), run);
-                let purpose = Purpose::Stop(Name::Known(task), run);
-                self.call(id, order, purpose, true, out);
+                match execution.tries {
+                    1 => self.send_again(id, task, now, out),
+                    _ => state.retry(task, now),
+                }
             }
             // The next look shows an unknown run that is still there.
             Purpose::Stop(Name::Foreign(_), _) | Purpose::Probe(_) => {}
@@ -216,14 +224,12 @@
             state.lose(task, &mut events);
             return self.act(id, events, now, out);
         }
-        let spec = self.loads.get(&handle).map(|load| load.batch.spec.clone());
-        if tries <= START_TRIES {
-            if let Some(order) = spec.and_then(|s| state.start_again(task, run, s, now)) {
-                let purpose = Purpose::Start(task, run);
-                return self.call(id, order, purpose, true, out);
-            }
+        match tries {
+            // The first may have found its connection gone.
+            ..=2 => self.send_again(id, task, now, out),
+            3..=START_TRIES => state.retry(task, now),
+            _ => self.stop(task, handle, Fate::Again, out),
         }
-        self.stop(task, handle, Fate::Again, out);
     }
 
     pub(super) fn touch(&mut self, id: &Endpoint) {
@@ -257,9 +263,7 @@
                 }
                 Event::Gone(task, handle, next) => {
                     self.busy.remove(&task);
-                    let record = Record::new("run_gone").job(task.job);
-                    let record = record.with("task", task.to_string());
-                    out.log(record.with("endpoint", id.as_str()));
+                    self.log_gone(id, task, out);
                     self.again(task, handle, next, now);
                 }
                 Event::Ended {
@@ -269,8 +273,10 @@
                     serial,
                     batch,
                 } => {
+                    let life = self.endpoints.get(id).map(State::life).unwrap_or_default();
                     let end = RunEnd {
                         endpoint: id.clone(),
+                        life,
                         serial,
                         task,
                         run,
@@ -279,6 +285,17 @@
                     };
                     self.ended(end, batch, out);
                 }
+                Event::Lapsed(task, handle, next) => {
+                    self.busy.remove(&task);
+                    self.log_gone(id, task, out);
+                    self.lapsed(task, handle, next, now);
+                }
+                Event::Crashed(task, handle, next) => {
+                    self.busy.remove(&task);
+                    self.crashed(id, (task, handle, next), now, out);
+                }
+                Event::Convicted(task, handle) => self.convict(id, task, handle, true, out),
+                Event::Acquitted(task, handle) => self.acquit(task, handle, now),
                 Event::Still(task, handle) => self.restart(id, task, handle, now, out),
                 Event::Cleared(task) => {
                     self.busy.remove(&task);
@@ -295,6 +312,12 @@
         }
     }
 
+    fn log_gone(&self, id: &Endpoint, task: TaskId, out: &mut Effects) {
+        let record = Record::new("run_gone").job(task.job);
+        let record = record.with("task", task.to_string());
+        out.log(record.with("endpoint", id.as_str()));
+    }
+
     /// Takes a task from an endpoint where it stands still, and lets the endpoint rest if nothing there comes along.
     ///
     /// Left there, the run kept its room until its caller's time had passed, and its endpoint got more.
@@ -324,10 +347,8 @@
     }
 
     pub(super) fn reborn(&mut self, id: &Endpoint, now: Time, out: &mut Effects) {
-        let mut events = Vec::new();
-        if let Some(state) = self.endpoints.get_mut(id) {
-            state.lose_all(&mut events);
-        }
+        let state = self.endpoints.get_mut(id);
+        let events = state.map(State::replaced).unwrap_or_default();
         self.act(id, events, now, out);
         if let Some(state) = self.endpoints.get_mut(id) {
             state.delisted = true;
--- a/src/dispatch/owner/ends.rs
+++ b/src/dispatch/owner/ends.rs
@@ -2,6 +2,7 @@
 
 use super::{
     super::{
+        id::Life,
         message::{
             Record,
             RunEnd, //
@@ -30,7 +31,7 @@
             let record = record.with("task", task.to_string());
             out.log(record.with("endpoint", end.endpoint.as_str()));
         }
-        let key = (end.endpoint.clone(), end.serial);
+        let key = (end.endpoint.clone(), end.life, end.serial);
         self.ends.insert(key, (end, None));
         let load = batch.and_then(|handle| Some((handle, self.loads.get_mut(&handle)?)));
         if let Some((handle, load)) = load {
@@ -54,12 +55,12 @@
     }
 
     /// Takes note that an end is stored, or needn't be; a `late` one is forgotten when the endpoint's lease has passed.
-    pub fn noted(&mut self, endpoint: &Endpoint, serial: u64, late: bool, now: Time) {
-        self.ends.remove(&(endpoint.clone(), serial));
+    pub fn noted(&mut self, endpoint: &Endpoint, life: Life, serial: u64, late: bool, now: Time) {
+        self.ends.remove(&(endpoint.clone(), life, serial));
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             match late {
-                true => state.noted_late(serial),
-                false => state.noted(serial, now),
+                true => state.noted_late(life, serial),
+                false => state.noted(life, serial, now),
             }
         }
     }
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -103,10 +103,12 @@
         let mut unwanted = Vec::new();
         for held in handover.batches {
             let numbers = held.next.iter().zip(&held.failures);
-            let progress = numbers.map(|(next, failures)| Progress {
+            let numbers = numbers.zip(&held.suspicions);
+            let progress = numbers.map(|((next, failures), suspicion)| Progress {
                 next: *next,
                 failures: *failures,
-                restarts: 0,
+                suspicion: *suspicion,
+                ..Progress::default()
             });
             let tasks = held.batch.tasks.iter().copied().zip(progress).collect();
             let key = (held.entry.name.clone(), held.batch.serial);
@@ -130,6 +132,7 @@
             let mut execution =
                 Execution::new(handle, run.run, load.batch.need, load.batch.estimate);
             execution.stored = load.batch.stored;
+            execution.suspect = load.is_suspect(run.task.index);
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
                 state.adopt(run.task, execution, now);
                 self.busy.insert(run.task, run.endpoint.clone());
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -46,6 +46,8 @@
     /// Does what is due: places what waits, looks where something runs, gives up what has lapsed.
     pub fn work(&mut self, now: Time, out: &mut Effects) {
         self.lapse(now, out);
+        self.release(now);
+        self.retry(now, out);
         let racks: Vec<RackId> = self.racks.keys().copied().collect();
         for rack in racks {
             self.place(rack, now, out);
@@ -116,7 +118,7 @@
             let carried = match misfits.iter().find(same) {
                 Some((.., carried)) => *carried,
                 None => {
-                    if let Some(endpoint) = self.pick(id, load, now) {
+                    if let Some(endpoint) = self.pick(id, load, waiting.index, now) {
                         self.start(id, &endpoint, waiting, task, now, out);
                         continue;
                     }
@@ -161,8 +163,9 @@
         states.into_iter().any(|state| state.carries(need, label))
     }
 
-    /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks.
-    pub(super) fn pick(&self, rack: RackId, load: &Load, now: Time) -> Option<Endpoint> {
+    /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks; for one under which endpoints may
+    /// have crashed, the one where the least would be lost.
+    fn pick(&self, rack: RackId, load: &Load, index: u32, now: Time) -> Option<Endpoint> {
         let batch = &load.batch;
         let fits = |state: &&State| {
             let of_step = |(task, _): &(&TaskId, &Execution)| {
@@ -179,7 +182,10 @@
             .endpoints
             .iter()
             .filter_map(|id| self.endpoints.get(id));
-        let best = states.filter(fits).min_by_key(|state| state.free.cpu)?;
+        let suspect = load.is_suspect(index);
+        let beside = |state: &State| if suspect { state.executions.len() } else { 0 };
+        let best = states.filter(fits);
+        let best = best.min_by_key(|state| (beside(state), state.free.cpu))?;
         Some(best.listing.id.clone())
     }
 
@@ -210,6 +216,7 @@
         let mut execution =
             Execution::new(waiting.batch, run, load.batch.need, load.batch.estimate);
         execution.stored = load.batch.stored;
+        execution.suspect = progress.suspicion.is_any();
         let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
         };
--- a/src/dispatch/owner/probe.rs
+++ b/src/dispatch/owner/probe.rs
@@ -110,9 +110,9 @@
             return;
         }
         match reply {
-            Reply::Looked { running, .. } => {
+            Reply::Looked(lists) => {
                 probe.answered += 1;
-                probe.running |= !running.is_empty();
+                probe.running |= !lists.running.is_empty();
             }
             Reply::Refused { .. } => probe.running = true,
             _ => {}
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -111,7 +111,9 @@
                 continue;
             };
             let task = load.task(waiting.index);
-            if load.batch.tied || self.busy.contains_key(&task) {
+            // What is known of crashes under a task is lost where it is placed anew.
+            let fixed = load.batch.tied || load.is_suspect(waiting.index);
+            if fixed || self.busy.contains_key(&task) {
                 continue;
             }
             let need = load.batch.need;
--- a/src/instance/gauges.rs
+++ b/src/instance/gauges.rs
@@ -117,7 +117,7 @@
             self.starts.observe(seconds(took));
         }
         let reply = match reply {
-            Reply::Done { .. } | Reply::Looked { .. } => "done",
+            Reply::Done { .. } | Reply::Looked(_) => "done",
             Reply::Refused { .. } => "refused",
             Reply::Unwell => "unwell",
             Reply::Reborn => "reborn",
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -12,12 +12,14 @@
 use crate::dispatch::{
     id::{
         JobId,
+        Life,
         Run,
         TaskId, //
     },
     message::{
         End,
         Ended,
+        Lists,
         Name,
         Order,
         Refusal,
@@ -75,6 +77,8 @@
 #[derive(Deserialize)]
 struct ListsBody {
     clock_ms: u64,
+    #[serde(default)]
+    born: u64,
     running: Vec<RunningRow>,
     finished: Vec<FinishedRow>,
 }
@@ -174,11 +178,12 @@
         run: Run(row.2),
         end: end(&row.3),
     });
-    Ok(Reply::Looked {
+    Ok(Reply::Looked(Lists {
         clock: body.clock_ms,
+        life: Life(body.born),
         running: running.collect(),
         ended: ended.collect(),
-    })
+    }))
 }
 
 fn refusal(reason: &str) -> Refusal {
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -13,6 +13,7 @@
 };
 use crate::{
     dispatch::{
+        id::Life,
         message::{
             Contact,
             Listing, //
@@ -169,6 +170,9 @@
     zone: String,
     state: StateBody,
     capacity: CapacityBody,
+    /// When its life began, in milliseconds since 1970.
+    #[serde(default)]
+    born: u64,
     /// Its kind, and then its rack.
     labels: Vec<String>,
 }
@@ -202,6 +206,7 @@
     let address: SocketAddr = body.address.parse().map_err(|e| Fault::new("address", e))?;
     Ok(Listing {
         id: key.parse().map_err(|e| Fault::new("key", e))?,
+        life: Life(body.born),
         service: body.service,
         address: address.to_string(),
         centre: body.zone,
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,12 +4,14 @@
     dispatch::{
         id::{
             JobId,
+            Life,
             Run,
             TaskId,
             Token, //
         },
         message::{
             End,
+            Lists,
             Name,
             Order,
             Refusal,
@@ -138,13 +140,18 @@
     let (_, body) = order::write(&look);
     let body: Value = serde_json::from_slice(&body).unwrap();
     assert_eq!(body, json!({"fencing_token": 7, "last_seen": 57}));
-    let lists = json!({"clock_ms": 9, "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41, 3]],
+    let lists = json!({"clock_ms": 9, "born": 1_700_000_000_123_u64, "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41, 3]],
         "finished": [[58, "5c0e7a21d94b36f8.3.1.9", 1, "done", ""]]});
-    let Reply::Looked { running, ended, .. } =
-        order::read(&look, 200, lists.to_string().as_bytes())
+    let Reply::Looked(Lists {
+        life,
+        running,
+        ended,
+        ..
+    }) = order::read(&look, 200, lists.to_string().as_bytes())
     else {
         panic!("the lists are not read");
     };
+    assert_eq!(life, Life(1_700_000_000_123));
     assert_eq!(running[0].task, Name::Known(task));
     // A task of another occurrence is none that an instance of this build can have started.
     assert!(matches!(&ended[0].task, Name::Foreign(name) if name.contains(".3.")));
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -3,6 +3,8 @@
 //! At every moment no task runs twice; at the end a job that was always told "not run" was never started, and one
 //! that was told complete has every task done.
 
+#[path = "dispatch/crashes.rs"]
+mod crashes;
 #[path = "dispatch/endpoint.rs"]
 mod endpoint;
 #[path = "dispatch/evacuation.rs"]
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -8,6 +8,7 @@
 use poplarknot::{
     dispatch::{
         id::{
+            Life,
             Run,
             TaskId,
             Token, //
@@ -16,6 +17,7 @@
             End,
             Ended,
             Listing,
+            Lists,
             Name,
             Order,
             Refusal,
@@ -39,6 +41,8 @@
     pub until: Option<Time>,
     pub done: bool,
     pub failed: bool,
+    /// Whether its endpoint crashed under it.
+    pub crashed: bool,
     /// Whether its owner let the endpoint forget its end, before the endpoint's lease had passed.
     pub noted: bool,
 }
@@ -64,9 +68,16 @@
     pub slow: f64,
     /// The share of a sound endpoint's speed at which its tasks come along; at zero they stand still.
     pub pace: f64,
+    /// When its clock was set, on true time in milliseconds, and to what.
+    origin: u64,
+    ahead: u64,
     pub running: BTreeMap<TaskId, Active_>,
     pub history: Vec<Begun>,
     pub up: bool,
+    /// Whether it is down for a while, refuses connections, and is still listed.
+    pub down: bool,
+    /// Whether it refuses what doesn't fit.
+    pub guarded: bool,
     ended: Vec<Ended>,
     serial: u64,
     lease: u64,
@@ -95,9 +106,13 @@
             listing,
             slow,
             pace: 1.0,
+            origin: 0,
+            ahead: 5_000,
             running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
+            down: false,
+            guarded: true,
             ended: Vec::new(),
             serial: 0,
             lease: 0,
@@ -109,7 +124,8 @@
     }
 
     fn clock(&self, now: Time) -> u64 {
-        (now.0 as f64 * (1.0 - self.slow) / 1_000.0) as u64 + 5_000
+        let since = now.0 as f64 / 1_000.0 - self.origin as f64;
+        (since * (1.0 - self.slow)) as u64 + self.ahead
     }
 
     /// Lets time pass: runs end, or their lease does.
@@ -162,10 +178,30 @@
         *barred = (*barred).max(run);
     }
 
+    /// Starts again under the name that it had, with everything forgotten; `ahead` is what its clock shows then.
+    pub(crate) fn begin_anew(&mut self, now: Time, ahead: u64) {
+        let history = std::mem::take(&mut self.history);
+        let mut listing = self.listing.clone();
+        listing.life = Life(now.0 / 1_000);
+        *self = Self {
+            history,
+            guarded: self.guarded,
+            origin: now.0 / 1_000,
+            ahead,
+            ..Self::new(listing, self.slow)
+        };
+    }
+
+    /// Tells how much is taken of it, by those that are being stopped too.
+    pub(crate) fn taken(&self, needs: &HashMap<TaskId, Room>) -> u64 {
+        self.running.keys().map(|task| needs[task].cpu).sum()
+    }
+
     /// Ends everything without a word, as a crash does.
     pub(crate) fn crash(&mut self, now: Time) {
         for run in std::mem::take(&mut self.running).into_values() {
             self.history[run.0.place].until = Some(now);
+            self.history[run.0.place].crashed = true;
         }
         self.up = false;
     }
@@ -221,7 +257,7 @@
                 if *lease <= clock {
                     return refuse(Refusal::Late);
                 }
-                if !self.room(needs).fits(&needs[task]) {
+                if self.guarded && !self.room(needs).fits(&needs[task]) {
                     return refuse(Refusal::Full);
                 }
                 self.extend(Some(*lease), now);
@@ -240,6 +276,7 @@
                     until: None,
                     done: false,
                     failed: false,
+                    crashed: false,
                     noted: false,
                 });
                 self.running.insert(*task, Active_(active));
@@ -285,10 +322,11 @@
             run: run.0.run,
             percent: Some((run.0.done.0 * 100 / run.0.takes.0.max(1)) as u8),
         });
-        Reply::Looked {
+        Reply::Looked(Lists {
             clock: self.clock(now),
+            life: self.listing.life,
             running: running.collect(),
             ended: self.ended.clone(),
-        }
+        })
     }
 }
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -19,6 +19,7 @@
         id::{
             Epoch,
             JobId,
+            Life,
             TaskId, //
         },
         message::{
@@ -28,10 +29,12 @@
             Contact,
             Heartbeat,
             Input,
+            JobState,
             Listing,
             Message,
             Order,
             Output,
+            Question,
             Reply,
             Roster,
             Sender,
@@ -70,6 +73,8 @@
 const WAY: u64 = 300;
 /// After which a call to the store counts as unanswered.
 const STORE_PATIENCE: Span = Span::millis(400);
+/// How long after a change of an endpoint's capacity starts may be on their way that didn't know it.
+const HEARD_OF: Span = Span::millis(20);
 /// After a broken connection, how long until a caller comes again.
 const RETRY: Span = Span::millis(1_300);
 
@@ -111,6 +116,10 @@
     Drain(usize),
     Leave(usize),
     Evacuate(String, bool),
+    Down(usize, Span, u64),
+    BeginAnew(usize, u64),
+    Relist,
+    Resize(usize, u64),
     TurnAway(usize, bool),
 }
 
@@ -175,6 +184,14 @@
     stored: bool,
     /// Looks that wait for an end.
     parked: Vec<Parked>,
+    /// Jobs of which a task crashes each endpoint that starts it.
+    crashing: HashSet<JobId>,
+    /// How often endpoints crashed under each task.
+    pub crashes: HashMap<TaskId, usize>,
+    /// How long after an endpoint has begun anew its row says so.
+    row_lag: Span,
+    /// The capacity of each endpoint over the last moments, with the time at which it was changed.
+    resized: HashMap<usize, (Time, u64)>,
 }
 
 /// A look that waits: at which endpoint, until when, whose, and the order.
@@ -187,6 +204,9 @@
 /// How many runs of a task may fail.
 const ATTEMPTS: u32 = 3;
 
+/// How many endpoints may crash under a task before its job may be given up.
+const CRASHES: usize = 2;
+
 const ROUTE: &str = "/q/";
 const HOST: &str = "queue.example";
 
@@ -218,10 +238,15 @@
             turned_away: HashSet::new(),
             stored: false,
             parked: Vec::new(),
+            crashing: HashSet::new(),
+            crashes: HashMap::new(),
+            row_lag: Span::millis(100),
+            resized: HashMap::new(),
         };
         for i in 0..racks * 4 {
             let listing = Listing {
                 id: format!("w-{i}").parse().unwrap(),
+                life: Life(1),
                 service: "cells".to_owned(),
                 address: format!("{i}"),
                 centre: centre(i / 4),
@@ -534,6 +559,10 @@
                 };
                 let fails = self.random.random_bool(self.faults.failures);
                 let now = self.now;
+                if self.workers[w].down {
+                    let reply = Box::new(Reply::Unsent);
+                    return self.at(Span(WAY), Event::Reply(i, life, call, sent, reply));
+                }
                 if !self.workers[w].up {
                     let reply = Box::new(Reply::Reborn);
                     return self.at(Span(WAY), Event::Reply(i, life, call, sent, reply));
@@ -543,11 +572,15 @@
                 }
                 let takes = takes.unwrap_or_default();
                 let reply = self.workers[w].obey(&order, &self.needs, takes, fails, now);
+                self.judge_room(w);
+                if self.crash_under(w, &order, &reply) {
+                    return;
+                }
                 if self.silent.contains(&w) || late {
                     return;
                 }
-                if let (Order::Look { wait, .. }, Reply::Looked { ended, .. }) = (&*order, &reply) {
-                    if ended.is_empty() && wait.0 > 0 {
+                if let (Order::Look { wait, .. }, Reply::Looked(lists)) = (&*order, &reply) {
+                    if lists.ended.is_empty() && wait.0 > 0 {
                         // It waits for an end, or until its time has passed.
                         let look = (i, life, call, sent);
                         let until = now + *wait;
@@ -625,6 +658,23 @@
                 self.relist();
             }
             Event::Drain(i) => self.feed(i, Input::Drain),
+            Event::Down(w, span, ahead) => {
+                let now = self.now;
+                self.workers[w].crash(now);
+                (self.workers[w].up, self.workers[w].down) = (true, true);
+                self.at(span, Event::BeginAnew(w, ahead));
+            }
+            Event::BeginAnew(w, ahead) => {
+                let now = self.now;
+                self.workers[w].begin_anew(now, ahead);
+                self.at(self.row_lag, Event::Relist);
+            }
+            Event::Relist => self.relist(),
+            Event::Resize(w, cpu) => {
+                self.workers[w].listing.capacity.cpu = cpu;
+                self.resized.insert(w, (self.now, cpu));
+                self.relist();
+            }
             Event::Evacuate(centre, evacuated) => self.evacuate(centre, evacuated),
             Event::TurnAway(i, on) => {
                 match on {
@@ -649,11 +699,42 @@
         }
     }
 
+    /// Lets an endpoint crash that has started a task which crashes each one; returns whether it has.
+    fn crash_under(&mut self, w: usize, order: &Order, reply: &Reply) -> bool {
+        let (Order::Start { task, .. }, Reply::Done { .. }) = (order, reply) else {
+            return false;
+        };
+        if !self.crashing.contains(&task.job) || task.index != 0 {
+            return false;
+        }
+        *self.crashes.entry(*task).or_default() += 1;
+        let down = Span(self.random.random_range(1_500_000..3_000_000));
+        let ahead = self.random.random_range(0..50_000);
+        self.happen(Event::Down(w, down, ahead));
+        true
+    }
+
+    /// Checks that no start brings an endpoint over its capacity that doesn't guard it.
+    fn judge_room(&self, w: usize) {
+        let worker = &self.workers[w];
+        let Some((at, cpu)) = self.resized.get(&w) else {
+            return;
+        };
+        let begun = worker.history.last().filter(|begun| begun.from == self.now);
+        if begun.is_some() && self.now.since(*at) > HEARD_OF {
+            assert!(
+                worker.taken(&self.needs) <= *cpu,
+                "{begun:?} at {}",
+                self.now.0
+            );
+        }
+    }
+
     fn answer_looks(&mut self) {
         let now = self.now;
         for (w, until, (i, life, call, sent), order) in std::mem::take(&mut self.parked) {
             let worker = &mut self.workers[w];
-            if !worker.up {
+            if !worker.up || worker.down {
                 continue;
             }
             if until > now && !worker.has_ends() {
@@ -850,10 +931,10 @@
         for job in &accepted {
             let mut tasks = self.needs.keys().filter(|task| task.job == *job);
             let failures = |task: &TaskId| all().filter(|b| b.task == *task && b.failed).count();
-            if tasks
-                .clone()
-                .any(|task| failures(task) >= ATTEMPTS as usize)
-            {
+            let crashes = |task: &TaskId| all().filter(|b| b.task == *task && b.crashed).count();
+            let given_up =
+                |task: &TaskId| failures(task) >= ATTEMPTS as usize || crashes(task) >= CRASHES;
+            if tasks.clone().any(given_up) {
                 continue;
             }
             let missing = tasks.find(|task| !done.contains(task));
@@ -865,10 +946,32 @@
         accepted.len()
     }
 
+    /// Checks that a stored job that crashes endpoints was accepted, and has failed: who asks now is told so.
+    pub(crate) fn settle_crashed(&mut self, job: JobId) {
+        let accepted = self.jobs[&job].answer == Some(Answer::Accepted);
+        assert!(accepted, "{:?}", self.jobs[&job]);
+        self.tickets += 1;
+        let (ticket, up) = (Ticket(self.tickets), |h: &Host| h.dispatcher.is_some());
+        let i = self.hosts.iter().position(up).unwrap();
+        self.hosts[i].tickets.insert(ticket, job);
+        let question = Question::State;
+        self.feed(
+            i,
+            Input::Asked {
+                ticket,
+                job,
+                question,
+            },
+        );
+        self.run(Span::seconds(3));
+        let standing = Answer::Standing(JobState::Failed);
+        assert_eq!(self.jobs[&job].answer, Some(standing));
+    }
+
     /// Checks what must hold at every moment.
     fn judge(&self) {
         let mut running: HashMap<TaskId, &str> = HashMap::new();
-        for worker in self.workers.iter().filter(|w| w.up) {
+        for worker in self.workers.iter().filter(|w| w.up && !w.down) {
             for task in worker.running.keys() {
                 let id = worker.listing.id.as_str();
                 if let Some(other) = running.insert(*task, id) {
@@ -941,6 +1044,30 @@
         self.at(after, Event::Leave(w));
     }
 
+    /// Lets an endpoint crash, and start again after a while under the name that it had.
+    pub(crate) fn down_at(&mut self, after: Span, w: usize, down: Span, ahead: u64) {
+        self.at(after, Event::Down(w, down, ahead));
+    }
+
+    /// Lets rows tell of new lives so late, or so early that it is before anything else does.
+    pub(crate) fn rows_lag(&mut self, lag: Span) {
+        self.row_lag = lag;
+    }
+
+    /// Hands in a job whose first task crashes each endpoint that starts it.
+    pub(crate) fn crash_with(&mut self, after: Span, job: JobId, tasks: u32) {
+        self.crashing.insert(job);
+        let i = self.random.random_range(0..self.hosts.len());
+        let takes = Span::millis(200);
+        self.at(after, Event::Submit(i, job, tasks, 1_000, takes));
+    }
+
+    /// Changes an endpoint's capacity while it runs; those of the fleet don't guard it from then on.
+    pub(crate) fn resize_at(&mut self, after: Span, w: usize, cpu: u64) {
+        self.workers[w].guarded = false;
+        self.at(after, Event::Resize(w, cpu));
+    }
+
     /// Evacuates a data centre for a while.
     pub(crate) fn evacuate_at(&mut self, after: Span, centre: &str, span: Span) {
         self.at(after, Event::Evacuate(centre.to_owned(), true));
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -8,6 +8,7 @@
         entry::Entry,
         id::{
             JobId,
+            Life,
             TaskId, //
         },
         message::{
@@ -48,6 +49,7 @@
     };
     let listing = Listing {
         id: "w-1".parse().unwrap(),
+        life: Life::default(),
         service: "cells".to_owned(),
         address: "w-1:80".to_owned(),
         centre: "a".to_owned(),
@@ -80,6 +82,7 @@
     };
     let listing = |i: usize| Listing {
         id: format!("w-{i}").parse().unwrap(),
+        life: Life::default(),
         service: "cells".to_owned(),
         address: format!("w-{i}:80"),
         centre: "a".to_owned(),
--- a/tests/fleet/readers.rs
+++ b/tests/fleet/readers.rs
@@ -1,10 +1,13 @@
 //! Who reads the list of endpoints, and how what has changed reaches the others.
 
 use poplarknot::{
-    dispatch::message::{
-        Input,
-        Listing,
-        Roster, //
+    dispatch::{
+        id::Life,
+        message::{
+            Input,
+            Listing,
+            Roster, //
+        }, //
     },
     prelude::*,
 };
@@ -26,6 +29,7 @@
 fn roster(version: u64, leaving: usize) -> Roster {
     let listing = |i: usize| Listing {
         id: format!("w-{i}").parse().unwrap(),
+        life: Life::default(),
         service: "cells".to_owned(),
         address: format!("10.9.0.{i}:80"),
         centre: format!("centre-{}", i % CENTRES),
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -10,6 +10,7 @@
         id::{
             Epoch,
             JobId,
+            Life,
             RackId,
             Run,
             TaskId,
@@ -23,6 +24,7 @@
             Ended,
             Input,
             Listing,
+            Lists,
             Message,
             Name,
             Order,
@@ -56,6 +58,7 @@
 fn listing(slots: u64) -> Listing {
     Listing {
         id: "w-1".parse().unwrap(),
+        life: Life::default(),
         service: "cells".to_owned(),
         address: "w-1:80".to_owned(),
         centre: "a".to_owned(),
@@ -136,11 +139,12 @@
                 continue;
             };
             let reply = match &order {
-                Order::Look { .. } => Reply::Looked {
+                Order::Look { .. } => Reply::Looked(Lists {
                     clock: now.0 / 1_000,
                     running: Vec::new(),
                     ended: Vec::new(),
-                },
+                    ..Lists::default()
+                }),
                 _ => Reply::Done {
                     clock: now.0 / 1_000,
                 },
@@ -176,14 +180,18 @@
         percent: None,
     };
     let now = START + Span::millis(1);
-    state.answered(7, START, now);
-    let (_, unknown) = state.looked(CallId(1), START, vec![unknown_run], Vec::new(), now);
+    let lists = Lists {
+        clock: 7,
+        running: vec![unknown_run],
+        ..Lists::default()
+    };
+    let (_, unknown) = state.looked(CallId(1), START, lists, now);
     assert_eq!(unknown.len(), 1);
     assert!(!state.takes(now));
     let later = now + Span::millis(60);
     let order = state.look(CallId(2), later).unwrap();
     assert!(matches!(order, Order::Look { lease: None, .. }));
-    state.looked(CallId(2), later, Vec::new(), Vec::new(), later);
+    state.looked(CallId(2), later, Lists::default(), later);
     assert_eq!(state.standing, Standing::Open);
     assert!(state.takes(later));
 }
@@ -194,8 +202,11 @@
 fn failed_looks_leave_time_between_them() {
     let mut state = State::claim(listing(4), Token(5), START);
     state.look(CallId(1), START).unwrap();
-    state.answered(7, START, START);
-    state.looked(CallId(1), START, Vec::new(), Vec::new(), START);
+    let lists = Lists {
+        clock: 7,
+        ..Lists::default()
+    };
+    state.looked(CallId(1), START, lists, START);
     assert_eq!(state.standing, Standing::Open);
     let task = TaskId {
         job: JobId(1),
@@ -209,6 +220,7 @@
         let now = START + Span::millis(n);
         if state.next_look() <= now && state.look(CallId(n + 2), now).is_some() {
             looks += 1;
+            state.unanswered();
             state.silent(CallId(n + 2), now);
         }
     }
@@ -263,11 +275,12 @@
         end: End::Done,
     };
     let now = START + Span::millis(140);
-    let reply = Reply::Looked {
+    let reply = Reply::Looked(Lists {
         clock: now.0 / 1_000,
         running: Vec::new(),
         ended: vec![ended],
-    };
+        ..Lists::default()
+    });
     let mut out = Effects::default();
     bench.owner.called(look.unwrap(), now, reply, now, &mut out);
     let to = RackId::of("cells", "a", "other");
@@ -373,11 +386,12 @@
         run: Run(1),
         end: End::Done,
     };
-    let reply = Reply::Looked {
+    let reply = Reply::Looked(Lists {
         clock: START.0 / 1_000,
         running: Vec::new(),
         ended: vec![ended],
-    };
+        ..Lists::default()
+    });
     let mut out = Effects::default();
     receiver.called(look.unwrap(), START, reply, START, &mut out);
     let reported = out.messages.iter().find_map(|(_, message)| match message {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -24,6 +24,7 @@
 };
 use hyper::Method;
 use nix::sys::signal::Signal;
+use runner::CRASH;
 use serde_json::json;
 use store::Mood;
 use support::{
@@ -428,6 +429,91 @@
     Ok(())
 }
 
+/// An endpoint starts again under its name while tasks run on it, with its clock and the numbers of its ends at the beginning. What it had
+/// runs again; what it starts from then on is heard of, though its ends have numbers that were seen before.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_starts_again_under_its_name() -> Result {
+    let mut fleet = Fleet::start(program(), 2, 2, LONG).await?;
+    for id in 0..3 {
+        let answer = fleet.nodes[0].submit(id, 4, 900).await?;
+        assert_eq!(state(&answer), "completed", "{}", fleet.logs());
+    }
+    let job = fleet.nodes[0].submit(10, 8, 900);
+    let mut runners = std::mem::take(&mut fleet.runners);
+    let reborn = async {
+        tokio::time::sleep(LONG / 3).await;
+        for runner in &mut runners {
+            runner.begin_anew(&fleet.store);
+        }
+    };
+    let (answer, ()) = tokio::join!(job, reborn);
+    assert_eq!(state(&answer?), "completed", "{}", fleet.logs());
+    let answer = fleet.nodes[1].submit(11, 8, 900).await?;
+    assert_eq!(state(&answer), "completed", "{}", fleet.logs());
+    fleet.runners = runners;
+    assert_eq!(fleet.judge(), 12 + 8 + 8 + 8);
+    Ok(())
+}
+
+/// A task crashes each endpoint that starts it; an endpoint is back after 1.5 s. Two crash, and its caller is told that the job has
+/// failed; the third endpoint is spared, and serves others all the while.
+#[tokio::test(flavor = "multi_thread")]
+async fn task_that_crashes_endpoints_fails_its_job() -> Result {
+    let fleet = Fleet::start(program(), 2, 3, SHORT).await?;
+    let crash = fleet.nodes[0].submit_spec(1, CRASH);
+    let others = async {
+        for id in 2..12 {
+            let answer = fleet.nodes[1].submit(id, 1, 60).await?;
+            assert_eq!(state(&answer), "completed", "{}", fleet.logs());
+            tokio::time::sleep(SHORT * 4).await;
+        }
+        Result::Ok(())
+    };
+    let (answer, others) = tokio::join!(crash, others);
+    others?;
+    assert_eq!(state(&answer?), "failed", "{}", fleet.logs());
+    let crashed = |runner: &runner::Runner| {
+        let history = runner.history();
+        history.iter().any(|past| past.how == "crashed")
+    };
+    let crashed = fleet
+        .runners
+        .iter()
+        .filter(|runner| crashed(runner))
+        .count();
+    assert_eq!(crashed, 2, "{}", fleet.logs());
+    fleet.judge();
+    Ok(())
+}
+
+/// An endpoint that doesn't guard its capacity shrinks to half of it while full. Nothing new starts there before what runs has ended that
+/// far; grown again, it is filled again.
+#[tokio::test(flavor = "multi_thread")]
+async fn capacity_that_shrinks_is_kept_to() -> Result {
+    let mut fleet = Fleet::start(program(), 1, 1, LONG).await?;
+    let mut runner = fleet.runners.remove(0);
+    let job = fleet.nodes[0].submit(1, 10, 900);
+    let resize = async {
+        tokio::time::sleep(LONG / 3).await;
+        runner.resize(&fleet.store, 2);
+    };
+    let (answer, ()) = tokio::join!(job, resize);
+    assert_eq!(state(&answer?), "completed", "{}", fleet.logs());
+    let past = runner.history();
+    let shrunk = past[0].from + LONG;
+    let beside = |at: Instant| {
+        past.iter()
+            .filter(|p| p.from <= at && p.until.is_none_or(|u| u > at))
+            .count()
+    };
+    for run in past.iter().filter(|run| run.from > shrunk) {
+        assert!(beside(run.from) <= 2, "{past:?}");
+    }
+    runner.resize(&fleet.store, 4);
+    assert_eq!(state(&fleet.nodes[0].submit(2, 8, 900).await?), "completed");
+    Ok(())
+}
+
 /// All instances are killed at once and started again: nothing but the store has survived. They find each other and
 /// serve.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -199,6 +199,15 @@
         self.submit_over(&mut client, id, &body).await
     }
 
+    #[allow(dead_code)] // Only some tests say what a task is told.
+    /// Hands a job in whose tasks are told `spec`.
+    pub(crate) async fn submit_spec(&self, id: u64, spec: &str) -> Result<Response> {
+        let mut client = Client::connect(self.front()).await?;
+        let mut body = job_body(1, 60, true);
+        body["spec"] = json!(spec);
+        self.submit_over(&mut client, id, &body).await
+    }
+
     /// Hands a job in over a connection that may have been used before.
     pub(crate) async fn submit_over(
         &self,
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -36,9 +36,18 @@
     }, //
 };
 
+/// What a task is told that crashes its endpoint.
+pub(crate) const CRASH: &str = "crash";
+
+/// How long an endpoint is down after a crash.
+const DOWN: Duration = Duration::from_millis(1_500);
+
 /// What an endpoint's clock shows at its start, in milliseconds.
 const CLOCK: u64 = 5_000;
 
+/// When the first life of each endpoint began, in milliseconds since 1970.
+const BORN: u64 = 1_700_000_000_000;
+
 /// A run, as it was.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Past {
@@ -64,6 +73,13 @@
     serial: u64,
     lease: u64,
     token: u64,
+    /// One life of it, in milliseconds since 1970, and when that began.
+    born: u64,
+    begun: Option<Instant>,
+    /// Until when it is down: it answers nothing, and begins anew then.
+    down: Option<Instant>,
+    /// Whether it starts what doesn't fit.
+    unguarded: bool,
     /// How long tasks run.
     takes: Duration,
     /// How many tasks fit.
@@ -91,21 +107,22 @@
         let state = Arc::new(Mutex::new(State {
             takes,
             slots,
+            born: BORN,
+            begun: Some(Instant::now()),
             ..State::default()
         }));
-        let begun = Instant::now();
         let ended = Arc::new(Notify::new());
         let (s, name) = (state.clone(), id.to_owned());
         let server = Server::start(64, move |request| {
             let (state, ended, name) = (s.clone(), ended.clone(), name.clone());
-            async move { serve(&state, &ended, begun, &name, request).await }
+            async move { serve(&state, &ended, &name, request).await }
         })?;
         let address = server.address().to_string();
         let row = json!({
             "service": "cells", "address": address, "zone": centre, "version": "v1",
             "slots": slots, "state": "ready", "cold_remaining_ms": 0,
             "capacity": {"cpu": slots * 1000, "mem_mb": 32768, "gpu": 0},
-            "labels": ["a", rack], "clock_ms": 5000, "sequence": 1,
+            "labels": ["a", rack], "clock_ms": 5000, "sequence": 1, "born": BORN,
         });
         Ok(Self {
             id: id.to_owned(),
@@ -139,6 +156,22 @@
         self.state.lock().unwrap().history.clone()
     }
 
+    /// Begins anew under its name, and says so in its row.
+    pub(crate) fn begin_anew(&mut self, store: &Store) {
+        let mut state = self.state.lock().unwrap();
+        state.begin_anew();
+        self.row["born"] = json!(state.born);
+        drop(state);
+        self.enlist(store);
+    }
+
+    /// Changes what it has, and doesn't guard it any more.
+    pub(crate) fn resize(&mut self, store: &Store, slots: usize) {
+        self.state.lock().unwrap().unguarded = true;
+        self.row["capacity"]["cpu"] = json!(slots * 1_000);
+        self.enlist(store);
+    }
+
     /// Leaves the next orders without an answer, after they were carried out.
     pub(crate) fn mute(&self, orders: usize) {
         self.state.lock().unwrap().mute = orders;
@@ -146,9 +179,48 @@
 }
 
 impl State {
+    /// Ends what runs without a word.
+    fn crash(&mut self) {
+        for run in std::mem::take(&mut self.running).into_values() {
+            (self.history[run.place].until, self.history[run.place].how) =
+                (Some(Instant::now()), "crashed");
+        }
+    }
+
+    /// Forgets everything, as a process that starts again.
+    fn begin_anew(&mut self) {
+        self.crash();
+        *self = Self {
+            born: self.born + 1,
+            begun: Some(Instant::now()),
+            takes: self.takes,
+            slots: self.slots,
+            unguarded: self.unguarded,
+            history: std::mem::take(&mut self.history),
+            ..Self::default()
+        };
+    }
+
+    /// Tells whether it is down; one whose time has come begins anew.
+    fn is_down(&mut self) -> bool {
+        match self.down {
+            Some(until) if until <= Instant::now() => {
+                self.begin_anew();
+                false
+            }
+            down => down.is_some(),
+        }
+    }
+
+    fn clock(&self) -> u64 {
+        let begun = self.begun.map_or(Duration::ZERO, |begun| begun.elapsed());
+        CLOCK + begun.as_millis() as u64
+    }
+
     /// Ends what has ended since the last call: at its own time, or when its lease passed before that.
-    fn pass(&mut self, begun: Instant) {
+    fn pass(&mut self) {
         let now = Instant::now();
+        let begun = self.begun.unwrap_or(now);
         let lapse = begun + Duration::from_millis(self.lease.saturating_sub(CLOCK));
         let over: Vec<(String, Instant)> = self
             .running
@@ -179,7 +251,8 @@
         *barred = (*barred).max(run);
     }
 
-    fn start(&mut self, body: &Value, clock: u64) -> Result<(), &'static str> {
+    fn start(&mut self, body: &Value) -> Result<(), &'static str> {
+        let clock = self.clock();
         let (Some(task), Some(run), Some(lease)) = (
             body["task"].as_str(),
             body["run"].as_u64(),
@@ -196,7 +269,7 @@
         if lease <= clock {
             return Err("late");
         }
-        if self.running.len() >= self.slots {
+        if !self.unguarded && self.running.len() >= self.slots {
             return Err("room");
         }
         self.lease = self.lease.max(lease.min(clock + 1_000));
@@ -217,25 +290,18 @@
         Ok(())
     }
 
-    fn lists(&self, clock: u64) -> Value {
+    fn lists(&self) -> Value {
         let running = self.running.iter();
         let running: Vec<Value> = running.map(|(t, r)| json!([t, r.run, "", 40])).collect();
         let finished = self.finished.iter();
         let finished: Vec<Value> = finished
             .map(|(n, task, run, how)| json!([n, task, run, how, ""]))
             .collect();
-        json!({"clock_ms": clock, "running": running, "finished": finished})
+        json!({"clock_ms": self.clock(), "born": self.born, "running": running, "finished": finished})
     }
 }
 
-async fn serve(
-    state: &Mutex<State>,
-    ended: &Notify,
-    begun: Instant,
-    name: &str,
-    request: Request,
-) -> Response {
-    let clock = || CLOCK + begun.elapsed().as_millis() as u64;
+async fn serve(state: &Mutex<State>, ended: &Notify, name: &str, request: Request) -> Response {
     let body: Value = serde_json::from_slice(&request.body).ok()?;
     let expected = request.header("x-poplarknot-expected-instance");
     if expected.is_some_and(|expected| expected != name) {
@@ -243,17 +309,29 @@
     }
     let response = {
         let mut state = state.lock().unwrap();
-        state.pass(begun);
+        if state.is_down() {
+            return None;
+        }
+        state.pass();
         let token = body["fencing_token"].as_u64().unwrap_or(0);
         if token < state.token {
-            return answer(409, &json!({"clock_ms": clock(), "reason": "fence"}));
+            return answer(409, &json!({"clock_ms": state.clock(), "reason": "fence"}));
         }
         state.token = token;
         let response = match request.path.as_str() {
-            "/api/run-start" => Some(match state.start(&body, clock()) {
-                Ok(()) => answer(200, &json!({"clock_ms": clock()})),
-                Err(reason) => answer(409, &json!({"clock_ms": clock(), "reason": reason})),
-            }),
+            "/api/run-start" => {
+                let started = state.start(&body);
+                if started.is_ok() && body["spec"] == CRASH {
+                    state.crash();
+                    state.down = Some(Instant::now() + DOWN);
+                    return None;
+                }
+                let clock = state.clock();
+                Some(match started {
+                    Ok(()) => answer(200, &json!({"clock_ms": clock})),
+                    Err(reason) => answer(409, &json!({"clock_ms": clock, "reason": reason})),
+                })
+            }
             "/api/run-stop" => {
                 let (task, run) = (body["task"].as_str()?, body["run"].as_u64()?);
                 if state
@@ -265,11 +343,11 @@
                     ended.notify_waiters();
                 }
                 state.bar(task, run);
-                Some(answer(200, &json!({"clock_ms": clock()})))
+                Some(answer(200, &json!({"clock_ms": state.clock()})))
             }
             "/api/hold" => {
                 if let Some(lease) = body["deadline_ms"].as_u64() {
-                    state.lease = state.lease.max(lease.min(clock() + 1_000));
+                    state.lease = state.lease.max(lease.min(state.clock() + 1_000));
                 }
                 let seen = body["last_seen"].as_u64().unwrap_or(0);
                 state.finished.retain(|(n, ..)| *n > seen);
@@ -285,35 +363,23 @@
     };
     match response {
         Some(response) => response,
-        None => {
-            hold(
-                state,
-                ended,
-                begun,
-                &clock,
-                body["wait_ms"].as_u64().unwrap_or(0),
-            )
-            .await
-        }
+        None => hold(state, ended, body["wait_ms"].as_u64().unwrap_or(0)).await,
     }
 }
 
 /// Answers a look at the next end, or when its wait is over.
-async fn hold(
-    state: &Mutex<State>,
-    ended: &Notify,
-    begun: Instant,
-    clock: &impl Fn() -> u64,
-    wait: u64,
-) -> Response {
+async fn hold(state: &Mutex<State>, ended: &Notify, wait: u64) -> Response {
     let until = Instant::now() + Duration::from_millis(wait);
     loop {
         let notified = ended.notified();
         let next = {
             let mut state = state.lock().unwrap();
-            state.pass(begun);
+            if state.is_down() {
+                return None;
+            }
+            state.pass();
             if !state.finished.is_empty() || Instant::now() >= until {
-                return answer(200, &state.lists(clock()));
+                return answer(200, &state.lists());
             }
             state.running.values().map(|run| run.ends).min()
         };
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -2,6 +2,7 @@
 
 use poplarknot::{
     dispatch::{
+        id::Life,
         message::{
             Listing,
             Roster, //
@@ -19,6 +20,7 @@
 fn listing(id: &str) -> Listing {
     Listing {
         id: id.parse().unwrap(),
+        life: Life::default(),
         service: "cells".to_owned(),
         address: "10.0.0.9:80".to_owned(),
         centre: "a".to_owned(),
