Traces of lost instances and endpoints: what is harmed runs until it is

The tasks that are harmed run for a minute now, unless they are stopped, and those that are started after the harm for 900 ms. The checks are the same.

--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -172,6 +172,12 @@
         self.enlist(store);
     }
 
+    #[allow(dead_code)] // Only some tests change it.
+    /// Changes how long tasks run that are started from now on.
+    pub(crate) fn take(&self, takes: Duration) {
+        self.state.lock().unwrap().takes = takes;
+    }
+
     /// Leaves the next orders without an answer, after they were carried out.
     pub(crate) fn mute(&self, orders: usize) {
         self.state.lock().unwrap().mute = orders;
--- a/tests/trace/scenes.rs
+++ b/tests/trace/scenes.rs
@@ -24,8 +24,10 @@
     },
 };
 
-/// How long tasks run: long enough to be harmed in the middle.
+/// How long tasks run.
 const TASK: Duration = Duration::from_millis(900);
+/// How long tasks run that are harmed before their end, however busy the machine is.
+const ENDLESS: Duration = Duration::from_secs(60);
 /// When the harm is done after a job has come.
 const MIDDLE: Duration = Duration::from_millis(300);
 /// When a caller comes again whose connection broke.
@@ -74,8 +76,8 @@
     }
 }
 
-async fn calm(program: &Path, nodes: usize, runners: usize) -> Result<Fleet> {
-    let fleet = Fleet::start(program, nodes, runners, TASK).await?;
+async fn calm(program: &Path, nodes: usize, runners: usize, takes: Duration) -> Result<Fleet> {
+    let fleet = Fleet::start(program, nodes, runners, takes).await?;
     sleep(CALM).await;
     Ok(fleet)
 }
@@ -83,11 +85,13 @@
 /// The instance that took a job in is killed while its tasks run on endpoints that others own. Its caller's connection
 /// breaks. The others stop what ran, and the caller comes again and has its answer.
 pub(crate) async fn lost_instance(program: &Path) -> Result<Scene> {
-    let fleet = calm(program, 3, 4).await?;
+    let fleet = calm(program, 3, 4, ENDLESS).await?;
     let id = 0xa01;
     let (first, second) = tokio::join!(fleet.nodes[0].submit(id, 2, 900), async {
         sleep(MIDDLE).await;
         fleet.nodes[0].signal(Signal::SIGKILL)?;
+        // What runs goes on until it is stopped; what is started from now on ends.
+        fleet.runners.iter().for_each(|runner| runner.take(TASK));
         sleep(AGAIN).await;
         fleet.nodes[1].submit(id, 2, 900).await
     });
@@ -101,7 +105,7 @@
 
 /// The only endpoint dies while it runs a job's tasks, and no other can run them in its caller's time.
 pub(crate) async fn lost_endpoint(program: &Path) -> Result<Scene> {
-    let mut fleet = calm(program, 1, 1).await?;
+    let mut fleet = calm(program, 1, 1, ENDLESS).await?;
     let id = 0xa02;
     let runner = fleet.runners.pop();
     let (answer, ()) = tokio::join!(fleet.nodes[0].submit(id, 2, 900), async {
@@ -114,7 +118,7 @@
 
 /// More jobs come than the endpoints can run in their callers' time; the last one is refused at once.
 pub(crate) async fn overload(program: &Path) -> Result<Scene> {
-    let fleet = calm(program, 1, 1).await?;
+    let fleet = calm(program, 1, 1, TASK).await?;
     let node = &fleet.nodes[0];
     let id = 0xb00 + CROWD;
     let crowd = join_all((0..CROWD).map(|n| node.submit(0xb00 + n, 4, 900)));
@@ -129,7 +133,7 @@
 /// Jobs that must be stored come at an instance that coordinates their shard. The store answers the first, and leaves all calls
 /// for the second unanswered: whether that one was stored is open when its caller's time is gone.
 pub(crate) async fn lost_store(program: &Path) -> Result<Scene> {
-    let fleet = calm(program, 2, 2).await?;
+    let fleet = calm(program, 2, 2, TASK).await?;
     let id = 0xc01;
     let before = (1..).find(|n| JobId(*n).shard() == JobId(id).shard());
     let step = json!({"count": 2, "cpu": 1000, "mem_mb": 64, "estimated_ms": 900});
