Waiting tasks go by their queue's priority, and then by how little their job takes

Expected: in a burst the short, urgent jobs wait behind long ones whose time is further off, and a count of callers is served that could be larger.

A task that has waited five seconds past its time goes in front of all, so that stored jobs with much work don't starve; callers that wait for an answer have gone by then. The queue's priority was read before and used nowhere.

--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -41,6 +41,7 @@
             tickets: Vec::new(),
             service: accepted.service.clone(),
             attempts: accepted.attempts,
+            priority: accepted.priority,
             arrived: now,
             due: now + accepted.objective,
             useful: now + FOREVER,
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -806,6 +806,10 @@
     pub spec: String,
     /// How many runs of a task may fail.
     pub attempts: u32,
+    /// Zero goes first.
+    pub priority: u32,
+    /// The work of its whole job, in core-milliseconds.
+    pub work: u64,
     /// Whether its data ties it to the rack.
     pub tied: bool,
     /// Whether the ends of its runs must be stored before endpoints forget them.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -52,6 +52,7 @@
     },
     patience::Patience,
     queue::{
+        Claim,
         Handle,
         Queue,
         Waiting, //
@@ -414,8 +415,13 @@
     fn enqueue(&mut self, batch: Handle, load: &Load, index: u32, now: Time) {
         if let Some(rack) = self.racks.get_mut(&load.batch.rack) {
             let waiting = Waiting { batch, index };
-            let work = load.batch.need.cpu * load.batch.estimate.as_millis() / 1_000;
-            rack.queue.push(waiting, load.due, now, work);
+            let claim = Claim {
+                due: load.due,
+                priority: load.batch.priority,
+                job: load.batch.work,
+                work: load.batch.need.cpu * load.batch.estimate.as_millis() / 1_000,
+            };
+            rack.queue.push(waiting, claim, now);
             rack.changed = true;
         }
     }
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -94,7 +94,7 @@
         if rack.queue.is_empty() {
             return;
         }
-        rack.queue.demote(now);
+        rack.queue.turn(now);
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
         let mut misfits: Vec<Misfit> = Vec::new();
         let mut hopeless = Vec::new();
--- a/src/dispatch/requests.rs
+++ b/src/dispatch/requests.rs
@@ -102,6 +102,7 @@
             route: route.name.clone(),
             service: route.service.clone(),
             attempts: route.attempts.max(1),
+            priority: route.priority,
             objective: route.objective(submission.chain()),
             submission,
         };
--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -80,6 +80,16 @@
 }
 
 impl Submission {
+    /// Returns the work of all of its tasks by their estimates, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        let steps = self.steps.iter();
+        let work = steps.map(|step| {
+            let each = step.need.cpu.saturating_mul(step.estimate.as_millis()) / 1_000;
+            each.saturating_mul(u64::from(step.count))
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// Returns the longest chain of estimates over the steps.
     pub fn chain(&self) -> Span {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
@@ -103,6 +113,9 @@
     pub service: String,
     /// How many runs of a task may fail.
     pub attempts: u32,
+    /// The queue's priority: zero goes first.
+    #[serde(default)]
+    pub priority: u32,
     /// How long after its arrival it is on time.
     pub objective: Span,
 }
--- a/tests/dispatch/overload.rs
+++ b/tests/dispatch/overload.rs
@@ -7,6 +7,7 @@
         id::JobId,
         message::Answer,
         queue::{
+            Claim,
             Handle,
             Queue,
             Waiting, //
@@ -103,12 +104,18 @@
         batch: Handle(n),
         index: 0,
     };
+    let claim = |due: Time| Claim {
+        due,
+        priority: 0,
+        job: 5,
+        work: 5,
+    };
     for (n, due) in [(1, 30), (2, 10), (3, 50)] {
-        queue.push(waiting(n), at(due), at(0), 5);
+        queue.push(waiting(n), claim(at(due)), at(0));
     }
     let order = |queue: &Queue| queue.iter().map(|w| w.batch.0).collect::<Vec<u64>>();
     assert_eq!(order(&queue), [2, 1, 3]);
-    queue.demote(at(40));
+    queue.turn(at(40));
     assert_eq!(order(&queue), [3, 2, 1]);
     assert_eq!(queue.work(), 15);
     assert!(queue.remove(waiting(2)));
@@ -175,3 +182,40 @@
         assert_eq!(owned, 6, "seed {seed}");
     }
 }
+
+/// Jobs of three queues wait for one endpoint after a burst: short ones whose operator puts them first, wide ones of the same queue,
+/// and long ones of another. While all are on time, and again when all are late, what is put first goes first, and of that what
+/// takes least. One that has waited long past its time goes before any other, however little that takes, so that none waits for
+/// ever.
+#[test]
+fn priority_and_little_work_go_first_but_none_starves() {
+    let mut queue = Queue::default();
+    let at = |ms: u64| Time(1_000_000) + Span::millis(ms);
+    let waiting = |n: u64| Waiting {
+        batch: Handle(n),
+        index: 0,
+    };
+    let claim = |due: u64, priority: u32, job: u64| Claim {
+        due: at(due),
+        priority,
+        job,
+        work: 1,
+    };
+    let (long, wide, short) = (claim(40, 2, 90), claim(50, 0, 80), claim(60, 0, 10));
+    for (n, claim) in [(1, long), (2, wide), (3, short)] {
+        queue.push(waiting(n), claim, at(0));
+    }
+    let order = |queue: &Queue| queue.iter().map(|w| w.batch.0).collect::<Vec<u64>>();
+    assert_eq!(order(&queue), [3, 2, 1]);
+    queue.turn(at(100));
+    assert_eq!(order(&queue), [3, 2, 1]);
+    queue.push(waiting(4), claim(200, 2, 90), at(100));
+    assert_eq!(
+        order(&queue),
+        [4, 3, 2, 1],
+        "what can be on time goes first"
+    );
+    queue.turn(at(6_000));
+    queue.push(waiting(5), claim(6_100, 0, 1), at(6_000));
+    assert_eq!(order(&queue), [1, 2, 3, 4, 5], "none waits for ever");
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -390,6 +390,7 @@
         route: "queue".to_owned(),
         service: "cells".to_owned(),
         attempts: 3,
+        priority: 0,
         objective: Span::seconds(1),
     };
     let mut out = Effects::default();
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -91,6 +91,8 @@
         per_endpoint: None,
         spec: String::new(),
         attempts: 2,
+        priority: 0,
+        work: 60,
         tied: false,
         stored: false,
         slack: Some(Span::seconds(1)),
