A task that failed on an endpoint goes to another one

Cause: an endpoint that fails what it starts is done with it at once, so that it has room again, and best fit chose it for the same task until its attempts were used up.

The owner remembers where a task's last run failed and places it on any other endpoint of the rack. The test is red without it: two jobs of sixty are told `failed`, now none.

--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -91,7 +91,7 @@
 }
 
 /// A task that is not done.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Progress {
     next: Run,
     failures: u32,
@@ -99,6 +99,8 @@
     restarts: u32,
     /// Whether endpoints crash under it.
     suspicion: Suspicion,
+    /// Where its last run failed.
+    failed_on: Option<Endpoint>,
 }
 
 impl Default for Progress {
@@ -108,6 +110,7 @@
             failures: 0,
             restarts: 0,
             suspicion: Suspicion::default(),
+            failed_on: None,
         }
     }
 }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -259,7 +259,7 @@
                     let record = Record::new("task_failed").job(task.job);
                     let record = record.with("task", task.to_string());
                     out.log(record.with("endpoint", id.as_str()));
-                    self.failed(task, handle, now, out);
+                    self.failed(id, task, handle, now, out);
                 }
                 Event::Gone(task, handle, next) => {
                     self.busy.remove(&task);
@@ -368,7 +368,14 @@
         }
     }
 
-    pub(super) fn failed(&mut self, task: TaskId, handle: Handle, now: Time, out: &mut Effects) {
+    pub(super) fn failed(
+        &mut self,
+        id: &Endpoint,
+        task: TaskId,
+        handle: Handle,
+        now: Time,
+        out: &mut Effects,
+    ) {
         let Some(load) = self.loads.get_mut(&handle) else {
             return;
         };
@@ -376,6 +383,7 @@
             return;
         };
         progress.failures += 1;
+        progress.failed_on = Some(id.clone());
         if progress.failures >= load.batch.attempts {
             return self.finish(handle, Outcome::Failed, out);
         }
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -183,8 +183,13 @@
             .iter()
             .filter_map(|id| self.endpoints.get(id));
         let suspect = load.is_suspect(index);
+        let failed_on = load.tasks.get(&index);
+        let failed_on = failed_on.and_then(|progress| progress.failed_on.as_ref());
+        let others = |id: &Endpoint| rack.endpoints.iter().any(|other| other != id);
+        let avoided = failed_on.filter(|id| others(id));
         let beside = |state: &State| if suspect { state.executions.len() } else { 0 };
         let best = states.filter(fits);
+        let best = best.filter(|state| Some(&state.listing.id) != avoided);
         let best = best.min_by_key(|state| (beside(state), state.free.cpu))?;
         Some(best.listing.id.clone())
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -11,6 +11,8 @@
 mod evacuation;
 #[path = "dispatch/overload.rs"]
 mod overload;
+#[path = "dispatch/placement.rs"]
+mod placement;
 #[path = "dispatch/rows.rs"]
 mod rows;
 #[path = "dispatch/stored.rs"]
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -74,6 +74,8 @@
     pub running: BTreeMap<TaskId, Active_>,
     pub history: Vec<Begun>,
     pub up: bool,
+    /// Whether it fails what it starts.
+    pub failing: bool,
     /// Whether it is down for a while, refuses connections, and is still listed.
     pub down: bool,
     /// Whether it refuses what doesn't fit.
@@ -111,6 +113,7 @@
             running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
+            failing: false,
             down: false,
             guarded: true,
             ended: Vec::new(),
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -112,6 +112,7 @@
     Part(usize, usize, bool),
     Silence(usize, bool),
     Pace(usize, f64),
+    Fail(usize, bool),
     Crash(usize),
     Drain(usize),
     Leave(usize),
@@ -557,7 +558,9 @@
                     Order::Start { task, .. } => self.takes.get(&task.job).copied(),
                     _ => None,
                 };
-                let fails = self.random.random_bool(self.faults.failures);
+                let failing = self.workers[w].failing;
+                let fails = self.random.random_bool(self.faults.failures) || failing;
+                let takes = takes.map(|takes| if failing { Span::millis(1) } else { takes });
                 let now = self.now;
                 if self.workers[w].down {
                     let reply = Box::new(Reply::Unsent);
@@ -648,6 +651,7 @@
                 };
             }
             Event::Pace(w, pace) => self.workers[w].pace = pace,
+            Event::Fail(w, on) => self.workers[w].failing = on,
             Event::Crash(w) => {
                 let now = self.now;
                 self.workers[w].crash(now);
@@ -1036,6 +1040,12 @@
         self.at(after + span, Event::Pace(w, 1.0));
     }
 
+    /// Lets an endpoint fail whatever it starts, at once.
+    pub(crate) fn fail_at(&mut self, after: Span, w: usize, span: Span) {
+        self.at(after, Event::Fail(w, true));
+        self.at(after + span, Event::Fail(w, false));
+    }
+
     pub(crate) fn crash_at(&mut self, after: Span, w: usize) {
         self.at(after, Event::Crash(w));
     }
