Racks that fill up, or have space again, are told within 20 ms

Cause: room is told every 72 ms in a fleet of 29, since heartbeats are bounded; tasks of 60 ms begin and end in between.

--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -160,7 +160,9 @@
         let close = self.members.all().filter(|m| m.is_close(now));
         let interval = Span(ROOMS.0 * (close.count() as u64).max(AUDIENCE) / AUDIENCE);
         let due = now.since(self.announced) >= HEARTBEAT;
-        let changed = now.since(self.rooms) >= interval && self.owner.changed(now);
+        let since = now.since(self.rooms);
+        let turned = since >= ROOMS && self.owner.turned(now);
+        let changed = turned || since >= interval && self.owner.changed(now);
         if !due && !changed {
             return;
         }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -70,6 +70,8 @@
     changed: bool,
     /// How many of its endpoints took tasks when it was told.
     open: usize,
+    /// Whether it had space then.
+    spacious: bool,
 }
 
 /// A batch that this instance runs.
@@ -214,6 +216,7 @@
             queue: Queue::default(),
             changed: true,
             open: 0,
+            spacious: false,
         };
         self.racks.entry(rack).or_insert(fresh).token = token;
         self.claims += 1;
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -4,7 +4,10 @@
 
 use super::{
     super::{
-        endpoint::Standing,
+        endpoint::{
+            Standing,
+            State, //
+        },
         id::RackId,
         message::{
             Cause,
@@ -34,6 +37,21 @@
         racks.any(|rack| rack.changed || rack.open != self.open(rack, now))
     }
 
+    /// Tells whether some rack has filled up, or has space again, since it was told.
+    ///
+    /// Others send tasks to where they think there is space. Told late, tasks waited on racks that had filled up, while endpoints of
+    /// others had nothing to do; what changes between these two can be told later.
+    pub fn turned(&self, now: Time) -> bool {
+        let mut racks = self.racks.values();
+        racks.any(|rack| rack.spacious != self.is_spacious(rack, now))
+    }
+
+    fn is_spacious(&self, rack: &Rack, now: Time) -> bool {
+        let states = rack.endpoints.iter();
+        let mut states = states.filter_map(|id| self.endpoints.get(id));
+        states.any(|state| state.takes(now) && has_space(state))
+    }
+
     /// Counts the endpoints of a rack that take tasks.
     pub(super) fn open(&self, rack: &Rack, now: Time) -> usize {
         let states = rack
@@ -51,7 +69,10 @@
             .map(|(id, rack)| self.vacancy(*id, rack, now))
             .collect();
         for vacancy in &rooms {
+            let rack = self.racks.get(&vacancy.rack);
+            let spacious = rack.is_some_and(|rack| self.is_spacious(rack, now));
             if let Some(rack) = self.racks.get_mut(&vacancy.rack) {
+                rack.spacious = spacious;
                 rack.changed = false;
                 rack.open = vacancy.free.len();
             }
@@ -89,8 +110,7 @@
                 .endpoints
                 .iter()
                 .filter_map(|id| self.endpoints.get(id));
-            let open =
-                states.filter(|s| s.takes(now) && s.free.cpu * SPACE >= s.listing.capacity.cpu);
+            let open = states.filter(|state| state.takes(now) && has_space(state));
             let rooms: Vec<Room> = open.map(|state| state.free).collect();
             if !rooms.is_empty() {
                 found.push((*id, rooms));
@@ -173,3 +193,8 @@
         (waiting, runs, open)
     }
 }
+
+/// Tells whether enough of an endpoint is free to ask for tasks of others.
+fn has_space(state: &State) -> bool {
+    state.free.cpu * SPACE >= state.listing.capacity.cpu
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -431,3 +431,42 @@
     assert_eq!(dispatcher.standing().racks, 0);
     assert!(!outputs.iter().any(|o| matches!(o, Output::Call { .. })));
 }
+
+/// A rack fills up, and later has space again. Both are told to the others at once: until then they send tasks to wait there while
+/// endpoints elsewhere have nothing to do, or leave its endpoints idle.
+#[test]
+fn racks_that_fill_up_are_told_at_once() {
+    let mut bench = Bench::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    bench.owner.rooms(true, START);
+    assert!(!bench.owner.turned(START));
+    bench.owner.accept(&own, batch(1, vec![0]), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 1);
+    assert!(bench.owner.turned(START), "it has filled up");
+    assert!(bench.owner.rooms(false, START)[0].free[0].cpu == 0);
+    assert!(!bench.owner.turned(START), "that is told");
+    let mut out = Effects::default();
+    bench.owner.cancel(&own, 1, START, &mut out);
+    let stopped = START + Span::millis(1);
+    bench.work(stopped);
+    for output in out.outputs {
+        let Output::Call {
+            call,
+            order: Order::Stop { .. },
+            ..
+        } = output
+        else {
+            continue;
+        };
+        let reply = Reply::Done {
+            clock: stopped.0 / 1_000,
+        };
+        bench
+            .owner
+            .called(call, stopped, reply, stopped, &mut Effects::default());
+    }
+    let later = stopped + Span::millis(130);
+    bench.work(later);
+    assert!(bench.owner.turned(later), "it has space again");
+}
