--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -103,21 +103,6 @@
     route: String,
 }
 
-impl Job {
-    /// Tells whether some of its tasks are done.
-    fn has_begun(&self) -> bool {
-        let mut steps = self.submission.steps.iter().zip(&self.steps);
-        steps.any(|(step, progress)| progress.left.len() < step.count as usize)
-    }
-
-    /// Returns the work of its tasks that aren't done, in core-milliseconds.
-    fn work_left(&self) -> u64 {
-        let steps = self.submission.steps.iter().zip(&self.steps);
-        let work = steps.map(|(step, progress)| step.work(progress.left.len()));
-        work.fold(0, u64::saturating_add)
-    }
-}
-
 /// How far a step has come.
 #[derive(Debug, Clone)]
 struct Progress {
@@ -529,8 +514,7 @@
             spec: job.submission.spec.clone(),
             attempts: job.attempts,
             priority: job.priority,
-            work: job.work_left(),
-            begun: job.has_begun(),
+            work: job.submission.work(),
             tied: wanted.affinity.as_ref() == Some(&rack.name),
             stored: job.stored,
             slack: (latest > now).then(|| latest.since(now)),
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -18,7 +18,6 @@
     Loose,
     Sent,
     AUDIT,
-    CAUTION,
     DOUBT,
     ELSEWHERE, //
 };
@@ -80,25 +79,7 @@
                 self.end(id, why, now, out);
                 return stored.then_some(id);
             }
-            Outcome::Hopeless => {
-                let step = &mut job.steps[sent.step as usize];
-                step.left.retain(|task| !done.contains(task));
-                let estimate = job.submission.steps[sent.step as usize].estimate;
-                let in_time = now + Span((estimate.0 as f64 * CAUTION) as u64) <= job.until;
-                if !job.has_begun() || job.ending || !in_time {
-                    self.end(id, "its time can't be met", now, out);
-                    return None;
-                }
-                // It is late beyond use where it waited, but not for its caller, and what it lacks is less than what is done.
-                let tasks = sent.tasks.into_iter().filter(|task| !done.contains(task));
-                job.loose.push(Loose {
-                    step: sent.step,
-                    tasks: tasks.collect(),
-                    at: now,
-                    hint: None,
-                });
-                self.work(now, out);
-            }
+            Outcome::Hopeless => self.end(id, "its time can't be met", now, out),
             Outcome::Dropped => self.end(id, "given up", now, out),
         }
         None
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -808,10 +808,8 @@
     pub attempts: u32,
     /// Zero goes first.
     pub priority: u32,
-    /// The work that is left of its whole job, in core-milliseconds.
+    /// The work of its whole job, in core-milliseconds.
     pub work: u64,
-    /// Whether other tasks of its job are done: given up, they would have been run for nothing.
-    pub begun: bool,
     /// Whether its data ties it to the rack.
     pub tied: bool,
     /// Whether the ends of its runs must be stored before endpoints forget them.
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -129,7 +129,7 @@
             };
             if !carried {
                 unfit.entry(waiting.batch).or_default().push(waiting.index);
-            } else if now + least > load.useful && !load.started && !load.batch.begun {
+            } else if now + least > load.useful && !load.started {
                 hopeless.push(waiting.batch);
             } else if misfits.len() > LOOK_AHEAD {
                 break;
--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -64,14 +64,6 @@
     pub unsupported: Option<String>,
 }
 
-impl Step {
-    /// Returns the work of so many of its tasks by their estimate, in core-milliseconds.
-    pub fn work(&self, tasks: usize) -> u64 {
-        let each = self.need.cpu.saturating_mul(self.estimate.as_millis()) / 1_000;
-        each.saturating_mul(tasks as u64)
-    }
-}
-
 /// A job as it came.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Submission {
@@ -88,6 +80,16 @@
 }
 
 impl Submission {
+    /// Returns the work of all of its tasks by their estimates, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        let steps = self.steps.iter();
+        let work = steps.map(|step| {
+            let each = step.need.cpu.saturating_mul(step.estimate.as_millis()) / 1_000;
+            each.saturating_mul(u64::from(step.count))
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// Returns the longest chain of estimates over the steps.
     pub fn chain(&self) -> Span {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
