Racks with room left over ask for tasks that fit in it, also where others wait

Cause: a rack asked others for waiting tasks only where nothing waited on it. Two tasks of 26 to 38 cores fit an endpoint of 64 or don't, so that under load most racks have a wide task waiting and a hole that is too small for it, while narrower ones wait elsewhere.

--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -101,11 +101,12 @@
         }
     }
 
-    /// Returns the racks where nothing waits, with the room of the endpoints that have some.
+    /// Returns the racks with space, and the room of their endpoints that have some.
+    ///
+    /// What waits there fits in none of it, or it would have been started; tasks of another size that wait elsewhere may.
     pub fn spacious(&self, now: Time) -> Vec<(RackId, Vec<Room>)> {
-        let idle = self.racks.iter().filter(|(_, rack)| rack.queue.is_empty());
         let mut found = Vec::new();
-        for (id, rack) in idle {
+        for (id, rack) in &self.racks {
             let states = rack
                 .endpoints
                 .iter()
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -470,3 +470,26 @@
     bench.work(later);
     assert!(bench.owner.turned(later), "it has space again");
 }
+
+/// A wide task waits on a rack whose only endpoint has less room than that, and a narrow one elsewhere that would fit. The rack asks for it: while
+/// it asked only where nothing waited, what its endpoints had left over in pieces lay idle.
+#[test]
+fn room_that_is_too_small_for_what_waits_is_offered() {
+    let mut bench = Bench::new(4);
+    let own = contact("own");
+    let mut out = Effects::default();
+    let wide = |serial: u64, cpu: u64| Batch {
+        need: Room {
+            cpu,
+            memory: 1,
+            gpu: 0,
+        },
+        ..batch(serial, vec![0])
+    };
+    bench.owner.accept(&own, wide(1, 2_500), START, &mut out);
+    bench.owner.accept(&own, wide(2, 3_000), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 1);
+    let spacious = bench.owner.spacious(START);
+    assert_eq!(spacious.len(), 1, "it asks for what others have waiting");
+    assert_eq!(spacious[0].1[0].cpu, 1_500);
+}
