Tasks run alone after a crash or a refused connection, not after any silence

A cut silences a third of the endpoints; each run that lapsed there was suspected, and took an endpoint for itself afterwards, with a third fewer of them. An endpoint whose process has ended refuses connections; one behind a cut leaves calls unanswered.

A task runs alone after a proved crash, after a silence with refused connections, or after two silences. Ruled out: after proved crashes only; what ran beside a crashing task twice was then failed with it (two of the tests red).

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -35,7 +35,8 @@
         Lists,
         Name,
         Order,
-        Refusal, //
+        Refusal,
+        Reply, //
     },
     queue::Handle,
     task::Room,
@@ -143,6 +144,8 @@
     pub delisted: bool,
     /// Whether its data centre is evacuated.
     pub evacuated: bool,
+    /// Whether the last call to it could not be sent, since it took no connection.
+    pub refuses: bool,
     /// The latest life of it that is known.
     life: Life,
     /// When that began to be known: what left before may have been answered by a former life.
@@ -198,6 +201,7 @@
             listing,
             delisted: false,
             evacuated: false,
+            refuses: false,
             token,
             standing: Standing::Claimed,
             executions: BTreeMap::new(),
@@ -412,6 +416,7 @@
 
     fn read(&mut self, clock: u64, sent: Time, now: Time) {
         self.answered = now;
+        self.refuses = false;
         self.backoff.answered();
         let better = |r: Reading| now.since(r.received) > Span::seconds(1);
         let narrow = |r: Reading| now.since(sent) <= r.received.since(r.sent);
@@ -614,7 +619,8 @@
     }
 
     /// Takes note that a call got no answer, or none that can be read.
-    pub fn unanswered(&mut self) {
+    pub fn unanswered(&mut self, reply: &Reply) {
+        self.refuses = *reply == Reply::Unsent;
         self.backoff.failed();
     }
 
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -876,6 +876,8 @@
     pub crashes: u32,
     /// How many have fallen silent, and haven't been heard since.
     pub silences: u32,
+    /// How many of these refused connections, as one does whose process has ended.
+    pub refusals: u32,
 }
 
 impl Suspicion {
@@ -883,6 +885,18 @@
     pub fn is_any(self) -> bool {
         self.crashes + self.silences > 0
     }
+
+    /// Tells whether it is strong enough for the task to run alone. One endpoint that leaves calls without an answer is no reason: a cut
+    /// silences many, and what ran there would take an endpoint each, when there are fewer.
+    pub fn is_strong(self) -> bool {
+        self.crashes + self.refusals > 0 || self.silences > 1
+    }
+
+    /// Takes note that an endpoint which had fallen silent is heard of.
+    pub fn heard(&mut self) {
+        self.silences = self.silences.saturating_sub(1);
+        self.refusals = self.refusals.min(self.silences);
+    }
 }
 
 /// A run as it is handed over.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -616,10 +616,10 @@
         }
     }
 
-    /// Tells whether endpoints may have crashed under a task.
-    fn is_suspect(&self, index: u32) -> bool {
+    /// Returns what is known of endpoints that crashed, or may have, under a task.
+    fn suspicion(&self, index: u32) -> Suspicion {
         let progress = self.tasks.get(&index);
-        progress.is_some_and(|progress| progress.suspicion.is_any())
+        progress.map_or_else(Suspicion::default, |progress| progress.suspicion)
     }
 
     fn held(self, now: Time) -> Held {
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -153,7 +153,7 @@
             return self.act(id, vec![Event::Reborn], now, out);
         }
         if reply != Reply::Unwell {
-            state.unanswered();
+            state.unanswered(&reply);
         }
         if let Reply::Malformed(fault) = &reply {
             let record = Record::new("endpoint_malformed").with("endpoint", id.as_str());
@@ -288,7 +288,9 @@
                 Event::Lapsed(task, handle, next) => {
                     self.busy.remove(&task);
                     self.log_gone(id, task, out);
-                    self.lapsed(task, handle, next, now);
+                    let state = self.endpoints.get(id);
+                    let refused = state.is_some_and(|state| state.refuses);
+                    self.lapsed((task, handle, next), refused, now);
                 }
                 Event::Crashed(task, handle, next) => {
                     self.busy.remove(&task);
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -182,7 +182,7 @@
             .endpoints
             .iter()
             .filter_map(|id| self.endpoints.get(id));
-        let suspect = load.is_suspect(index);
+        let suspect = load.suspicion(index).is_strong();
         let failed_on = load.tasks.get(&index);
         let failed_on = failed_on.and_then(|progress| progress.failed_on.as_ref());
         let others = |id: &Endpoint| rack.endpoints.iter().any(|other| other != id);
@@ -221,7 +221,7 @@
         let mut execution =
             Execution::new(waiting.batch, run, load.batch.need, load.batch.estimate);
         execution.stored = load.batch.stored;
-        execution.suspect = progress.suspicion.is_any();
+        execution.suspect = progress.suspicion.is_strong();
         let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
         };
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -133,7 +133,7 @@
             };
             let task = load.task(waiting.index);
             // What is known of crashes under a task is lost where it is placed anew.
-            let fixed = load.batch.tied || load.is_suspect(waiting.index);
+            let fixed = load.batch.tied || load.suspicion(waiting.index).is_any();
             if fixed || self.busy.contains_key(&task) {
                 continue;
             }
--- a/src/dispatch/owner/suspects.rs
+++ b/src/dispatch/owner/suspects.rs
@@ -54,13 +54,21 @@
     ///
     /// It may have crashed, and whether it did is known only when it is back. A task that goes on at once each time would have been
     /// started many times more by then.
-    pub(super) fn lapsed(&mut self, task: TaskId, handle: Handle, next: Run, now: Time) {
+    pub(super) fn lapsed(
+        &mut self,
+        (task, handle, next): (TaskId, Handle, Run),
+        refused: bool,
+        now: Time,
+    ) {
         let Some(progress) = self.progress(task, handle) else {
             return;
         };
         progress.next = progress.next.max(next);
         progress.suspicion.silences += 1;
-        let Suspicion { crashes, silences } = progress.suspicion;
+        progress.suspicion.refusals += u32::from(refused);
+        let Suspicion {
+            crashes, silences, ..
+        } = progress.suspicion;
         match crashes + silences < DOUBTS {
             true => self.again(task, handle, next, now),
             false => {
@@ -83,7 +91,9 @@
         };
         let suspicion = &mut progress.suspicion;
         suspicion.crashes += 1;
-        suspicion.silences -= u32::from(silent && suspicion.silences > 0);
+        if silent {
+            suspicion.heard();
+        }
         let crashes = suspicion.crashes;
         let record = Record::new("run_crashed").job(task.job);
         let record = record.with("task", task.to_string());
@@ -99,8 +109,7 @@
         let Some(progress) = self.progress(task, handle) else {
             return;
         };
-        let silences = &mut progress.suspicion.silences;
-        *silences = silences.saturating_sub(1);
+        progress.suspicion.heard();
         if self.detained.remove(&task).is_some() {
             self.again(task, handle, Run::FIRST, now);
         }
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -222,7 +222,7 @@
         let now = START + Span::millis(n);
         if state.next_look() <= now && state.look(CallId(n + 2), now).is_some() {
             looks += 1;
-            state.unanswered();
+            state.unanswered(&Reply::Silent);
             state.silent(CallId(n + 2), now);
         }
     }
