A failed task runs again where it failed when nothing else there can run it

Found on reading: on a rack whose other endpoints leave, are evacuated, too small or silent, a task that had failed once on the only one left would have waited until its caller gave up, since that one was left out. It is left out now only while another open endpoint of the rack could run the task. The test is red without it.

--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -185,8 +185,12 @@
         let suspect = load.suspicion(index).is_strong();
         let failed_on = load.tasks.get(&index);
         let failed_on = failed_on.and_then(|progress| progress.failed_on.as_ref());
-        let others = |id: &Endpoint| rack.endpoints.iter().any(|other| other != id);
-        let avoided = failed_on.filter(|id| others(id));
+        // The only one that can run it is better than none.
+        let sound = |state: &State, than: &Endpoint| {
+            let other = state.listing.id != *than && state.standing == Standing::Open;
+            other && state.carries(&batch.need, batch.label.as_ref())
+        };
+        let avoided = failed_on.filter(|id| states.clone().any(|state| sound(state, id)));
         let beside = |state: &State| if suspect { state.executions.len() } else { 0 };
         let best = states.filter(fits);
         let best = best.filter(|state| Some(&state.listing.id) != avoided);
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -493,3 +493,48 @@
     assert_eq!(spacious.len(), 1, "it asks for what others have waiting");
     assert_eq!(spacious[0].1[0].cpu, 1_500);
 }
+
+/// A task fails on one of two endpoints, and the other leaves. It runs again where it failed: kept for an endpoint that may start
+/// nothing, it would wait until its caller gives up.
+#[test]
+fn failed_task_runs_again_where_nothing_else_can_run_it() {
+    let mut bench = Bench::new(4);
+    let own = contact("own");
+    let leaving = Listing {
+        id: "w-2".parse().unwrap(),
+        draining: true,
+        ..listing(4)
+    };
+    let mut out = Effects::default();
+    bench.owner.list(&[listing(4), leaving], START, &mut out);
+    bench.owner.accept(&own, batch(1, vec![0]), START, &mut out);
+    assert_eq!(starts(&bench.work(START)), 1);
+    let failed = Ended {
+        serial: 1,
+        task: Name::Known(TaskId {
+            job: JobId(1),
+            step: 0,
+            index: 0,
+        }),
+        run: Run::FIRST,
+        end: End::Failed,
+    };
+    let now = START + Span::millis(130);
+    let mut out = Effects::default();
+    bench.owner.work(now, &mut out);
+    for output in out.outputs {
+        if let Output::Call { call, endpoint, .. } = output {
+            let ended = (endpoint == listing(4).id).then(|| failed.clone());
+            let lists = Lists {
+                clock: now.0 / 1_000,
+                ended: ended.into_iter().collect(),
+                ..Lists::default()
+            };
+            let reply = Reply::Looked(lists);
+            bench
+                .owner
+                .called(call, now, reply, now, &mut Effects::default());
+        }
+    }
+    assert_eq!(starts(&bench.work(now)), 1);
+}
