A task that shared both crashes with another runs once more before its job fails

Cause, from the log of a red test (task_that_crashes_endpoints_fails_its_job): two jobs' tasks ran beside each other on an endpoint that fell silent. It was not known yet that it had crashed, so both went on at once, to the same endpoint, which crashed too. When both crashes were proved, each task had two, and the innocent job was failed with the guilty one.

A second crash is enough only where no other suspect was at it; else the task runs a third time, and a third crash is enough in any case (the platform's bound allows three starts after the third). Tasks that may have crashed an endpoint don't go where another such runs, as long as there is another place. A task that waits for what becomes known goes on when its last doubt is settled by a proof that isn't enough.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -84,6 +84,17 @@
 /// How long a failing endpoint rests before it is tried with one task, doubled each time up to the second.
 const REST: (Span, Span) = (Span::millis(1_000), Span::seconds(8));
 
+/// An endpoint that crashed under a run, or may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// The run's task.
+    pub task: TaskId,
+    /// Its batch.
+    pub batch: Handle,
+    /// Whether it was the only one there that had come under suspicion before: of all that ran there it alone was at the other crash too.
+    pub sole: bool,
+}
+
 /// Something that an owner must act on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -96,9 +107,9 @@
     /// A run is given up on an endpoint that has fallen silent: it may have crashed under the run. See [`Event::Gone`].
     Lapsed(TaskId, Handle, Run),
     /// The endpoint crashed under a run. See [`Event::Gone`].
-    Crashed(TaskId, Handle, Run),
+    Crashed(Crash, Run),
     /// An endpoint that had fallen silent under a task had crashed.
-    Convicted(TaskId, Handle),
+    Convicted(Crash),
     /// An endpoint that had fallen silent under a task has answered: it hadn't crashed.
     Acquitted(TaskId, Handle),
     /// A run ended whose end must be stored, or may have to be: the endpoint lists it until [`State::noted`].
@@ -151,7 +162,7 @@
     /// When that began to be known: what left before may have been answered by a former life.
     renewed: Time,
     /// Tasks whose runs were given up since it fell silent.
-    abandoned: Vec<(TaskId, Handle)>,
+    abandoned: Vec<Crash>,
     /// The owner's token.
     pub token: Token,
     /// How far it can be used.
@@ -569,8 +580,11 @@
             let (batch, next) = (execution.batch, execution.run.next());
             events.push(match (execution.fate, execution.crashed) {
                 (Fate::Drop, _) => Event::Cleared(task),
-                (Fate::Again, true) => Event::Crashed(task, batch, next),
-                (Fate::Again, false) => Event::Gone(task, batch, next),
+                (Fate::Again, None) => Event::Gone(task, batch, next),
+                (Fate::Again, Some(sole)) => {
+                    let crash = Crash { task, batch, sole };
+                    Event::Crashed(crash, next)
+                }
             });
         }
     }
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -2,6 +2,7 @@
 
 use super::super::{
     id::Run,
+    message::Suspicion,
     pace::Pace,
     queue::Handle,
     task::Room, //
@@ -51,10 +52,10 @@
     pub doubt: bool,
     /// Whether its end must be stored before the endpoint forgets it.
     pub stored: bool,
-    /// Whether endpoints may have crashed under its task before.
-    pub suspect: bool,
-    /// Whether the endpoint began anew after its start had left, and hasn't listed it since.
-    pub(super) crashed: bool,
+    /// What is known of endpoints that crashed under its task, or may have.
+    pub suspicion: Suspicion,
+    /// Whether it was the sole suspect, where the endpoint began anew after its start had left and hasn't listed it since.
+    pub(super) crashed: Option<bool>,
     /// When its start or its stop is sent again, where that had no answer.
     pub(super) retry: Option<Time>,
 }
@@ -73,8 +74,8 @@
             tries: 1,
             doubt: false,
             stored: false,
-            suspect: false,
-            crashed: false,
+            suspicion: Suspicion::default(),
+            crashed: None,
             retry: None,
         }
     }
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -4,15 +4,19 @@
 //! numbers of its ends begin anew. Taken for the same life, its new ends were dropped unread, since their numbers were low, and what
 //! had run there seemed to run on.
 
+use std::collections::BTreeSet;
+
 use super::{
     super::{
         id::{
             Life,
             TaskId, //
         },
-        queue::Handle,
+        message::Suspicion, //
     },
+    Crash,
     Event,
+    Execution,
     Fate,
     Standing,
     State,
@@ -47,9 +51,7 @@
     /// A run whose start was on its way may be of the new life, so that none is given up before the endpoint has told what runs
     /// there; those that it doesn't list then were crashed.
     fn renew(&mut self, now: Time) -> Vec<Event> {
-        for execution in self.executions.values_mut() {
-            execution.crashed = true;
-        }
+        self.crash();
         (self.seen, self.told) = (0, 0);
         self.held.clear();
         self.late.clear();
@@ -69,9 +71,7 @@
     pub fn replaced(&mut self) -> Vec<Event> {
         let mut events = Vec::new();
         if !self.listing.draining {
-            for execution in self.executions.values_mut() {
-                execution.crashed = true;
-            }
+            self.crash();
             events = self.convict();
         }
         self.lose_all(&mut events);
@@ -84,38 +84,81 @@
             return Vec::new();
         }
         let mut events = Vec::new();
+        let suspects = self.sole_suspects();
         self.lose_all(&mut events);
         for event in &mut events {
             if let Event::Gone(task, batch, next) = *event {
-                self.abandoned.push((task, batch));
+                let sole = suspects.contains(&task);
+                self.abandoned.push(Crash { task, batch, sole });
                 *event = Event::Lapsed(task, batch, next);
             }
         }
         events
     }
 
+    /// Marks all runs as lost with a life of the endpoint.
+    fn crash(&mut self) {
+        let suspects = self.sole_suspects();
+        for (task, execution) in &mut self.executions {
+            execution.crashed = Some(suspects.contains(task));
+        }
+    }
+
+    /// Finds the tasks here of which it is known that the runs of other jobs beside them are no suspects.
+    ///
+    /// Nothing joins a strong suspect, so that other runs beside it had been going on without a crash. A weak one may be joined by a task
+    /// that crashes endpoints for the first time, so that it must have no other job's run beside it.
+    fn sole_suspects(&self) -> BTreeSet<TaskId> {
+        let harmless = |suspicion: Suspicion, other: &Execution| {
+            suspicion.is_strong() && !other.suspicion.is_any()
+        };
+        let sole = |(task, execution): &(&TaskId, &Execution)| {
+            let mut others = self
+                .executions
+                .iter()
+                .filter(|(other, _)| other.job != task.job);
+            let suspicion = execution.suspicion;
+            suspicion.is_any() && others.all(|(_, other)| harmless(suspicion, other))
+        };
+        let sole = self.executions.iter().filter(sole);
+        sole.map(|(task, _)| *task).collect()
+    }
+
     fn convict(&mut self) -> Vec<Event> {
-        let convicted = |(task, batch): (TaskId, Handle)| Event::Convicted(task, batch);
-        self.abandoned.drain(..).map(convicted).collect()
+        self.abandoned.drain(..).map(Event::Convicted).collect()
     }
 
     /// Takes note that it answers in the life that is known: it hadn't crashed.
     pub(super) fn acquit(&mut self) -> Vec<Event> {
-        let acquitted = |(task, batch): (TaskId, Handle)| Event::Acquitted(task, batch);
+        let acquitted = |crash: Crash| Event::Acquitted(crash.task, crash.batch);
         self.abandoned.drain(..).map(acquitted).collect()
     }
 
     /// Takes note that the endpoint lists a run: its start reached the present life.
     pub(super) fn confirm(&mut self, task: &TaskId) {
         if let Some(execution) = self.executions.get_mut(task) {
-            execution.crashed = false;
+            execution.crashed = None;
         }
     }
 
+    /// Takes note of what has come to be known of crashes under a run's task.
+    pub fn suspect(&mut self, task: &TaskId, suspicion: Suspicion) {
+        if let Some(execution) = self.executions.get_mut(task) {
+            execution.suspicion = suspicion;
+        }
+    }
+
+    /// Counts the runs here of tasks under which endpoints may have crashed.
+    pub fn doubtful(&self) -> usize {
+        let executions = self.executions.values();
+        let doubtful = executions.filter(|execution| execution.suspicion.is_any());
+        doubtful.count()
+    }
+
     /// Tells whether a task runs here that endpoints may have crashed under. It runs alone: what ran beside it would be lost
     /// with it, and be suspected itself.
     pub fn has_suspect(&self) -> bool {
         let mut executions = self.executions.values();
-        executions.any(|execution| execution.suspect && execution.fate == Fate::Again)
+        executions.any(|run| run.suspicion.is_strong() && run.fate == Fate::Again)
     }
 }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -292,11 +292,11 @@
                     let refused = state.is_some_and(|state| state.refuses);
                     self.lapsed((task, handle, next), refused, now);
                 }
-                Event::Crashed(task, handle, next) => {
-                    self.busy.remove(&task);
-                    self.crashed(id, (task, handle, next), now, out);
+                Event::Crashed(crash, next) => {
+                    self.busy.remove(&crash.task);
+                    self.crashed(id, crash, next, now, out);
                 }
-                Event::Convicted(task, handle) => self.convict(id, task, handle, true, out),
+                Event::Convicted(crash) => self.convict(id, crash, true, now, out),
                 Event::Acquitted(task, handle) => self.acquit(task, handle, now),
                 Event::Still(task, handle) => self.restart(id, task, handle, now, out),
                 Event::Cleared(task) => {
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -132,7 +132,7 @@
             let mut execution =
                 Execution::new(handle, run.run, load.batch.need, load.batch.estimate);
             execution.stored = load.batch.stored;
-            execution.suspect = load.suspicion(run.task.index).is_strong();
+            execution.suspicion = load.suspicion(run.task.index);
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
                 state.adopt(run.task, execution, now);
                 self.busy.insert(run.task, run.endpoint.clone());
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -164,7 +164,7 @@
     }
 
     /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks; for one under which endpoints may
-    /// have crashed, the one where the least would be lost.
+    /// have crashed, the one where the least would be lost, or where the fewest others run that may have crashed them.
     fn pick(&self, rack: RackId, load: &Load, index: u32, now: Time) -> Option<Endpoint> {
         let batch = &load.batch;
         let fits = |state: &&State| {
@@ -182,7 +182,7 @@
             .endpoints
             .iter()
             .filter_map(|id| self.endpoints.get(id));
-        let suspect = load.suspicion(index).is_strong();
+        let suspicion = load.suspicion(index);
         let failed_on = load.tasks.get(&index);
         let failed_on = failed_on.and_then(|progress| progress.failed_on.as_ref());
         // The only one that can run it is better than none.
@@ -191,7 +191,11 @@
             other && state.carries(&batch.need, batch.label.as_ref())
         };
         let avoided = failed_on.filter(|id| states.clone().any(|state| sound(state, id)));
-        let beside = |state: &State| if suspect { state.executions.len() } else { 0 };
+        let beside = |state: &State| match suspicion {
+            suspicion if suspicion.is_strong() => state.executions.len(),
+            suspicion if suspicion.is_any() => state.doubtful(),
+            _ => 0,
+        };
         let best = states.filter(fits);
         let best = best.filter(|state| Some(&state.listing.id) != avoided);
         let best = best.min_by_key(|state| (beside(state), state.free.cpu))?;
@@ -225,7 +229,7 @@
         let mut execution =
             Execution::new(waiting.batch, run, load.batch.need, load.batch.estimate);
         execution.stored = load.batch.stored;
-        execution.suspect = progress.suspicion.is_strong();
+        execution.suspicion = progress.suspicion;
         let Some(order) = state.start(task, execution, load.batch.spec.clone(), now) else {
             return;
         };
--- a/src/dispatch/owner/suspects.rs
+++ b/src/dispatch/owner/suspects.rs
@@ -2,10 +2,12 @@
 //!
 //! A task may crash each endpoint that starts it. Started over and over, one such job emptied a data centre, and took along what ran
 //! beside it. So what ran on an endpoint that crashed is suspected: each such task goes on alone, so that those that are
-//! innocent end there and are cleared, and the job of one under which a second endpoint crashes has failed.
+//! innocent end there and are cleared, and the job of one under which a second endpoint crashes has failed. A crash may be proved only
+//! after its tasks went on beside each other: what shared both crashes with another gets one more run.
 
 use super::{
     super::{
+        endpoint::Crash,
         id::{
             Run,
             TaskId, //
@@ -23,9 +25,6 @@
 };
 use crate::prelude::*;
 
-/// Endpoints that may crash under a task before its job has failed.
-const CRASHES: u32 = 2;
-
 /// Endpoints that may crash or fall silent under a task before it waits until more is known of them.
 const DOUBTS: u32 = 2;
 
@@ -42,12 +41,13 @@
     pub(super) fn crashed(
         &mut self,
         id: &Endpoint,
-        (task, handle, next): (TaskId, Handle, Run),
+        crash: Crash,
+        next: Run,
         now: Time,
         out: &mut Effects,
     ) {
-        self.convict(id, task, handle, false, out);
-        self.again(task, handle, next, now);
+        self.convict(id, crash, false, now, out);
+        self.again(crash.task, crash.batch, next, now);
     }
 
     /// Takes note that a run was given up on an endpoint that has fallen silent.
@@ -81,26 +81,40 @@
     pub(super) fn convict(
         &mut self,
         id: &Endpoint,
-        task: TaskId,
-        handle: Handle,
+        Crash { task, batch, sole }: Crash,
         silent: bool,
+        now: Time,
         out: &mut Effects,
     ) {
-        let Some(progress) = self.progress(task, handle) else {
+        let Some(progress) = self.progress(task, batch) else {
             return;
         };
         let suspicion = &mut progress.suspicion;
         suspicion.crashes += 1;
+        suspicion.sole += u32::from(sole);
         if silent {
             suspicion.heard();
         }
-        let crashes = suspicion.crashes;
+        let suspicion = *suspicion;
+        self.suspect(&task, suspicion);
         let record = Record::new("run_crashed").job(task.job);
         let record = record.with("task", task.to_string());
         let record = record.with("endpoint", id.as_str());
-        out.log(record.with("crashes", crashes));
-        if crashes >= CRASHES {
-            self.finish(handle, Outcome::Crashed, out);
+        let record = record.with("crashes", suspicion.crashes);
+        out.log(record.with("sole", suspicion.sole));
+        if suspicion.is_proved() {
+            self.finish(batch, Outcome::Crashed, out);
+        } else if suspicion.silences == 0 {
+            self.release_one(task, batch, now);
+        }
+    }
+
+    /// Lets a task's run, where there is one, go on with what has come to be known since it began.
+    fn suspect(&mut self, task: &TaskId, suspicion: Suspicion) {
+        let endpoint = self.busy.get(task);
+        let state = endpoint.and_then(|id| self.endpoints.get_mut(id));
+        if let Some(state) = state {
+            state.suspect(task, suspicion);
         }
     }
 
@@ -110,6 +124,13 @@
             return;
         };
         progress.suspicion.heard();
+        let suspicion = progress.suspicion;
+        self.suspect(&task, suspicion);
+        self.release_one(task, handle, now);
+    }
+
+    /// Lets a task go on that waits for what becomes known of an endpoint, now that this is known.
+    fn release_one(&mut self, task: TaskId, handle: Handle, now: Time) {
         if self.detained.remove(&task).is_some() {
             self.again(task, handle, Run::FIRST, now);
         }
@@ -122,8 +143,7 @@
         };
         let due: Vec<(TaskId, Handle)> = self.detained.iter().filter_map(due).collect();
         for (task, handle) in due {
-            self.detained.remove(&task);
-            self.again(task, handle, Run::FIRST, now);
+            self.release_one(task, handle, now);
         }
     }
 }
--- a/tests/dispatch/crashes.rs
+++ b/tests/dispatch/crashes.rs
@@ -161,6 +161,30 @@
     }
 }
 
+/// A job crashes endpoints, which then leave calls unanswered, as behind a cut. An innocent job's task ran beside it and goes on
+/// beside it again, before anybody knows that the first endpoint crashed. When both crashes are proved, only the guilty job has failed:
+/// the caller of the other one waits for a third run, which is alone, and gets its whole answer.
+#[test]
+fn innocent_task_that_shares_two_crashes_is_cleared() {
+    for seed in 0..24 {
+        let mut world = World::new(seed, 2, 2, CALM);
+        world.crash_silently();
+        world.load(12, Span::millis(250));
+        world.crash_with(Span::millis(1_000), GUILTY, 1);
+        world.run(Span::seconds(20));
+        world.settle();
+        for (task, crashes) in &world.crashes {
+            assert!(
+                *crashes <= 3 + AFTER_THREE,
+                "{task} of seed {seed}: {crashes}"
+            );
+        }
+        for (id, seen) in world.jobs.iter().filter(|(id, _)| **id != GUILTY) {
+            assert_ne!(seen.answer, Some(Answer::Failed), "{id} of seed {seed}");
+        }
+    }
+}
+
 /// Endpoints that don't guard their capacity shrink while tasks run there, and grow again. No start brings one over what it has; what
 /// no longer fits there runs elsewhere.
 #[test]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -185,6 +185,8 @@
     stored: bool,
     /// Looks that wait for an end.
     parked: Vec<Parked>,
+    /// Whether endpoints that are down leave calls without an answer, instead of refusing connections.
+    crashes_silently: bool,
     /// Jobs of which a task crashes each endpoint that starts it.
     crashing: HashSet<JobId>,
     /// How often endpoints crashed under each task.
@@ -239,6 +241,7 @@
             turned_away: HashSet::new(),
             stored: false,
             parked: Vec::new(),
+            crashes_silently: false,
             crashing: HashSet::new(),
             crashes: HashMap::new(),
             row_lag: Span::millis(100),
@@ -563,6 +566,9 @@
                 let takes = takes.map(|takes| if failing { Span::millis(1) } else { takes });
                 let now = self.now;
                 if self.workers[w].down {
+                    if self.crashes_silently {
+                        return;
+                    }
                     let reply = Box::new(Reply::Unsent);
                     return self.at(Span(WAY), Event::Reply(i, life, call, sent, reply));
                 }
@@ -1064,6 +1070,11 @@
         self.row_lag = lag;
     }
 
+    /// Lets endpoints that are down leave calls without an answer, as behind a firewall.
+    pub(crate) fn crash_silently(&mut self) {
+        self.crashes_silently = true;
+    }
+
     /// Hands in a job whose first task crashes each endpoint that starts it.
     pub(crate) fn crash_with(&mut self, after: Span, job: JobId, tasks: u32) {
         self.crashing.insert(job);
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -58,6 +58,16 @@
     pub(crate) how: &'static str,
 }
 
+/// How long after a run's end its owner may not have heard of it, so that it counts as running still.
+const END_HEARD: Duration = Duration::from_millis(150);
+
+/// A crash under a job's task.
+pub(crate) struct Crash {
+    pub(crate) at: Instant,
+    /// Whether another job's task ran there, as far as its owner can know.
+    pub(crate) shared: bool,
+}
+
 struct Active {
     run: u64,
     ends: Instant,
@@ -70,6 +80,8 @@
     finished: Vec<(u64, String, u64, &'static str)>,
     barred: BTreeMap<String, u64>,
     history: Vec<Past>,
+    /// Tasks that it was asked for while it was down, and when.
+    missed: Vec<(String, Instant)>,
     serial: u64,
     lease: u64,
     token: u64,
@@ -156,6 +168,26 @@
         self.state.lock().unwrap().history.clone()
     }
 
+    /// Finds its crashes under a job's tasks.
+    pub(crate) fn crashes_of(&self, job: &str) -> Vec<Crash> {
+        let state = self.state.lock().unwrap();
+        let own = |task: &str| task.starts_with(job);
+        let crash = |past: &Past| {
+            let at = past
+                .until
+                .filter(|_| own(&past.task) && past.how == "crashed")?;
+            let beside = |other: &Past| {
+                let ended = other.until.map_or(at, |until| until + END_HEARD);
+                !own(&other.task) && other.from <= at && ended >= at
+            };
+            let mut missed = state.missed.iter().filter(|(task, _)| !own(task));
+            let asked = missed.any(|(_, when)| *when >= at && *when <= at + DOWN);
+            let shared = asked || state.history.iter().any(beside);
+            Some(Crash { at, shared })
+        };
+        state.history.iter().filter_map(crash).collect()
+    }
+
     /// Begins anew under its name, and says so in its row.
     pub(crate) fn begin_anew(&mut self, store: &Store) {
         let mut state = self.state.lock().unwrap();
@@ -203,6 +235,7 @@
             slots: self.slots,
             unguarded: self.unguarded,
             history: std::mem::take(&mut self.history),
+            missed: std::mem::take(&mut self.missed),
             ..Self::default()
         };
     }
@@ -316,6 +349,9 @@
     let response = {
         let mut state = state.lock().unwrap();
         if state.is_down() {
+            if let Some(task) = body["task"].as_str() {
+                state.missed.push((task.to_owned(), Instant::now()));
+            }
             return None;
         }
         state.pass();
