A run that never reached an endpoint has not crashed it; tasks under suspicion go only where an endpoint answers

A run is lost at one of them, its next is sent to another that nobody had talked to meanwhile, and never arrives. When the cut ends both have a new life, and the job was failed for two crashes, of which it had been at one.

A crash counts as proof only where the endpoint had answered within half a second before the start left, or has answered the start or listed the run. A task under any suspicion is sent only to an endpoint that has answered just now; the others are asked first, which costs a call.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -59,6 +59,10 @@
 /// An endpoint that has answered something within this span isn't silent, although the answer to a look is lost.
 const HEARD: Span = Span::millis(200);
 
+/// An endpoint that has answered something within this span was there when a start left: half of the time that a run takes to be given up
+/// at an endpoint which has fallen silent, so that others which fell silent with it aren't taken for being there.
+const FRESH: Span = Span::millis(500);
+
 /// Between looks at an endpoint that doesn't answer, and at one that is being cleared.
 const LOOK_AGAIN: Span = Span::millis(50);
 
@@ -259,6 +263,19 @@
         self.stays() && labelled && self.listing.capacity.fits(need)
     }
 
+    /// Tells whether it has answered something just now.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.answered) < FRESH
+    }
+
+    /// Lets a look leave at once, if it hasn't answered anything just now.
+    pub fn freshen(&mut self, now: Time) {
+        if self.standing == Standing::Open && !self.is_fresh(now) {
+            self.next_look = now;
+            self.unsure = true;
+        }
+    }
+
     /// Takes over a run of the former owner.
     pub fn adopt(&mut self, task: TaskId, mut execution: Execution, now: Time) {
         execution.phase = Phase::Running;
@@ -277,11 +294,12 @@
     pub fn start(
         &mut self,
         task: TaskId,
-        execution: Execution,
+        mut execution: Execution,
         spec: String,
         now: Time,
     ) -> Option<Order> {
         let run = execution.run;
+        execution.reached = self.is_fresh(now);
         self.add(task, execution);
         self.next_look = self.next_look.min(now);
         self.start_again(task, run, spec, now)
@@ -618,6 +636,7 @@
             if execution.run == run && execution.phase == Phase::Starting {
                 execution.phase = Phase::Running;
                 execution.answered = Some(now);
+                execution.reached = true;
             }
         }
     }
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -54,6 +54,8 @@
     pub stored: bool,
     /// What is known of endpoints that crashed under its task, or may have.
     pub suspicion: Suspicion,
+    /// Whether the endpoint had it, as far as can be known: it had answered just before the start left, or answered the start.
+    pub(super) reached: bool,
     /// Whether it was the sole suspect, where the endpoint began anew after its start had left and hasn't listed it since.
     pub(super) crashed: Option<bool>,
     /// When its start or its stop is sent again, where that had no answer.
@@ -75,6 +77,7 @@
             doubt: false,
             stored: false,
             suspicion: Suspicion::default(),
+            reached: false,
             crashed: None,
             retry: None,
         }
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -107,7 +107,8 @@
     /// Finds the tasks here of which it is known that the runs of other jobs beside them are no suspects.
     ///
     /// Nothing joins a strong suspect, so that other runs beside it had been going on without a crash. A weak one may be joined by a task
-    /// that crashes endpoints for the first time, so that it must have no other job's run beside it.
+    /// that crashes endpoints for the first time, so that it must have no other job's run beside it. A run that may never have reached
+    /// the endpoint, which was cut off before and began anew behind the cut, has crashed nothing.
     fn sole_suspects(&self) -> BTreeSet<TaskId> {
         let harmless = |suspicion: Suspicion, other: &Execution| {
             suspicion.is_strong() && !other.suspicion.is_any()
@@ -118,7 +119,9 @@
                 .iter()
                 .filter(|(other, _)| other.job != task.job);
             let suspicion = execution.suspicion;
-            suspicion.is_any() && others.all(|(_, other)| harmless(suspicion, other))
+            execution.reached
+                && suspicion.is_any()
+                && others.all(|(_, other)| harmless(suspicion, other))
         };
         let sole = self.executions.iter().filter(sole);
         sole.map(|(task, _)| *task).collect()
@@ -138,6 +141,7 @@
     pub(super) fn confirm(&mut self, task: &TaskId) {
         if let Some(execution) = self.executions.get_mut(task) {
             execution.crashed = None;
+            execution.reached = true;
         }
     }
 
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -98,6 +98,7 @@
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
         let mut misfits: Vec<Misfit> = Vec::new();
         let mut hopeless = Vec::new();
+        let mut stale = false;
         let mut unfit: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
         for waiting in waiting {
             let Some(load) = self.loads.get(&waiting.batch) else {
@@ -123,7 +124,11 @@
                         continue;
                     }
                     let carried = self.carries(id, load);
-                    misfits.push((need, label.cloned(), carried));
+                    match load.suspicion(waiting.index).is_any() {
+                        // What it waits for is another thing than room.
+                        true => stale = true,
+                        false => misfits.push((need, label.cloned(), carried)),
+                    }
                     carried
                 }
             };
@@ -135,6 +140,9 @@
                 break;
             }
         }
+        if stale {
+            self.freshen(id, now);
+        }
         for (handle, tasks) in unfit {
             self.send_tasks_back(handle, tasks, Cause::Unfit, out);
         }
@@ -149,6 +157,18 @@
         }
     }
 
+    /// Asks the endpoints of a rack that haven't answered lately whether they are there, for a task under which others may have crashed.
+    fn freshen(&mut self, rack: RackId, now: Time) {
+        let Some(rack) = self.racks.get(&rack) else {
+            return;
+        };
+        for id in &rack.endpoints {
+            if let Some(state) = self.endpoints.get_mut(id) {
+                state.freshen(now);
+            }
+        }
+    }
+
     /// Tells whether an endpoint of a rack could ever run a batch's tasks: its data centre may have been evacuated since it was
     /// sent here, or an endpoint's capacity may have shrunk. Left waiting, the tasks would wait until their caller gives up.
     fn carries(&self, rack: RackId, load: &Load) -> bool {
@@ -164,9 +184,11 @@
     }
 
     /// Picks the endpoint that a task fits in most closely, so that wide gaps stay for wide tasks; for one under which endpoints may
-    /// have crashed, the one where the least would be lost, or where the fewest others run that may have crashed them.
+    /// have crashed, the one where the least would be lost, or where the fewest others run that may have crashed them, and only
+    /// one that has answered just now: sent to one that is cut off, its run would seem to have crashed that.
     fn pick(&self, rack: RackId, load: &Load, index: u32, now: Time) -> Option<Endpoint> {
         let batch = &load.batch;
+        let suspicion = load.suspicion(index);
         let fits = |state: &&State| {
             let of_step = |(task, _): &(&TaskId, &Execution)| {
                 task.job == batch.job && task.step == batch.step
@@ -175,14 +197,14 @@
                 .per_endpoint
                 .is_none_or(|most| state.executions.iter().filter(of_step).count() < most as usize);
             let carried = state.carries(&batch.need, batch.label.as_ref());
-            state.takes(now) && state.free.fits(&batch.need) && carried && spread
+            let there = !suspicion.is_any() || state.is_fresh(now);
+            there && state.takes(now) && state.free.fits(&batch.need) && carried && spread
         };
         let rack = self.racks.get(&rack)?;
         let states = rack
             .endpoints
             .iter()
             .filter_map(|id| self.endpoints.get(id));
-        let suspicion = load.suspicion(index);
         let failed_on = load.tasks.get(&index);
         let failed_on = failed_on.and_then(|progress| progress.failed_on.as_ref());
         // The only one that can run it is better than none.
--- a/tests/dispatch/crashes.rs
+++ b/tests/dispatch/crashes.rs
@@ -185,6 +185,29 @@
     }
 }
 
+/// Half of the endpoints are cut off, and start again behind the cut. What ran there is lost, and goes on; where it is sent to the other cut
+/// endpoints, since nobody had to talk to these meanwhile, its start never arrives. Both have a new life when the cut ends, but only
+/// one crashed under the task: no caller is told that its job has failed.
+#[test]
+fn endpoints_that_start_again_behind_a_cut_convict_nothing() {
+    for seed in 0..16 {
+        let mut world = World::new(seed, 3, 4, CALM);
+        world.load(12, Span::millis(60));
+        for w in 0..16 {
+            if (w + seed as usize).is_multiple_of(2) {
+                world.sever_at(Span::millis(800), w, Span::millis(2_500));
+                let again = Span::millis(900 + 90 * w as u64);
+                world.down_at(again, w, Span::millis(200), 0);
+            }
+        }
+        world.run(Span::seconds(14));
+        world.settle();
+        for (id, seen) in &world.jobs {
+            assert_ne!(seen.answer, Some(Answer::Failed), "{id} of seed {seed}");
+        }
+    }
+}
+
 /// Endpoints that don't guard their capacity shrink while tasks run there, and grow again. No start brings one over what it has; what
 /// no longer fits there runs elsewhere.
 #[test]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -111,6 +111,7 @@
     Cut(HashSet<usize>, bool),
     Part(usize, usize, bool),
     Silence(usize, bool),
+    Sever(usize, bool),
     Pace(usize, f64),
     Fail(usize, bool),
     Crash(usize),
@@ -173,6 +174,8 @@
     /// Pairs of instances that don't reach each other, the lower one in front.
     parted: HashSet<(usize, usize)>,
     silent: HashSet<usize>,
+    /// Endpoints that nothing reaches.
+    severed: HashSet<usize>,
     tickets: u64,
     roster: Roster,
     rows: Rows,
@@ -233,6 +236,7 @@
             cut: HashSet::new(),
             parted: HashSet::new(),
             silent: HashSet::new(),
+            severed: HashSet::new(),
             tickets: 0,
             roster: Roster::default(),
             rows: Rows::default(),
@@ -556,6 +560,7 @@
                 };
                 self.feed(i, input);
             }
+            Event::Order(w, ..) if self.severed.contains(&w) => {}
             Event::Order(w, i, life, call, sent, order, late) => {
                 let takes = match &*order {
                     Order::Start { task, .. } => self.takes.get(&task.job).copied(),
@@ -650,6 +655,12 @@
                     false => self.parted.remove(&(one, other)),
                 };
             }
+            Event::Sever(w, on) => {
+                match on {
+                    true => self.severed.insert(w),
+                    false => self.severed.remove(&w),
+                };
+            }
             Event::Silence(w, on) => {
                 match on {
                     true => self.silent.insert(w),
@@ -752,7 +763,7 @@
                 continue;
             }
             let reply = Box::new(worker.lists(now));
-            if !self.silent.contains(&w) {
+            if !self.silent.contains(&w) && !self.severed.contains(&w) {
                 self.at(Span(WAY), Event::Reply(i, life, call, sent, reply));
             }
         }
@@ -1019,6 +1030,12 @@
         self.at(after, Event::Kill(i, down));
     }
 
+    /// Lets nothing reach an endpoint for a while.
+    pub(crate) fn sever_at(&mut self, after: Span, w: usize, span: Span) {
+        self.at(after, Event::Sever(w, true));
+        self.at(after + span, Event::Sever(w, false));
+    }
+
     pub(crate) fn freeze_at(&mut self, after: Span, i: usize, span: Span) {
         self.at(after, Event::Freeze(i, span));
     }
