Wave of cancellations: its test cancels jobs that are admitted

Cause: in release builds the cancellations came while all keys were still being claimed in the store; counted before them, no task of the 30 jobs had been started, and all 30 were told `unknown`. That answer is true: a key that isn't claimed yet may be another submission's that runs elsewhere. The test meant jobs that wait for an endpoint.

--- a/tests/proofs/callers.rs
+++ b/tests/proofs/callers.rs
@@ -27,6 +27,24 @@
     .await
 }
 
+/// Waits until an instance may run all jobs that it was sent: each of their tasks has been started, or waits for an endpoint.
+///
+/// A job whose key isn't claimed yet is in progress too, and can't be told "not run" when it is cancelled: the key may be another's.
+async fn admitted(cluster: &Cluster, instance: usize, tasks: usize) -> Result {
+    until("all tasks are admitted", || async {
+        let callers = cluster.instances[instance].callers;
+        let metrics = client::get(callers, "/metrics").await.ok()?;
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("poplarknot_tasks_waiting "))?;
+        let waiting: usize = line.split(' ').nth(1)?.parse().ok()?;
+        let started: usize = cluster.starts().values().sum();
+        (waiting + started == tasks).then_some(())
+    })
+    .await
+}
+
 /// Every caller sees its answer soon when all jobs are cancelled at once. Jobs none of whose tasks had left are
 /// "not run" and stay so; of the others nobody waits for the end, so they are "unknown" and told to stop.
 #[tokio::test]
@@ -43,6 +61,7 @@
     for i in 0..jobs.len() {
         in_progress(&cluster, 0, &format!("wave-{i}")).await?;
     }
+    admitted(&cluster, 0, 2 * jobs.len()).await?;
     let cancels = (0..jobs.len()).map(|i| {
         let path = format!("/v1/jobs/risk/wave-{i}");
         let callers = cluster.instances[0].callers;
