Reverted: gaps go to the waiting task that fills them most closely

Conclusion: what little a wide task gains by the gaps that are kept for it is lost by the narrow ones that are overtaken; fewer callers are served.

--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -36,10 +36,6 @@
 /// differ little, so a longer look seldom finds one that does.
 const LOOK_AHEAD: usize = 24;
 
-/// Tasks behind the one whose turn it is that are tried for a closer fit: enough to find one among the sizes of some jobs, and none waits
-/// for more than these.
-const RIVALS: usize = 16;
-
 /// The share of its estimate that a task takes at the least: estimates are off by up to four tenths.
 const LEAST_SHARE: f64 = 0.6;
 
@@ -106,12 +102,12 @@
         }
         rack.review = now + REVIEW;
         rack.queue.turn(now);
-        let queue: Vec<Waiting> = rack.queue.iter().collect();
+        let waiting: Vec<Waiting> = rack.queue.iter().collect();
         let mut misfits: Vec<Misfit> = Vec::new();
         let mut hopeless = Vec::new();
         let mut stale = false;
         let mut unfit: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
-        for (place, waiting) in queue.iter().copied().enumerate() {
+        for waiting in waiting {
             let Some(load) = self.loads.get(&waiting.batch) else {
                 continue;
             };
@@ -126,30 +122,26 @@
             if absent || self.busy.contains_key(&task) {
                 continue;
             }
-            let useless = now + least > load.useful && !load.started;
             let same = |(n, l, _): &&Misfit| *n == need && l.as_ref() == label;
-            let known = misfits.iter().find(same).map(|(.., carried)| *carried);
-            let carried = match known {
-                Some(carried) => carried,
+            let carried = match misfits.iter().find(same) {
+                Some((.., carried)) => *carried,
                 None => {
-                    if self.fill(id, waiting, &queue[place + 1..], now, out) {
+                    if let Some(endpoint) = self.pick(id, load, waiting.index, now) {
+                        self.start(id, &endpoint, waiting, task, now, out);
                         continue;
                     }
-                    let Some(load) = self.loads.get(&waiting.batch) else {
-                        continue;
-                    };
                     let carried = self.carries(id, load);
                     match load.suspicion(waiting.index).is_any() {
                         // What it waits for is another thing than room.
                         true => stale = true,
-                        false => misfits.push((need, load.batch.label.clone(), carried)),
+                        false => misfits.push((need, label.cloned(), carried)),
                     }
                     carried
                 }
             };
             if !carried {
                 unfit.entry(waiting.batch).or_default().push(waiting.index);
-            } else if useless {
+            } else if now + least > load.useful && !load.started {
                 hopeless.push(waiting.batch);
             } else if misfits.len() > LOOK_AHEAD {
                 break;
@@ -172,78 +164,6 @@
         }
     }
 
-    /// Starts a task, if there is room for it; before it those behind it that fill the room which it would take more closely.
-    fn fill(
-        &mut self,
-        rack: RackId,
-        waiting: Waiting,
-        behind: &[Waiting],
-        now: Time,
-        out: &mut Effects,
-    ) -> bool {
-        loop {
-            let Some(load) = self.loads.get(&waiting.batch) else {
-                return false;
-            };
-            let Some(endpoint) = self.pick(rack, load, waiting.index, now) else {
-                return false;
-            };
-            let next = self.closest(rack, &endpoint, waiting, behind);
-            self.start(rack, &endpoint, next, now, out);
-            if next == waiting {
-                return true;
-            }
-        }
-    }
-
-    /// Finds the task that fills an endpoint's room most closely, of one whose turn it is and those alike behind it.
-    ///
-    /// Where two tasks fit on an endpoint or don't, a small one that took a wide gap left narrow ones empty that only small ones fit
-    /// in, and wide tasks waited until their time had passed.
-    fn closest(
-        &self,
-        rack: RackId,
-        endpoint: &Endpoint,
-        first: Waiting,
-        behind: &[Waiting],
-    ) -> Waiting {
-        let known = (
-            self.racks.get(&rack),
-            self.endpoints.get(endpoint),
-            self.loads.get(&first.batch),
-        );
-        let (Some(rack), Some(state), Some(load)) = known else {
-            return first;
-        };
-        let mut closest = (load.batch.need.cpu, first);
-        for waiting in behind.iter().take(RIVALS) {
-            let Some(load) = self.loads.get(&waiting.batch) else {
-                continue;
-            };
-            let need = &load.batch.need;
-            let fits = need.cpu > closest.0 && state.free.fits(need);
-            if fits
-                && rack.queue.are_alike(first, *waiting)
-                && self.is_free_to_go(load, *waiting, state)
-            {
-                closest = (need.cpu, *waiting);
-            }
-        }
-        closest.1
-    }
-
-    /// Tells whether a task that waits may start on an endpoint with room for it, and is under no suspicion that lets it go elsewhere.
-    fn is_free_to_go(&self, load: &Load, waiting: Waiting, state: &State) -> bool {
-        let batch = &load.batch;
-        let plain = batch.per_endpoint.is_none() && !load.suspicion(waiting.index).is_any();
-        let progress = load.tasks.get(&waiting.index);
-        plain
-            && progress.is_some_and(|progress| progress.failed_on.is_none())
-            && self.present.contains(&load.entry.name)
-            && !self.busy.contains_key(&load.task(waiting.index))
-            && state.carries(&batch.need, batch.label.as_ref())
-    }
-
     /// Asks the endpoints of a rack that haven't answered lately whether they are there, for a task under which others may have crashed.
     fn freshen(&mut self, rack: RackId, now: Time) {
         let Some(rack) = self.racks.get(&rack) else {
@@ -316,13 +236,13 @@
         rack: RackId,
         id: &Endpoint,
         waiting: Waiting,
+        task: TaskId,
         now: Time,
         out: &mut Effects,
     ) {
         let Some(load) = self.loads.get_mut(&waiting.batch) else {
             return;
         };
-        let task = load.task(waiting.index);
         let Some(progress) = load.tasks.get_mut(&waiting.index) else {
             return;
         };
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -173,19 +173,6 @@
         self.places.keys().map(Place::waiting)
     }
 
-    /// Tells whether two tasks that wait are alike in turn and priority, so that either may go first. One that is overdue goes before
-    /// any other.
-    pub fn are_alike(&self, one: Waiting, other: Waiting) -> bool {
-        let place = |waiting: Waiting| self.by_task.get(&(waiting.batch, waiting.index));
-        match (place(one), place(other)) {
-            (Some(one), Some(other)) => {
-                one.turn != Turn::Overdue
-                    && (one.turn, one.priority) == (other.turn, other.priority)
-            }
-            _ => false,
-        }
-    }
-
     /// Counts the tasks.
     pub fn len(&self) -> usize {
         self.places.len()
