--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -33,18 +33,34 @@
         queue::Queue,
     },
     dispatch::{
-        id::Epoch,
+        id::{
+            Epoch,
+            JobId,
+            Life,
+            Token, //
+        },
         message::{
+            Batch,
             Contact,
             Heartbeat as Announcement,
             Input,
+            Listing,
+            Lists,
+            Order,
+            Output,
+            Reply,
             Sender,
             Status, //
         },
+        owner::{
+            Effects,
+            Owner, //
+        },
         route::{
             Configuration,
             Route as Queueing, //
         },
+        task::Room,
         Dispatcher,
         Identity, //
     },
@@ -375,6 +391,107 @@
     }
 }
 
+/// An owner whose eight endpoints are full, with tasks of many sizes that wait, and a message that changes nothing there.
+fn waiting(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("waiting");
+    for count in [10, 100] {
+        let now = Time(10_000_000);
+        let mut owner = full_owner(count, now);
+        group.bench_function(
+            BenchmarkId::new("work where nothing may start", count),
+            |bench| {
+                bench.iter(|| {
+                    let mut out = Effects::default();
+                    owner.work(now, &mut out);
+                    black_box(out)
+                });
+            },
+        );
+    }
+    group.finish();
+}
+
+fn full_owner(count: u64, now: Time) -> Owner {
+    let own = sender(0).contact;
+    let mut owner = Owner::new(&own.name);
+    let listings: Vec<Listing> = (0..8).map(listing).collect();
+    let mut out = Effects::default();
+    owner.claim(listings[0].rack_id(), Token::new(Epoch(1), 1), &mut out);
+    owner.list(&listings, now, &mut out);
+    answer_all(&mut owner, now);
+    for serial in 0..count + 16 {
+        owner.accept(&own, batch(serial), now, &mut out);
+    }
+    answer_all(&mut owner, now);
+    owner
+}
+
+/// Answers what an owner calls, once.
+fn answer_all(owner: &mut Owner, now: Time) {
+    let clock = now.0 / 1_000;
+    let mut out = Effects::default();
+    owner.work(now, &mut out);
+    for output in out.outputs {
+        if let Output::Call { call, order, .. } = output {
+            let reply = match order {
+                Order::Look { .. } => Reply::Looked(Lists {
+                    clock,
+                    ..Lists::default()
+                }),
+                _ => Reply::Done { clock },
+            };
+            owner.called(call, now, reply, now, &mut Effects::default());
+        }
+    }
+}
+
+fn listing(number: usize) -> Listing {
+    Listing {
+        id: name(format!("endpoint-{number}")),
+        life: Life::default(),
+        service: "cells".to_owned(),
+        address: format!("10.0.1.{number}:80"),
+        centre: "a".to_owned(),
+        rack: "r".to_owned(),
+        labels: Vec::new(),
+        capacity: Room {
+            cpu: 64_000,
+            memory: 1 << 17,
+            gpu: 0,
+        },
+        draining: false,
+    }
+}
+
+/// A batch of one task that takes between 26 and 38 of an endpoint's 64 cores.
+fn batch(serial: u64) -> Batch {
+    Batch {
+        serial,
+        rack: listing(0).rack_id(),
+        job: JobId(serial),
+        step: 0,
+        tasks: vec![0],
+        moves: 0,
+        need: Room {
+            cpu: 26_000 + serial * 7_919 % 12_000,
+            memory: 64,
+            gpu: 0,
+        },
+        estimate: TASK,
+        label: None,
+        per_endpoint: None,
+        spec: String::new(),
+        attempts: 3,
+        priority: 0,
+        work: 12_800,
+        tied: false,
+        stored: false,
+        slack: Some(Span::seconds(1)),
+        useful: Span::seconds(2),
+        left: Span::seconds(3),
+    }
+}
+
 fn main() {
     let mut criterion = Criterion::default()
         .warm_up_time(Duration::from_millis(500))
@@ -386,5 +503,6 @@
     health(&mut criterion);
     membership(&mut criterion);
     documents(&mut criterion);
+    waiting(&mut criterion);
     criterion.final_summary();
 }
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -494,6 +494,35 @@
     assert_eq!(spacious[0].1[0].cpu, 1_500);
 }
 
+/// The only endpoint of a rack refuses a start as unwell, and rests for half a second. Nothing else happens that the owner hears of: the
+/// task that waits starts within 10 ms of the rest's end all the same.
+#[test]
+fn waiting_task_starts_when_a_rest_is_over() {
+    let mut bench = Bench::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    bench.owner.accept(&own, batch(1, vec![0]), START, &mut out);
+    let mut out = Effects::default();
+    bench.owner.work(START, &mut out);
+    for output in out.outputs {
+        if let Output::Call { call, .. } = output {
+            let reply = Reply::Unwell;
+            bench
+                .owner
+                .called(call, START, reply, START, &mut Effects::default());
+        }
+    }
+    let rest = START + Span::millis(500);
+    let mut at = START;
+    let mut first = None;
+    while first.is_none() && at < rest + Span::millis(50) {
+        at = at + Span::millis(1);
+        first = (starts(&bench.work(at)) > 0).then_some(at);
+    }
+    let first = first.expect("the task starts");
+    assert!(first >= rest && first <= rest + Span::millis(10));
+}
+
 /// A task fails on one of two endpoints, and the other leaves. It runs again where it failed: kept for an endpoint that may start
 /// nothing, it would wait until its caller gives up.
 #[test]
