What dispatchers exchange is split by duty: calls, handovers, heartbeats, lines of the log, the store, suspicion

message.rs had grown to 1027 lines, of which a newcomer needed one part at a time. Its types keep their names and their place for those that use them; nothing else changes. 591 lines are left, of messages proper.

--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -1,5 +1,12 @@
 //! What goes into the dispatcher and comes out of it, and what dispatchers tell each other.
 
+mod call;
+mod handover;
+mod heartbeat;
+mod line;
+mod store;
+mod suspicion;
+
 use std::fmt;
 
 use serde::{
@@ -7,20 +14,54 @@
     Serialize, //
 };
 
+pub use self::{
+    call::{
+        CallId,
+        End,
+        Ended,
+        Lists,
+        Name,
+        Order,
+        Refusal,
+        Reply,
+        Running, //
+    },
+    handover::{
+        Handover,
+        Held,
+        Transferred, //
+    },
+    heartbeat::{
+        Absence,
+        Claim,
+        Coordination,
+        Heartbeat,
+        Knowledge,
+        Status,
+        Vacancy, //
+    },
+    line::{
+        Record,
+        Value, //
+    },
+    store::{
+        StoreCall,
+        StoreReply,
+        StoreRequest, //
+    },
+    suspicion::Suspicion,
+};
 use super::{
     evacuation::{
         self,
         Evacuation, //
     },
     id::{
-        Epoch,
         JobId,
         Life,
         RackId,
         Run,
-        ShardId,
-        TaskId,
-        Token, //
+        TaskId, //
     },
     route::Configuration,
     task::{
@@ -35,10 +76,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
-/// A call to an endpoint that is on its way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
 /// An endpoint as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
@@ -275,149 +312,6 @@
     Unready,
 }
 
-/// What an endpoint is to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Order {
-    /// Start a run of a task.
-    Start {
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: Run,
-        /// What the task is told.
-        spec: String,
-        /// Until when the endpoint's runs may go on, on its clock, in milliseconds.
-        lease: u64,
-        /// The owner's token.
-        token: Token,
-    },
-    /// Stop a run, and bar it and all lower ones.
-    Stop {
-        /// The task.
-        task: Name,
-        /// The run.
-        run: Run,
-        /// The owner's token.
-        token: Token,
-    },
-    /// Tell what runs and what has ended.
-    Look {
-        /// Until when the endpoint's runs may go on, on its clock; none leaves their leases alone.
-        lease: Option<u64>,
-        /// The owner's token.
-        token: Token,
-        /// Ends up to this one are known and can be forgotten.
-        seen: u64,
-        /// How long to wait for an end.
-        wait: Span,
-    },
-}
-
-/// How a call to an endpoint ended.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Reply {
-    /// It did what it was told. The clock is the endpoint's, in milliseconds.
-    Done {
-        /// Its clock.
-        clock: u64,
-    },
-    /// What runs and what has ended.
-    Looked(Lists),
-    /// It refused.
-    Refused {
-        /// Its clock.
-        clock: u64,
-        /// Why.
-        refusal: Refusal,
-    },
-    /// It did nothing, since it is unwell.
-    Unwell,
-    /// The life that was meant has ended.
-    Reborn,
-    /// It found the call malformed, or its answer is.
-    Malformed(String),
-    /// No byte of the call left.
-    Unsent,
-    /// No answer came. The call may be carried out, now or later.
-    Silent,
-}
-
-/// What an endpoint says of itself.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Lists {
-    /// Its clock.
-    pub clock: u64,
-    /// The life that says so.
-    pub life: Life,
-    /// What runs there.
-    pub running: Vec<Running>,
-    /// What has ended.
-    pub ended: Vec<Ended>,
-}
-
-/// Why an endpoint refused an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// It has seen a higher token.
-    Fenced,
-    /// The run, or a higher one, has been there or was barred.
-    Old,
-    /// The lease that the order carried had passed.
-    Late,
-    /// It has no room.
-    Full,
-    /// Something else.
-    Other,
-}
-
-/// A task as an endpoint names it.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Name {
-    /// One that an instance of this build can have started.
-    Known(TaskId),
-    /// Any other.
-    Foreign(String),
-}
-
-/// A run on an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Running {
-    /// The task.
-    pub task: Name,
-    /// The run.
-    pub run: Run,
-    /// How much of its work is done, in hundredths, where the endpoint says so.
-    pub percent: Option<u8>,
-}
-
-/// A run that has ended on an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ended {
-    /// Counts the ends of one life of the endpoint, from one.
-    pub serial: u64,
-    /// The task.
-    pub task: Name,
-    /// The run.
-    pub run: Run,
-    /// How.
-    pub end: End,
-}
-
-/// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
-    /// To its end.
-    Done,
-    /// By its own fault or the endpoint's.
-    Failed,
-    /// It was stopped.
-    Stopped,
-    /// Its lease passed.
-    Lapsed,
-    /// Something else.
-    Other,
-}
-
 /// What instances tell each other. Messages of one session arrive in order, each once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -638,147 +532,6 @@
     pub batch: Option<(Instance, u64)>,
 }
 
-/// Names a call to the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct StoreCall(pub u64);
-
-/// What the store is asked for; rows are those of one shard.
-#[derive(Debug, Clone, PartialEq)]
-pub enum StoreRequest {
-    /// Read rows in the order of their keys, after one or from the first.
-    Read {
-        /// The shard.
-        shard: ShardId,
-        /// The key to begin after.
-        after: Option<String>,
-    },
-    /// Read one row.
-    Find {
-        /// The shard.
-        shard: ShardId,
-        /// Its key.
-        key: String,
-    },
-    /// Change rows, all or none, if one row still has its version.
-    Write {
-        /// The shard.
-        shard: ShardId,
-        /// The row, and the version that it must have; zero means that there is none.
-        guard: (String, u64),
-        /// Rows to set, by their keys.
-        set: Vec<(String, Vec<u8>)>,
-        /// Keys of rows to remove.
-        remove: Vec<String>,
-    },
-}
-
-/// What came of a call to the store.
-#[derive(Debug, Clone, PartialEq)]
-pub enum StoreReply {
-    /// Rows with key, value and version; and whether more follow.
-    Rows(Vec<(String, Vec<u8>, u64)>, bool),
-    /// The change was made, as this version.
-    Written(u64),
-    /// The row that guards it has another version; nothing was changed.
-    Conflict,
-    /// It was refused; nothing was changed.
-    Refused,
-    /// No answer came. A change may be made, now or later.
-    Silent,
-}
-
-/// What a member tells all others again and again: it lives, and how much room its racks have.
-///
-/// A heartbeat that is lost is replaced by the next one, so it goes as a datagram: as a call of its own, over a
-/// connection to each of 36 peers, it took more than half of a processor share of 0.12 cores.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Whether its sender watches the receiver closely, and waits for its heartbeats.
-    pub watching: bool,
-    /// The member's standing.
-    pub status: Status,
-    /// The room of racks where it has changed.
-    pub rooms: Vec<Vacancy>,
-}
-
-/// What a member says of itself.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Status {
-    /// The highest epoch that it has heard of.
-    pub epoch: Epoch,
-    /// The version of its configuration.
-    pub configuration: u64,
-    /// The version of its list of endpoints.
-    pub roster: u64,
-    /// The data centres that it knows as evacuated.
-    pub evacuation: Evacuation,
-    /// Whether it reads the list of endpoints from the store.
-    pub reading: bool,
-    /// Whether it is about to end.
-    pub draining: bool,
-    /// Its processor share, in thousandths of a core: the more it has, the more racks it takes.
-    pub share: u32,
-    /// The racks that it owns.
-    pub racks: Vec<Claim>,
-    /// The shards of stored jobs that it coordinates.
-    pub shards: Vec<Coordination>,
-    /// Its jobs of which nothing has started, by queue.
-    pub pending: Vec<(String, u32)>,
-    /// Members that it found to be gone of late.
-    pub absences: Vec<Absence>,
-}
-
-/// A life of a member that one that watched it closely found to be gone.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Absence {
-    /// The member.
-    pub name: Instance,
-    /// Its life.
-    pub incarnation: u64,
-}
-
-/// A shard that a member coordinates.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Coordination {
-    /// The shard.
-    pub shard: ShardId,
-    /// What it knows of it.
-    pub knowledge: Knowledge,
-}
-
-/// What a coordinator knows of its shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Knowledge {
-    /// Nothing yet.
-    Reading,
-    /// That the store holds nothing of it.
-    Empty,
-    /// All of its jobs, as the only one that writes them.
-    Held,
-}
-
-/// A rack that a member owns.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// The rack.
-    pub rack: RackId,
-    /// The token of its owner.
-    pub token: Token,
-}
-
-/// The room that a rack has.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Vacancy {
-    /// The rack.
-    pub rack: RackId,
-    /// What is free, by endpoint that takes work.
-    pub free: Vec<Room>,
-    /// Tasks that wait there and would run as well elsewhere.
-    pub movable: u32,
-    /// The work that waits, in core-milliseconds.
-    pub backlog: u64,
-}
-
 /// Tasks of one step that one owner is to run.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
@@ -836,192 +589,3 @@
     /// It was dropped as its entry asked.
     Dropped,
 }
-
-/// What the next owner of a rack must know.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Handover {
-    /// The rack.
-    pub rack: RackId,
-    /// The highest token that was used there.
-    pub token: Token,
-    /// Its batches.
-    pub batches: Vec<Held>,
-    /// What runs on its endpoints.
-    pub runs: Vec<Transferred>,
-}
-
-/// A batch at its owner, as it is handed over.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Held {
-    /// The entry that it is from.
-    pub entry: Contact,
-    /// The batch, with the tasks that are not done.
-    pub batch: Batch,
-    /// The next run of each of its tasks.
-    pub next: Vec<Run>,
-    /// How often each of its tasks failed.
-    pub failures: Vec<u32>,
-    /// What is suspected of each of its tasks.
-    pub suspicions: Vec<Suspicion>,
-    /// Tasks that are done.
-    pub done: Vec<u32>,
-    /// Whether a start ever left.
-    pub started: bool,
-}
-
-/// What is known of endpoints that crashed, or may have, under a task.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Suspicion {
-    /// How many have crashed.
-    pub crashes: u32,
-    /// In how many of these it was the only one there that had come under suspicion before.
-    pub sole: u32,
-    /// How many have fallen silent, and haven't been heard since.
-    pub silences: u32,
-    /// How many of these refused connections, as one does whose process has ended.
-    pub refusals: u32,
-}
-
-/// Endpoints that crash under a task before it is to blame, where no other task was at both crashes.
-const CRASHES: u32 = 2;
-
-/// Endpoints that crash under a task before it is to blame in any case.
-const SHARED_CRASHES: u32 = 3;
-
-impl Suspicion {
-    /// Tells whether there is any.
-    pub fn is_any(self) -> bool {
-        self.crashes + self.silences > 0
-    }
-
-    /// Tells whether the task is to blame. One that shared both crashes with another may be as innocent as that: it runs once more. A
-    /// third crash is enough, since the platform bounds the starts after it.
-    pub fn is_proved(self) -> bool {
-        let least = if self.sole > 0 {
-            CRASHES
-        } else {
-            SHARED_CRASHES
-        };
-        self.crashes >= least
-    }
-
-    /// Tells whether it is strong enough for the task to run alone. One endpoint that leaves calls without an answer is no reason: a cut
-    /// silences many, and what ran there would take an endpoint each, when there are fewer.
-    pub fn is_strong(self) -> bool {
-        self.crashes + self.refusals > 0 || self.silences > 1
-    }
-
-    /// Takes note that an endpoint which had fallen silent is heard of.
-    pub fn heard(&mut self) {
-        self.silences = self.silences.saturating_sub(1);
-        self.refusals = self.refusals.min(self.silences);
-    }
-}
-
-/// A run as it is handed over.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Transferred {
-    /// The endpoint.
-    pub endpoint: Endpoint,
-    /// The task.
-    pub task: TaskId,
-    /// The run.
-    pub run: Run,
-    /// Its batch, by the entry and its number.
-    pub entry: Instance,
-    /// See above.
-    pub serial: u64,
-    /// Whether it is being stopped, to be started again.
-    pub stopping: bool,
-}
-
-/// A line of the log: an event, the job that it touches, and what decided it.
-#[derive(Debug, Clone)]
-pub struct Record {
-    /// The event's name.
-    pub event: &'static str,
-    /// Whether it is routine, and may be left out under load.
-    pub routine: bool,
-    /// The job.
-    pub job: Option<JobId>,
-    /// Names and values.
-    pub fields: Vec<(&'static str, Value)>,
-}
-
-/// A value in a line of the log.
-#[derive(Debug, Clone, Serialize)]
-#[serde(untagged)]
-pub enum Value {
-    /// A number.
-    Number(i64),
-    /// A text.
-    Text(String),
-}
-
-impl From<u64> for Value {
-    fn from(number: u64) -> Self {
-        Self::Number(number as i64)
-    }
-}
-
-impl From<u32> for Value {
-    fn from(number: u32) -> Self {
-        Self::Number(i64::from(number))
-    }
-}
-
-impl From<usize> for Value {
-    fn from(number: usize) -> Self {
-        Self::Number(number as i64)
-    }
-}
-
-impl From<Span> for Value {
-    fn from(span: Span) -> Self {
-        Self::Number(span.as_millis() as i64)
-    }
-}
-
-impl From<&str> for Value {
-    fn from(text: &str) -> Self {
-        Self::Text(text.to_owned())
-    }
-}
-
-impl From<String> for Value {
-    fn from(text: String) -> Self {
-        Self::Text(text)
-    }
-}
-
-impl Record {
-    /// Makes a line that is always written.
-    pub fn new(event: &'static str) -> Self {
-        Self {
-            event,
-            routine: false,
-            job: None,
-            fields: Vec::new(),
-        }
-    }
-
-    /// Makes a line that may be left out under load.
-    pub fn routine(event: &'static str) -> Self {
-        Self {
-            routine: true,
-            ..Self::new(event)
-        }
-    }
-
-    /// Names the job.
-    pub fn job(mut self, job: JobId) -> Self {
-        self.job = Some(job);
-        self
-    }
-
-    /// Adds a value.
-    pub fn with(mut self, name: &'static str, value: impl Into<Value>) -> Self {
-        self.fields.push((name, value.into()));
-        self
-    }
-}
--- /dev/null
+++ b/src/dispatch/message/line.rs
@@ -0,0 +1,97 @@
+//! Lines of the log.
+
+use serde::Serialize;
+
+use super::super::id::JobId;
+use crate::prelude::*;
+
+/// A line of the log: an event, the job that it touches, and what decided it.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// The event's name.
+    pub event: &'static str,
+    /// Whether it is routine, and may be left out under load.
+    pub routine: bool,
+    /// The job.
+    pub job: Option<JobId>,
+    /// Names and values.
+    pub fields: Vec<(&'static str, Value)>,
+}
+
+/// A value in a line of the log.
+#[derive(Debug, Clone, Serialize)]
+#[serde(untagged)]
+pub enum Value {
+    /// A number.
+    Number(i64),
+    /// A text.
+    Text(String),
+}
+
+impl From<u64> for Value {
+    fn from(number: u64) -> Self {
+        Self::Number(number as i64)
+    }
+}
+
+impl From<u32> for Value {
+    fn from(number: u32) -> Self {
+        Self::Number(i64::from(number))
+    }
+}
+
+impl From<usize> for Value {
+    fn from(number: usize) -> Self {
+        Self::Number(number as i64)
+    }
+}
+
+impl From<Span> for Value {
+    fn from(span: Span) -> Self {
+        Self::Number(span.as_millis() as i64)
+    }
+}
+
+impl From<&str> for Value {
+    fn from(text: &str) -> Self {
+        Self::Text(text.to_owned())
+    }
+}
+
+impl From<String> for Value {
+    fn from(text: String) -> Self {
+        Self::Text(text)
+    }
+}
+
+impl Record {
+    /// Makes a line that is always written.
+    pub fn new(event: &'static str) -> Self {
+        Self {
+            event,
+            routine: false,
+            job: None,
+            fields: Vec::new(),
+        }
+    }
+
+    /// Makes a line that may be left out under load.
+    pub fn routine(event: &'static str) -> Self {
+        Self {
+            routine: true,
+            ..Self::new(event)
+        }
+    }
+
+    /// Names the job.
+    pub fn job(mut self, job: JobId) -> Self {
+        self.job = Some(job);
+        self
+    }
+
+    /// Adds a value.
+    pub fn with(mut self, name: &'static str, value: impl Into<Value>) -> Self {
+        self.fields.push((name, value.into()));
+        self
+    }
+}
