Reverted: deliveries to peers that fail are tried with more patience, and less often

Conclusion: the connections at 300 machines are not those of deliveries that are given up after 250 ms, or not most of them; what they are isn't traced.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,6 +1,5 @@
 //! An instance on the platform: one thread with all sockets round the dispatcher.
 
-pub mod attempts;
 pub mod calls;
 pub mod feeds;
 pub mod front;
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -36,7 +36,6 @@
 };
 
 use super::{
-    attempts::Attempts,
     hub::{
         now,
         Hub, //
@@ -62,11 +61,18 @@
 /// How long a connection to a peer may take to open: some round trips, below the silence that ends a session.
 const CONNECT: Duration = Duration::from_millis(250);
 
+/// How long a delivery may take: after that its connection counts as silent, and what was on it is sent again
+/// over a new one, while the peer still waits for it.
+const DELIVERY: Duration = Duration::from_millis(250);
+
+/// Between attempts to reach a peer.
+const AGAIN: Duration = Duration::from_millis(60);
+
 /// Bytes that wait for one peer: a second of a link of 25 Mbit/s, after which its session is given up anyway. Counted in
 /// messages alone, large ones took all of a process's memory.
 const WAITING: usize = 3 << 20;
 
-/// Bytes of the messages in one envelope, as far as they are several: a tenth of a delivery's time on a link of 25 Mbit/s.
+/// Bytes of the messages in one envelope, as far as they are several: a tenth of [`DELIVERY`] on a link of 25 Mbit/s.
 const ENVELOPE: usize = 64 << 10;
 
 /// What travels: messages with their sender and their place in the session.
@@ -287,7 +293,6 @@
 /// Delivers a peer's messages, one envelope after the other, each until it is acknowledged.
 async fn deliver(hub: Rc<Hub>, name: Instance) {
     let mut link: Option<Connection> = None;
-    let mut attempts = Attempts::default();
     let Some(wake) = hub.peers.wake(&name) else {
         return;
     };
@@ -298,7 +303,6 @@
         };
         hub.gauges.messages(envelope.count);
         // An envelope of a session that has ended meanwhile is void.
-        attempts.begin(envelope.epoch);
         while hub.peers.current(&name, envelope.epoch) {
             if link
                 .as_ref()
@@ -307,17 +311,13 @@
                 link = Connection::open(hub.peers.own, &envelope.address).await;
             }
             let Some(connection) = &link else {
-                attempts.failed();
-                sleep(attempts.pause(&mut rand::rng())).await;
+                sleep(AGAIN).await;
                 continue;
             };
             let mut request = connection.client.deliver_request();
             request.get().set_envelope(&envelope.bytes);
-            match timeout(attempts.patience(), request.send().promise).await {
-                Ok(Ok(_)) => {
-                    attempts.succeeded();
-                    break;
-                }
+            match timeout(DELIVERY, request.send().promise).await {
+                Ok(Ok(_)) => break,
                 Ok(Err(error)) => {
                     let record = Record::new("messages_broken").with("member", name.as_str());
                     hub.log(&record.with("error", error.extra));
@@ -328,8 +328,7 @@
                 }
             }
             link = None;
-            attempts.failed();
-            sleep(attempts.pause(&mut rand::rng())).await;
+            sleep(Duration::from_millis(2)).await;
         }
     }
 }
