--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -73,13 +73,13 @@
     /// Whether it had space then.
     spacious: bool,
     /// When its queue is gone through next, if nothing happens before that may let a task start.
-    review: Time,
+    next_review: Time,
 }
 
 impl Rack {
     /// Takes note that a task may be able to start: one has come, or something was heard of an endpoint.
-    fn stir(&mut self) {
-        self.review = Time::default();
+    fn review_now(&mut self) {
+        self.next_review = Time::default();
     }
 }
 
@@ -226,7 +226,7 @@
             changed: true,
             open: 0,
             spacious: false,
-            review: Time::default(),
+            next_review: Time::default(),
         };
         self.racks.entry(rack).or_insert(fresh).token = token;
         self.claims += 1;
@@ -315,7 +315,7 @@
                 continue;
             };
             rack.changed = true;
-            rack.stir();
+            rack.review_now();
             if let Some(state) = self.endpoints.get_mut(&listing.id) {
                 if listing.draining && !state.listing.draining {
                     let record = Record::new("endpoint_leaving");
@@ -354,7 +354,7 @@
         }
         for rack in self.racks.values_mut() {
             rack.changed = true;
-            rack.stir();
+            rack.review_now();
         }
     }
 
@@ -441,7 +441,7 @@
             };
             rack.queue.push(waiting, claim, now);
             rack.changed = true;
-            rack.stir();
+            rack.review_now();
         }
     }
 
@@ -470,7 +470,7 @@
         if !self.present.contains(entry) {
             self.present.insert(entry.clone());
             self.gone.remove(entry);
-            self.racks.values_mut().for_each(Rack::stir);
+            self.racks.values_mut().for_each(Rack::review_now);
         }
     }
 
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -43,7 +43,7 @@
         if let Purpose::Probe(rack) = purpose {
             return self.probed(rack, call, &reply);
         }
-        self.stir(&id);
+        self.review_rack_of(&id);
         let Some(state) = self.endpoints.get_mut(&id) else {
             return;
         };
@@ -237,13 +237,13 @@
     pub(super) fn touch(&mut self, id: &Endpoint) {
         if let Some(rack) = self.rack_of(id) {
             rack.changed = true;
-            rack.stir();
+            rack.review_now();
         }
     }
 
-    fn stir(&mut self, id: &Endpoint) {
+    fn review_rack_of(&mut self, id: &Endpoint) {
         if let Some(rack) = self.rack_of(id) {
-            rack.stir();
+            rack.review_now();
         }
     }
 
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -42,7 +42,8 @@
 /// Between looks through a queue while nothing happens that may let a task start but that time passes: a rest ends, or the time of what
 /// waits is over.
 ///
-/// Gone through after each message that came, a queue of some dozens took most of the time of an instance when load was at its worst.
+/// Gone through after each message that came, heartbeats among them, a queue of some dozens took processor time that small instances lack
+/// when load is at its worst.
 const REVIEW: Span = Span::millis(10);
 
 /// A need and a label for which there is no room, and whether the rack could ever have it.
@@ -97,10 +98,10 @@
         let Some(rack) = self.racks.get_mut(&id) else {
             return;
         };
-        if rack.queue.is_empty() || now < rack.review {
+        if rack.queue.is_empty() || now < rack.next_review {
             return;
         }
-        rack.review = now + REVIEW;
+        rack.next_review = now + REVIEW;
         rack.queue.turn(now);
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
         let mut misfits: Vec<Misfit> = Vec::new();
@@ -220,10 +221,14 @@
             other && state.carries(&batch.need, batch.label.as_ref())
         };
         let avoided = failed_on.filter(|id| states.clone().any(|state| sound(state, id)));
-        let beside = |state: &State| match suspicion {
-            suspicion if suspicion.is_strong() => state.executions.len(),
-            suspicion if suspicion.is_any() => state.doubtful(),
-            _ => 0,
+        let beside = |state: &State| {
+            if suspicion.is_strong() {
+                state.executions.len()
+            } else if suspicion.is_any() {
+                state.doubtful()
+            } else {
+                0
+            }
         };
         let best = states.filter(fits);
         let best = best.filter(|state| Some(&state.listing.id) != avoided);
