Members are asked for, not told to everyone

Cause: whoever heard a member for the first time sent it the names of all live members, as a message, hence over a connection of its own. When N instances start together each opens N connections and sends N lists of up to N names, and again after each cut. The store's list tells the same: an instance contacts all that it finds there, and these hear it then.

Change: no list follows a first heartbeat. An instance that can't read the store asks one live member a second for its names, in turn, until it can. Whoever has ceased to contact lost members reads the store's list again, so that two halves of a fleet that were apart for more than thirty seconds find each other; that rested on the lists before, and only where somebody had restarted.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,6 +9,7 @@
 
 mod announcement;
 mod coordination;
+mod discovery;
 mod documents;
 pub mod durable;
 pub mod endpoint;
@@ -34,11 +35,11 @@
         BTreeMap,
         HashMap, //
     },
-    rc::Rc,
-    slice, //
+    rc::Rc, //
 };
 
 use self::{
+    discovery::MemberSearch,
     documents::Documents,
     durable::Coordinator,
     entry::Entry,
@@ -163,6 +164,8 @@
 pub struct Dispatcher {
     identity: Identity,
     members: Members,
+    /// The search for members among peers, while the store's list of them can't be read.
+    member_search: Option<MemberSearch>,
     entry: Entry,
     owner: Owner,
     /// Shards of stored jobs that this instance coordinates.
@@ -221,6 +224,7 @@
             requests: Requests::default(),
             documents: Documents::default(),
             members: Members::new(&identity.contact.name, identity.centre.as_str()),
+            member_search: None,
             identity,
             configuration: None,
             evacuation: Evacuation::default(),
@@ -285,9 +289,10 @@
         self.draining_since.is_some_and(elapsed) && answered && self.owner.is_idle()
     }
 
-    /// Returns whether no peer is alive.
-    pub fn is_alone(&self) -> bool {
-        self.members.live().next().is_none()
+    /// Returns whether the members in the store must be read again: nobody is heard, or some were lost for so long that
+    /// this instance has ceased to contact them.
+    pub fn needs_members(&self) -> bool {
+        self.members.live().next().is_none() || self.members.has_missing()
     }
 
     /// Counts the jobs of a queue that have started no task, at this instance and at all live peers.
@@ -416,9 +421,13 @@
             }
             Input::RosterRead(done) => self.reader.on_read(done, now),
             Input::MembersFound(contacts) => {
-                for contact in contacts {
-                    self.on_member_found(&contact, now, out);
-                }
+                self.members.clear_missing();
+                self.member_search = None;
+                self.on_members_found(&contacts, now, out);
+            }
+            Input::SeedsFound(seeds) => {
+                self.member_search.get_or_insert_with(MemberSearch::default);
+                self.on_members_found(&seeds, now, out);
             }
             Input::Received { from, messages } => {
                 if self.check_sender(&from, now, out) {
@@ -544,18 +553,6 @@
         self.update_ownership(now, out);
     }
 
-    /// Adds a member that the store or a peer has named, and sends it a heartbeat if it's new.
-    fn on_member_found(&mut self, contact: &Contact, now: Time, out: &mut Effects) {
-        if contact.name == self.identity.contact.name {
-            return;
-        }
-        if self.members.add(contact, now) {
-            let record = LogRecord::new("member_found").with("member", contact.name.as_str());
-            out.outputs.push(Output::Log(record));
-            self.send_heartbeats(slice::from_ref(&contact.name), &[], now, out);
-        }
-    }
-
     /// Updates the members, and the entry's view of their racks, from heartbeats.
     fn on_heartbeats(
         &mut self,
@@ -660,11 +657,8 @@
     /// Handles a message of a peer, or one of this instance to itself.
     fn on_message(&mut self, from: &Contact, message: Message, now: Time, out: &mut Effects) {
         match message {
-            Message::Members(contacts) => {
-                for contact in contacts {
-                    self.on_member_found(&contact, now, out);
-                }
-            }
+            Message::Members(contacts) if contacts.is_empty() => self.send_members(from, out),
+            Message::Members(contacts) => self.on_members_found(&contacts, now, out),
             Message::Batch(batch) => match self.is_outdated(&from.name, now) {
                 true => self.owner.decline(from, *batch, out),
                 false => self.owner.accept(from, *batch, now, out),
@@ -813,6 +807,7 @@
         self.call_store(now, out);
         self.send_due_requests(now, out);
         self.fetch_documents(now, out);
+        self.search_members(now, out);
         self.entry.run_due(now, out);
         if now.since(self.audited_at) >= AUDIT_INTERVAL {
             self.audited_at = now;
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -42,12 +42,10 @@
 const MAX_RACKS_PER_HEARTBEAT: usize = 6;
 
 impl Dispatcher {
-    /// Sends a member that has become alive what it needs to place tasks: the other members, and the room of all racks.
+    /// Sends a member that has become alive what it needs to place tasks: the room of all racks.
     pub(super) fn introduce(&mut self, to: &Contact, now: Time, out: &mut Effects) {
         let record = LogRecord::new("member_heard").with("member", to.name.as_str());
         out.outputs.push(Output::Log(record));
-        let members = self.members.live().map(|m| m.contact.clone()).collect();
-        out.messages.push((to.clone(), Message::Members(members)));
         let rooms = self.owner.vacancies(now);
         let own = self.identity.contact.name.clone();
         self.entry.update_rooms(&own, rooms.clone());
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -119,6 +119,8 @@
     neighbours_key: Option<(usize, u64)>,
     /// Members that this instance lost recently, and when.
     absences: Vec<(Absence, Time)>,
+    /// Whether lost members have been removed since the store's list was last read.
+    missing: bool,
 }
 
 impl Members {
@@ -131,9 +133,20 @@
             claim_changes: 0,
             neighbours_key: None,
             absences: Vec::new(),
+            missing: false,
         }
     }
 
+    /// Returns whether lost members have been removed, which may be back by now.
+    pub fn has_missing(&self) -> bool {
+        self.missing
+    }
+
+    /// Records that the store's list of members was read.
+    pub fn clear_missing(&mut self) {
+        self.missing = false;
+    }
+
     /// Adds a member, or updates the address of one that isn't alive. Returns whether it's new or has moved.
     pub fn add(&mut self, contact: &Contact, now: Time) -> bool {
         // A seed has its address as its name until it's heard.
@@ -333,8 +346,10 @@
             .retain(|(_, at)| now.since(*at) < watch::WATCH_TIME);
         self.absences
             .extend(lost.iter().map(|member| (absence(member), now)));
+        let count = self.members.len();
         self.members
             .retain(|_, member| member.live || now.since(member.state_since) < FORGET_AFTER);
+        self.missing |= self.members.len() < count;
         lost
     }
 
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -174,6 +174,8 @@
     RosterRead(bool),
     /// Members were found in the store.
     MembersFound(Vec<Contact>),
+    /// The addresses of some members are known from the settings, since the store can't be read.
+    SeedsFound(Vec<Contact>),
     /// Messages of a peer arrived, all of one session.
     Received {
         /// The peer.
@@ -317,7 +319,7 @@
 /// A message between instances. Messages of one session arrive in order, each once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// Lists members that the sender hears.
+    /// Lists members that the sender hears. An empty list asks the receiver for its own.
     Members(Vec<Contact>),
     /// Asks a rack's owner to run tasks.
     Batch(Box<Batch>),
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -68,7 +68,7 @@
 /// Interval at which an instance checks whether it has become one of those that read the endpoint table.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Interval between reads of the instance table while no peer is heard.
+/// Interval between checks whether the instance table must be read again.
 const PEER_SEARCH_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Maximum number of malformed rows that are remembered so that each is logged once. Another program may write many
@@ -366,8 +366,8 @@
     }
 }
 
-/// Registers this instance in the store, then reads the table of instances until a read succeeds, and later whenever no
-/// peer is heard.
+/// Registers this instance in the store, then reads the table of instances until a read succeeds, and later whenever
+/// members may be missing.
 pub async fn register_and_find_peers(
     hub: Rc<Hub>,
     address: String,
@@ -386,12 +386,12 @@
         .is_err()
     {
         // Without the store, only the seeds lead to peers.
-        hub.handle(Input::MembersFound(seeds.clone()));
+        hub.handle(Input::SeedsFound(seeds.clone()));
         sleep(RETRY_DELAY).await;
     }
     let mut has_read = false;
     loop {
-        if !has_read || hub.with_dispatcher(|dispatcher| dispatcher.is_alone()) {
+        if !has_read || hub.with_dispatcher(|dispatcher| dispatcher.needs_members()) {
             if let Ok((rows, _)) = client.fetch_table(record::INSTANCE_TABLE).await {
                 has_read = true;
                 hub.handle(Input::MembersFound(read_contacts(&client, rows)));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,8 +3,12 @@
 
 #[path = "fleet/configuration.rs"]
 mod configuration;
+#[path = "fleet/growth.rs"]
+mod growth;
 #[path = "fleet/readers.rs"]
 mod readers;
+#[path = "fleet/single.rs"]
+mod single;
 #[path = "fleet/watch.rs"]
 mod watch;
 #[path = "fleet/world.rs"]
