Members that may be starting are contacted at a bounded rate

Cause: an instance that found members sent each a heartbeat at once and every 100 ms for three seconds, so that at a start of N, or after each loss, it sent ten times N in a second: 2,350 at 236, which is more than what a machine of 0.12 of a core can send and hear.

Change: members that are found or lost get a pace of their own, four a tick, those that have waited longest first. An instance claims racks that seem to have no owner only once it has contacted everyone. The first heartbeats to everyone on the first tick are gone.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -242,7 +242,7 @@
             stepped_at: Time::default(),
             expired_at: Time::default(),
             coordinated_at: Time::default(),
-            announced_at: Time::default(),
+            announced_at: now,
             rooms_sent_at: Time::default(),
             all_rooms_sent_at: Time::default(),
             audited_at: Time::default(),
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -5,6 +5,7 @@
 use super::{
     member::{
         Member,
+        Pace,
         HEARTBEAT_INTERVAL, //
     },
     message::{
@@ -38,6 +39,10 @@
 /// Members that aren't watched closely to which heartbeats are sent in one tick.
 const MAX_DISTANT_PER_TICK: usize = 2;
 
+/// Members that aren't alive yet to which heartbeats are sent in one tick, so that the start of many instances at once costs
+/// each a quarter of a weak machine's processor at most.
+const MAX_CONTACTS_PER_TICK: usize = 4;
+
 /// Racks in one heartbeat, so that it fits in one packet.
 const MAX_RACKS_PER_HEARTBEAT: usize = 6;
 
@@ -141,33 +146,27 @@
     }
 
     /// Returns the members to which heartbeats are due apart from the frequent ones: members that have just become closely
-    /// watched, and distant members whose interval is over.
+    /// watched, some of those that may be starting, and distant members whose interval is over.
     fn due_members(&self, now: Time) -> Vec<Instance> {
         let urgent = self.announced_at == Time::default();
-        let distant = self
-            .members
-            .all()
-            .filter(|m| !m.has_frequent_heartbeats(now));
-        let interval = watch::heartbeat_interval(distant.count());
-        let is_due = |m: &&Member| match m.has_frequent_heartbeats(now) {
-            true => m.watch.needs_first_heartbeat(),
-            false => urgent || now.since(m.watch.heartbeat_sent) >= interval,
+        let count = |pace| self.members.all().filter(|m| m.pace(now) == pace).count();
+        let interval = watch::heartbeat_interval(count(Pace::Distant));
+        let since = |m: &Member| now.since(m.watch.heartbeat_sent);
+        let due_at = |pace| {
+            let members = self.members.all().filter(move |m| m.pace(now) == pace);
+            members.filter(move |m| match pace {
+                Pace::Frequent => m.watch.needs_first_heartbeat(),
+                Pace::Contact => since(m) >= HEARTBEAT_INTERVAL,
+                Pace::Distant => urgent || since(m) >= interval,
+            })
         };
-        let mut due: Vec<&Member> = self.members.all().filter(is_due).collect();
-        if !urgent && due.len() > MAX_DISTANT_PER_TICK {
-            // Spreads out members that became due together: a burst of datagrams would delay other traffic.
-            due.sort_by_key(|member| {
-                (
-                    !member.has_frequent_heartbeats(now),
-                    member.watch.heartbeat_sent,
-                )
-            });
-            let close = due
-                .iter()
-                .filter(|m| m.has_frequent_heartbeats(now))
-                .count();
-            due.truncate(MAX_DISTANT_PER_TICK.max(close));
-        }
+        let mut due: Vec<&Member> = due_at(Pace::Frequent).collect();
+        due.extend(longest_due(due_at(Pace::Contact), MAX_CONTACTS_PER_TICK));
+        let max_distant = match urgent {
+            true => usize::MAX,
+            false => MAX_DISTANT_PER_TICK,
+        };
+        due.extend(longest_due(due_at(Pace::Distant), max_distant));
         due.into_iter().map(|m| m.contact.name.clone()).collect()
     }
 
@@ -232,3 +231,14 @@
         }
     }
 }
+
+/// Returns the members that have waited longest for a heartbeat, at most `count`: a burst of datagrams to all that became due
+/// together would delay other traffic.
+fn longest_due<'a>(members: impl Iterator<Item = &'a Member>, count: usize) -> Vec<&'a Member> {
+    let mut members: Vec<&Member> = members.collect();
+    if members.len() > count {
+        members.sort_by_key(|member| member.watch.heartbeat_sent);
+        members.truncate(count);
+    }
+    members
+}
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -41,8 +41,8 @@
 /// [`STARTUP_DELAY`].
 pub const STARTUP_QUIET: Span = HEARTBEAT_INTERVAL;
 
-/// How long a member that was found or lost gets frequent heartbeats. It may be starting, and after a loss of all instances
-/// callers wait until the instances hear each other.
+/// How long a member that was found or lost is contacted more often than distant ones. It may be starting, and after a loss of
+/// all instances callers wait until the instances hear each other.
 const CONTACT_PERIOD: Span = Span::seconds(3);
 
 /// The largest drift between the clocks of two machines, as a fraction.
@@ -83,8 +83,17 @@
 impl Member {
     /// Returns whether it gets heartbeats every [`HEARTBEAT_INTERVAL`].
     pub fn has_frequent_heartbeats(&self, now: Time) -> bool {
+        self.watch.is_close(now)
+    }
+
+    /// Returns how often it gets heartbeats.
+    pub fn pace(&self, now: Time) -> Pace {
         let may_start = !self.live && now.since(self.state_since) < CONTACT_PERIOD;
-        may_start || self.watch.is_close(now)
+        match (self.watch.is_close(now), may_start) {
+            (true, _) => Pace::Frequent,
+            (false, true) => Pace::Contact,
+            (false, false) => Pace::Distant,
+        }
     }
 
     /// Returns whether it hasn't been heard, or was silent for longer than [`HEARTBEAT_TIMEOUT`] while it was watched closely.
@@ -94,6 +103,17 @@
     }
 }
 
+/// How often a member gets heartbeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// Every [`HEARTBEAT_INTERVAL`], since it's watched closely.
+    Frequent,
+    /// As often as the rate for all such members allows, since it isn't alive but may be starting.
+    Contact,
+    /// At the interval for members that aren't watched closely.
+    Distant,
+}
+
 /// The result of checking the incarnation and session of a sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SenderCheck {
@@ -364,6 +384,12 @@
         absences.map(|(absence, _)| absence.clone()).collect()
     }
 
+    /// Returns whether members were found that haven't been sent a heartbeat yet.
+    pub fn has_uncontacted(&self) -> bool {
+        let is_uncontacted = |m: &Member| !m.live && m.watch.heartbeat_sent == Time::default();
+        self.members.values().any(is_uncontacted)
+    }
+
     /// Marks all live members as lost, and returns them. Called after this process was paused.
     pub fn expire_all(&mut self, now: Time) -> Vec<Member> {
         for member in self.members.values_mut() {
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -100,7 +100,8 @@
     /// Returns whether this instance has listened long enough after its start to claim racks that nobody seems to own.
     fn is_startup_over(&self, now: Time) -> bool {
         let member_count = self.members.all().count();
-        now.since(self.started_at) >= STARTUP_DELAY
+        let has_listened = now.since(self.started_at) >= STARTUP_DELAY;
+        has_listened && !self.members.has_uncontacted()
             || self.startup.is_joint_start(member_count, now)
     }
 
--- a/tests/fleet/growth.rs
+++ b/tests/fleet/growth.rs
@@ -34,3 +34,22 @@
         assert_eq!((sent.messages, sent.members_lost), (0, 0), "of {count}");
     }
 }
+
+/// Heartbeats to all members at once when many start would use up a weak machine's processor, so that it's late for those that it
+/// receives. Each must still be contacted within seconds.
+#[test]
+fn members_that_start_together_are_contacted_at_a_bounded_rate() {
+    for count in SIZES {
+        let mut single = start(count);
+        let mut most = 0;
+        for _ in 0..40 {
+            let before = single.sent.heartbeats;
+            single.run(Span::millis(100));
+            most = most.max(single.sent.heartbeats - before);
+        }
+        // Besides, it answers those that contact it at the same rate and those that answer it, and watches up to 48 closely.
+        let bound = 3 * CONTACT_RATE / 10 + 2 * 48;
+        assert!(most <= bound, "{most} in 100 ms, of {count}");
+        assert_eq!(single.dispatcher.stats().peers, count - 1);
+    }
+}
