Heartbeats announce at most eight lost members

Cause: each heartbeat of the second after a loss named all lost members. After the loss of a data centre of N / 5 that is N / 5 names in each, to all: heartbeats of up to several kilobytes in the very second in which racks move.

Change: a heartbeat names eight, the next ones in turn; instances begin at different ones, so that all are named within a second.

--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -122,7 +122,7 @@
             racks: self.owner.racks().map(claim).chain(handed_over).collect(),
             shards: self.coordinator.coordinations(),
             pending: self.entry.pending_by_route().into_iter().collect(),
-            absences: self.members.absences(),
+            absences: self.members.absences(now),
         }
     }
 
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -7,6 +7,7 @@
 
 use super::{
     id::{
+        keyed_hash,
         Epoch,
         RackId,
         Token, //
@@ -45,6 +46,10 @@
 /// all instances callers wait until the instances hear each other.
 const CONTACT_PERIOD: Span = Span::seconds(3);
 
+/// The most members in a heartbeat that are announced as lost. After the loss of many, heartbeats announce them in turn, or
+/// their size would grow with the fleet.
+const MAX_ABSENCES: usize = 8;
+
 /// The largest drift between the clocks of two machines, as a fraction.
 const MAX_CLOCK_DRIFT: f64 = 0.001;
 
@@ -378,9 +383,15 @@
         watch::heartbeat_interval(self.members.len()).times(2) + HEARTBEAT_TIMEOUT
     }
 
-    /// Returns the members that this instance has lost recently, as announced in heartbeats.
-    pub fn absences(&self) -> Vec<Absence> {
-        let absences = self.absences.iter();
+    /// Returns the members that this instance has lost recently, as a heartbeat announces them: of many, the next ones in turn.
+    /// Instances begin at different ones.
+    pub fn absences(&self, now: Time) -> Vec<Absence> {
+        let heartbeat = (now.0 / HEARTBEAT_INTERVAL.0) as usize;
+        let first = keyed_hash(0, self.own.as_str()) as usize % self.absences.len().max(1);
+        let absences = self.absences.iter().cycle().take(self.absences.len() * 2);
+        let absences =
+            absences.skip((first + heartbeat * MAX_ABSENCES) % self.absences.len().max(1));
+        let absences = absences.take(MAX_ABSENCES.min(self.absences.len()));
         absences.map(|(absence, _)| absence.clone()).collect()
     }
 
--- a/tests/fleet/growth.rs
+++ b/tests/fleet/growth.rs
@@ -6,7 +6,10 @@
     prelude::*, //
 };
 
-use super::single::Single;
+use super::single::{
+    Sent,
+    Single, //
+};
 
 /// The sizes of the fleets.
 const SIZES: [usize; 4] = [30, 100, 300, 1_000];
@@ -14,6 +17,9 @@
 /// The most members that an instance contacts in a second, in any fleet.
 const CONTACT_RATE: usize = 400;
 
+/// The most bytes by which a heartbeat may grow when a data centre is lost.
+const MAX_ABSENCE_BYTES: usize = 200;
+
 /// Starts an instance that finds all others in the store. Half of them find it there too.
 fn start(count: usize) -> Single {
     let mut single = Single::new(count);
@@ -22,6 +28,14 @@
     single
 }
 
+/// Returns an instance that has started and is told of all others.
+fn start_calm(count: usize) -> Single {
+    let mut single = start(count);
+    single.run(Span::seconds(7));
+    single.sent = Sent::default();
+    single
+}
+
 /// If instances sent each member that they hear the names of all, the bytes of a start would grow with the square of the fleet,
 /// and fill slow links until members that are alive count as lost.
 #[test]
@@ -53,3 +67,22 @@
         assert_eq!(single.dispatcher.stats().peers, count - 1);
     }
 }
+
+/// After the loss of a data centre heartbeats announce the lost members. If each announced all of them, the bytes that an
+/// instance sends would grow with the square of the fleet.
+#[test]
+fn heartbeats_stay_small_after_a_data_centre_is_lost() {
+    for count in SIZES {
+        let mut single = start_calm(count);
+        single.run(Span::seconds(3));
+        let calm = single.sent;
+        single.sent = Sent::default();
+        single.set_alive(1, false);
+        single.run(Span::seconds(5));
+        let sent = single.sent;
+        assert!(sent.members_lost >= count / 6, "of {count}");
+        let size = sent.heartbeat_bytes / sent.heartbeats;
+        let bound = calm.heartbeat_bytes / calm.heartbeats + MAX_ABSENCE_BYTES;
+        assert!(size <= bound, "{size} bytes in a heartbeat, of {count}");
+    }
+}
