An instance that was late itself reads heartbeats before it declares members lost

Cause: after 440 ms without a turn the first tick counted the silence of members whose heartbeats waited in the socket; with one heartbeat lost besides, all members counted as lost at once.

Change: a check for silent members that comes more than 50 ms late doesn't count; the next one, 10 ms later, does.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -95,6 +95,10 @@
 /// Interval between checks for members that have been silent too long: a tenth of the heartbeat interval.
 const EXPIRY_INTERVAL: Span = Span::millis(10);
 
+/// The longest interval between these checks after which silence counts at once. After a longer one this instance was late
+/// itself, and heartbeats of its members may wait to be read.
+const MAX_EXPIRY_DELAY: Span = Span::millis(50);
+
 /// How long a draining instance still accepts jobs. The platform sends it no new connections after two failed
 /// health checks, a second apart, and callers on open connections learn from their next answer that it leaves.
 /// A job that arrived later couldn't end before the process is killed.
@@ -770,10 +774,14 @@
 
     /// Declares members lost that have been silent too long, and takes back their batches.
     fn expire_members(&mut self, now: Time, out: &mut Effects) {
-        if now.since(self.expired_at) < EXPIRY_INTERVAL {
+        let elapsed = now.since(self.expired_at);
+        if elapsed < EXPIRY_INTERVAL {
             return;
         }
         self.expired_at = now;
+        if elapsed > MAX_EXPIRY_DELAY {
+            return;
+        }
         for member in self.members.expire(now) {
             let name = member.contact.name.clone();
             let record = LogRecord::new("member_lost").with("member", name.as_str());
--- a/tests/fleet/growth.rs
+++ b/tests/fleet/growth.rs
@@ -86,3 +86,17 @@
         assert!(size <= bound, "{size} bytes in a heartbeat, of {count}");
     }
 }
+
+/// An instance that was late itself, and misses a heartbeat besides, must first read what its members have sent meanwhile.
+/// Otherwise its own lateness would make all members count as lost at once.
+#[test]
+fn an_instance_that_is_late_loses_no_member() {
+    for count in SIZES {
+        let mut single = start_calm(count);
+        single.skip_heartbeats(Span::millis(190));
+        single.now = single.now + Span::millis(440);
+        single.feed(Input::Tick);
+        single.run(Span::seconds(2));
+        assert_eq!(single.sent.members_lost, 0, "of {count}");
+    }
+}
