Readers send each instance the changes of the list of endpoints that it lacks

Cause: at a start each instance reads the list once, at its own time, while endpoints still register. A reader's change applied only where nothing before it was missing, and one of more than 200 endpoints was not sent at all. Both left instances behind, which then fetched the whole list, again with each version that came meanwhile. Applying a change, and reading the whole list anew, compared each endpoint with each changed one.

Change: a reader keeps its changes, as many endpoints as the list has, and sends each member those after the version that the member has announced or was sent. Changes are divided by the versions of the rows, 200 endpoints at most in each. Endpoints are looked up in a set.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -75,7 +75,10 @@
         FormerOwner,
         Startup, //
     },
-    reader::Reader,
+    reader::{
+        History,
+        Reader, //
+    },
     requests::Requests,
     route::Configuration, //
 };
@@ -182,6 +185,8 @@
     roster: Roster,
     has_roster: bool,
     reader: Reader,
+    /// The changes of the list of endpoints that this instance has read.
+    history: History,
     /// The owner and token of each rack that another instance owns.
     rack_owners: Rc<HashMap<RackId, (Instance, Token)>>,
     /// The change counters of the members' claims and of the own ones that `rack_owners` was built from.
@@ -235,6 +240,7 @@
             roster: Roster::default(),
             has_roster: false,
             reader: Reader::default(),
+            history: History::default(),
             rack_owners: Rc::default(),
             claim_counts: None,
             former_owners: BTreeMap::new(),
@@ -418,10 +424,9 @@
                     self.apply_evacuation(evacuation, "store", now, out);
                 }
             }
-            Input::RosterListed(roster) => {
-                let earlier = self.roster.clone();
+            Input::RosterListed(roster, changes) => {
                 self.apply_roster(roster, now, out);
-                self.send_roster_change(&earlier, out);
+                self.send_roster_changes(changes, out);
             }
             Input::RosterRead(done) => self.reader.on_read(done, now),
             Input::MembersFound(contacts) => {
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -81,6 +81,8 @@
     pub state_since: Time,
     /// The status in its latest heartbeat.
     pub status: Option<Status>,
+    /// The version of the list of endpoints that this instance has sent it in changes, or zero.
+    pub roster_sent: u64,
     /// How closely it is watched.
     pub watch: Watch,
 }
@@ -198,6 +200,7 @@
             live: false,
             state_since: now,
             status: None,
+            roster_sent: 0,
             watch: Watch::default(),
         };
         self.members.insert(contact.name.clone(), member);
@@ -244,6 +247,7 @@
         member.centre.clone_from(&from.centre);
         if restarted {
             member.status = None;
+            member.roster_sent = 0;
             member.clock_offset = None;
             member.last_heard = None;
             member.status_sent = Time::default();
@@ -358,6 +362,7 @@
                 member.state_since = now;
                 lost.push(member.clone());
                 member.status = None;
+                member.roster_sent = 0;
                 self.claim_changes += 1;
             } else if member.last_heard.is_some_and(|at| now.since(at) > timeout) {
                 member.watch.extend(now);
@@ -427,6 +432,11 @@
         self.members.values().filter(|member| member.live)
     }
 
+    /// Returns the members that are alive, for updates of what was sent to them.
+    pub fn live_mut(&mut self) -> impl Iterator<Item = &mut Member> {
+        self.members.values_mut().filter(|member| member.live)
+    }
+
     /// Returns a count of changes to the claims, contacts and liveness of members.
     pub fn claim_changes(&self) -> u64 {
         self.claim_changes
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -168,11 +168,12 @@
     Evacuated(Evacuation),
     /// The evacuation of one data centre began or ended.
     EvacuationChanged(evacuation::Change),
-    /// The list of endpoints was read and has changed.
-    RosterListed(Roster),
+    /// The list of endpoints was read and has changed: the list, and the changes since the one that was read before, of
+    /// which each applies to the result of the one before.
+    RosterListed(Roster, Vec<RosterChange>),
     /// An attempt to read the list of endpoints ended; true if it succeeded.
     RosterRead(bool),
-    /// Members were found in the store.
+    /// All members in the store were read.
     MembersFound(Vec<Contact>),
     /// The addresses of some members are known from the settings, since the store can't be read.
     SeedsFound(Vec<Contact>),
--- a/src/dispatch/reader.rs
+++ b/src/dispatch/reader.rs
@@ -5,14 +5,16 @@
 
 use std::{
     cmp::Reverse,
-    collections::HashMap, //
+    collections::{
+        HashSet,
+        VecDeque, //
+    }, //
 };
 
 use super::{
     id::keyed_hash,
     member::Member,
     message::{
-        Listing,
         LogRecord,
         Message,
         Output,
@@ -38,10 +40,6 @@
 /// The longest delay before an instance starts to read, however many are preferred to it.
 const MAX_START_DELAY: Span = Span::millis(400);
 
-/// The most endpoints in a change that is sent to others. After a larger change these fetch the whole list in pieces, so that the
-/// reader doesn't send it to all of them at once.
-const MAX_CHANGED_ENDPOINTS: usize = 200;
-
 /// Decides whether this instance reads the list of endpoints from the store.
 #[derive(Debug, Default)]
 pub(super) struct Reader {
@@ -78,35 +76,69 @@
     }
 }
 
-impl Roster {
-    /// Returns the changes since an earlier version of the list.
-    pub fn changes_since(&self, earlier: &Self) -> RosterChange {
-        let earlier_listings: HashMap<&Endpoint, &Listing> =
-            earlier.endpoints.iter().map(|l| (&l.id, l)).collect();
-        let changed = self.endpoints.iter();
-        let changed = changed.filter(|listing| earlier_listings.get(&listing.id) != Some(listing));
-        let listed: HashMap<&Endpoint, &Listing> =
-            self.endpoints.iter().map(|l| (&l.id, l)).collect();
-        let earlier_ids = earlier.endpoints.iter().map(|listing| &listing.id);
-        RosterChange {
-            after: earlier.version,
-            version: self.version,
-            changed: changed.cloned().collect(),
-            removed: earlier_ids
-                .filter(|id| !listed.contains_key(id))
-                .cloned()
-                .collect(),
+/// The changes of the list of endpoints that this instance has read, each after the one before.
+///
+/// Instances read the list at different times when they start. The changes let a reader send each of them what it lacks.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    changes: VecDeque<RosterChange>,
+    /// The number of endpoints in `changes`.
+    size: usize,
+}
+
+impl History {
+    /// Adds changes. Keeps at most `limit` endpoints, since a longer history would cost more than the whole list.
+    fn add(&mut self, changes: Vec<RosterChange>, limit: usize) {
+        for change in changes {
+            if self
+                .changes
+                .back()
+                .is_some_and(|c| c.version != change.after)
+            {
+                self.changes.clear();
+                self.size = 0;
+            }
+            self.size += change_size(&change);
+            self.changes.push_back(change);
         }
+        while self.size > limit {
+            let Some(oldest) = self.changes.pop_front() else {
+                return;
+            };
+            self.size -= change_size(&oldest);
+        }
+    }
+
+    /// Returns the changes after a version of the list, or none if it's older than the history. The last `new` changes are
+    /// included if they end at that version: the list may change twice at one version.
+    fn since(&self, version: u64, new: usize) -> impl Iterator<Item = &RosterChange> {
+        let reaches = self.changes.front().is_some_and(|c| c.after <= version);
+        let first_new = self.changes.len().saturating_sub(new);
+        let changes = self.changes.iter().enumerate();
+        let is_missing = move |(i, change): &(usize, &RosterChange)| {
+            change.version > version || change.version == version && *i >= first_new
+        };
+        changes
+            .filter(move |entry| reaches && is_missing(entry))
+            .map(|(_, change)| change)
     }
+}
 
+/// Returns the number of endpoints in a change.
+fn change_size(change: &RosterChange) -> usize {
+    change.changed.len() + change.removed.len()
+}
+
+impl Roster {
     /// Returns the list with a change applied, or `None` if earlier changes are missing or the list is newer than the change.
     pub fn with_change(&self, change: &RosterChange) -> Option<Self> {
         if self.version < change.after || self.version > change.version {
             return None;
         }
-        let is_replaced = |id: &Endpoint| change.changed.iter().any(|listing| listing.id == *id);
+        let changed = change.changed.iter().map(|listing| &listing.id);
+        let replaced: HashSet<&Endpoint> = changed.chain(&change.removed).collect();
         let kept = self.endpoints.iter();
-        let kept = kept.filter(|l| !change.removed.contains(&l.id) && !is_replaced(&l.id));
+        let kept = kept.filter(|listing| !replaced.contains(&listing.id));
         Some(Self {
             version: change.version,
             endpoints: kept.chain(&change.changed).cloned().collect(),
@@ -146,19 +178,22 @@
         }
     }
 
-    /// Sends the changes of the list of endpoints to the members of the data centre that don't read it.
-    pub(super) fn send_roster_change(&self, earlier: &Roster, out: &mut Effects) {
-        let change = self.roster.changes_since(earlier);
-        if change.changed.len() + change.removed.len() > MAX_CHANGED_ENDPOINTS {
-            return;
-        }
-        let needs_changes = |member: &&Member| {
+    /// Sends the members of the data centre that don't read the list of endpoints the changes that they lack.
+    pub(super) fn send_roster_changes(&mut self, changes: Vec<RosterChange>, out: &mut Effects) {
+        let new = changes.len();
+        self.history.add(changes, self.roster.endpoints.len());
+        for member in self.members.live_mut() {
             let status = member.status.as_ref();
-            member.centre == self.identity.centre && status.is_some_and(|s| !s.reading)
-        };
-        for member in self.members.live().filter(needs_changes) {
-            let message = Message::RosterChange(Box::new(change.clone()));
-            out.messages.push((member.contact.clone(), message));
+            let known = status.filter(|status| !status.reading && status.roster > 0);
+            let Some(known) = known.filter(|_| member.centre == self.identity.centre) else {
+                continue;
+            };
+            let version = known.roster.max(member.roster_sent);
+            for change in self.history.since(version, new) {
+                let message = Message::RosterChange(Box::new(change.clone()));
+                out.messages.push((member.contact.clone(), message));
+            }
+            member.roster_sent = self.roster.version;
         }
     }
 }
--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -1,13 +1,20 @@
 //! The cached list of endpoints, which keeps entries over outages of the store.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
 
 use super::message::{
     Listing,
-    Roster, //
+    Roster,
+    RosterChange, //
 };
 use crate::prelude::*;
 
+/// The most endpoints in one change, which bounds the size of a message: other messages wait for it on a slow link.
+const MAX_CHANGED_ENDPOINTS: usize = 200;
+
 /// How long after an outage of the store an entry may be missing while its endpoint is alive. Endpoints write their entries
 /// again within that time.
 const GRACE_PERIOD: Span = Span::millis(2_300);
@@ -30,7 +37,10 @@
     entries: BTreeMap<Endpoint, CachedListing>,
     version: u64,
     store: Store,
-    changed: bool,
+    /// Endpoints whose entries were set or removed since the list was last taken, with the version of the change.
+    changed: BTreeMap<Endpoint, u64>,
+    /// The version of the list that was taken last, or zero if there was none.
+    taken_version: u64,
 }
 
 /// The availability of the store.
@@ -74,6 +84,8 @@
             return;
         }
         self.version = roster.version;
+        self.taken_version = roster.version;
+        self.changed.clear();
         let mut old_entries = std::mem::take(&mut self.entries);
         for listing in &roster.endpoints {
             let missing_since = old_entries
@@ -95,7 +107,7 @@
             missing_since: None,
         };
         if self.entries.get(&id) != Some(&entry) {
-            self.mark_changed(version);
+            self.mark_changed(&id, version);
             self.entries.insert(id, entry);
         }
     }
@@ -111,14 +123,14 @@
             return;
         }
         self.entries.remove(id);
-        self.mark_changed(version);
+        self.mark_changed(id, version);
     }
 
     /// Removes an entry whose row has become malformed, also during an outage: nothing is known about the endpoint any more, so
     /// it must get no tasks.
     pub fn remove_at_once(&mut self, id: &Endpoint, version: u64) {
         if self.entries.remove(id).is_some() {
-            self.mark_changed(version);
+            self.mark_changed(id, version);
         }
     }
 
@@ -126,9 +138,9 @@
     pub fn replace_all(&mut self, listings: Vec<(Listing, u64)>, now: Time) {
         let version = listings.iter().map(|(_, v)| *v).max();
         let version = version.unwrap_or(self.version).max(self.version);
-        let is_listed = |id: &Endpoint| listings.iter().any(|(listing, _)| listing.id == *id);
+        let listed: HashSet<&Endpoint> = listings.iter().map(|(listing, _)| &listing.id).collect();
         let ids = self.entries.keys();
-        let missing: Vec<Endpoint> = ids.filter(|id| !is_listed(id)).cloned().collect();
+        let missing: Vec<Endpoint> = ids.filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
             self.remove(&id, version, now);
         }
@@ -137,10 +149,10 @@
         }
     }
 
-    /// Marks the list as changed at a version of the store.
-    fn mark_changed(&mut self, version: u64) {
+    /// Marks the entry of an endpoint as changed at a version of the store.
+    fn mark_changed(&mut self, id: &Endpoint, version: u64) {
         self.version = self.version.max(version);
-        self.changed = true;
+        self.changed.insert(id.clone(), version);
     }
 
     /// Returns whether an entry may be missing while its endpoint is alive.
@@ -152,22 +164,59 @@
         }
     }
 
-    /// Drops missing entries once the grace period is over, and returns the list if it has changed since the last call.
-    pub fn take_changed(&mut self, now: Time) -> Option<Roster> {
+    /// Drops missing entries once the grace period is over. If the list has changed since the last call, returns it and the
+    /// changes, of which each applies to the result of the one before.
+    pub fn take_changed(&mut self, now: Time) -> Option<(Roster, Vec<RosterChange>)> {
         if !self.tolerates_missing(now) {
-            let before = self.entries.len();
-            self.entries
-                .retain(|_, entry| entry.missing_since.is_none());
-            self.changed |= self.entries.len() != before;
+            let (version, changed) = (self.version, &mut self.changed);
+            self.entries.retain(|id, entry| {
+                if entry.missing_since.is_some() {
+                    changed.insert(id.clone(), version);
+                }
+                entry.missing_since.is_none()
+            });
         }
-        if !self.changed {
+        if self.changed.is_empty() {
             return None;
         }
-        self.changed = false;
+        let changes = self.take_changes();
         let listings = self.entries.values().map(|entry| entry.listing.clone());
-        Some(Roster {
+        let roster = Roster {
             version: self.version,
             endpoints: listings.collect(),
-        })
+        };
+        Some((roster, changes))
+    }
+
+    /// Returns the changes since the last call, in the order of their versions, and none if there was no list before.
+    fn take_changes(&mut self) -> Vec<RosterChange> {
+        let mut changed: Vec<(Endpoint, u64)> =
+            std::mem::take(&mut self.changed).into_iter().collect();
+        let mut after = std::mem::replace(&mut self.taken_version, self.version);
+        if after == 0 {
+            return Vec::new();
+        }
+        changed.sort_by_key(|(_, version)| *version);
+        let mut changes = Vec::new();
+        for part in changed.chunks(MAX_CHANGED_ENDPOINTS) {
+            let last = part.last().map_or(after, |(_, version)| *version);
+            let mut change = RosterChange {
+                after,
+                version: last.max(after),
+                ..RosterChange::default()
+            };
+            for (id, _) in part {
+                match self.entries.get(id) {
+                    Some(entry) => change.changed.push(entry.listing.clone()),
+                    None => change.removed.push(id.clone()),
+                }
+            }
+            after = change.version;
+            changes.push(change);
+        }
+        if let Some(last) = changes.last_mut() {
+            last.version = self.version;
+        }
+        changes
     }
 }
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -317,9 +317,11 @@
             Err(Failure::Status(status)) if store::is_compacted(status) => version = None,
             Err(_) => cache.borrow_mut().on_store_failure(),
         }
-        let roster = cache.borrow_mut().take_changed(now());
-        if let Some(roster) = roster.filter(|_| version.is_some()) {
-            hub.handle(Input::RosterListed(roster));
+        if version.is_some() {
+            let changed = cache.borrow_mut().take_changed(now());
+            if let Some((roster, changes)) = changed {
+                hub.handle(Input::RosterListed(roster, changes));
+            }
         }
         sleep(ENDPOINT_POLL_INTERVAL).await;
     }
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -371,7 +371,7 @@
         if !self.store_denied.contains(&i) {
             self.feed(i, Input::Evacuated(self.evacuation.clone()));
         }
-        self.feed(i, Input::RosterListed(self.roster.clone()));
+        self.feed(i, Input::RosterListed(self.roster.clone(), Vec::new()));
         self.feed(i, Input::MembersFound(contacts));
         let incarnation = self.instances[i].incarnation;
         self.schedule(TICK, Event::Tick(i, incarnation));
@@ -807,7 +807,7 @@
         self.update_roster();
         for i in 0..self.instances.len() {
             if !self.is_suspended(i) {
-                self.feed(i, Input::RosterListed(self.roster.clone()));
+                self.feed(i, Input::RosterListed(self.roster.clone(), Vec::new()));
             }
         }
     }
--- a/tests/fleet/readers.rs
+++ b/tests/fleet/readers.rs
@@ -6,7 +6,8 @@
         message::{
             Input,
             Listing,
-            Roster, //
+            Roster,
+            RosterChange, //
         }, //
     },
     prelude::*, //
@@ -45,6 +46,18 @@
     }
 }
 
+/// Returns the changes between two versions of a roster with the same endpoints.
+fn change(earlier: &Roster, later: &Roster) -> RosterChange {
+    let pairs = earlier.endpoints.iter().zip(&later.endpoints);
+    let changed = pairs.filter(|(before, after)| before != after);
+    RosterChange {
+        after: earlier.version,
+        version: later.version,
+        changed: changed.map(|(_, after)| after.clone()).collect(),
+        removed: Vec::new(),
+    }
+}
+
 /// Advances time while the readers read the roster. The store refuses the instances in `refused`.
 fn run_reads(fleet: &mut Fleet, roster: &Roster, span: Span, refused: &[usize]) {
     let end = fleet.now + span;
@@ -52,8 +65,13 @@
         for i in readers(fleet) {
             let is_read = !refused.contains(&i);
             fleet.feed(i, Input::RosterRead(is_read));
-            if is_read && fleet.dispatchers[i].roster() != roster {
-                fleet.feed(i, Input::RosterListed(roster.clone()));
+            let earlier = fleet.dispatchers[i].roster();
+            if is_read && earlier != roster {
+                let changes = match earlier.version {
+                    0 => Vec::new(),
+                    _ => vec![change(earlier, roster)],
+                };
+                fleet.feed(i, Input::RosterListed(roster.clone(), changes));
             }
         }
         fleet.run(READ_INTERVAL);
@@ -142,7 +160,7 @@
 #[test]
 fn changes_apply_in_order() {
     let versions: Vec<Roster> = (1..5).map(|v| roster(v, v as usize)).collect();
-    let change = |from: usize, to: usize| versions[to].changes_since(&versions[from]);
+    let change = |from: usize, to: usize| change(&versions[from], &versions[to]);
     assert_eq!(
         versions[0]
             .with_change(&change(0, 1))
@@ -156,3 +174,28 @@
     let leaving = changed.endpoints.iter().filter(|l| l.draining).count();
     assert_eq!((changed.version, leaving), (4, 4));
 }
+
+/// Instances that start together read the roster at different times, while endpoints still register. A reader must send each what
+/// it lacks: an instance that misses an earlier change would otherwise fetch the whole roster, again and again.
+#[test]
+fn a_reader_sends_each_instance_what_it_lacks() {
+    let mut fleet = Fleet::new(INSTANCE_COUNT, CENTRE_COUNT);
+    let versions: Vec<Roster> = (0..6).map(|v| roster(1 + v, v as usize * 4)).collect();
+    for i in 0..INSTANCE_COUNT {
+        let listed = versions[(i / CENTRE_COUNT) % 4].clone();
+        fleet.feed(i, Input::RosterListed(listed, Vec::new()));
+    }
+    fleet.run(Span::millis(300));
+    let reader = 0;
+    for pair in versions.windows(2) {
+        let changes = vec![change(&pair[0], &pair[1])];
+        fleet.feed(reader, Input::RosterListed(pair[1].clone(), changes));
+    }
+    fleet.run(Span::millis(50));
+    for i in fleet.of_centre(0) {
+        let received = fleet.dispatchers[i].roster();
+        assert_eq!(received.version, 6, "instance {i}");
+        let count = received.endpoints.iter().filter(|l| l.draining).count();
+        assert_eq!(count, 20, "instance {i}");
+    }
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -419,7 +419,7 @@
         version: 1,
         endpoints: vec![listing(1)],
     };
-    dispatcher.step(START, Input::RosterListed(roster));
+    dispatcher.step(START, Input::RosterListed(roster, Vec::new()));
     let mut now = START;
     for _ in 0..100 {
         now = now + Span::millis(10);
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -57,10 +57,10 @@
     cache.set(listing("i-2"), 7);
     assert!(cache
         .take_changed(at(3_000))
-        .is_none_or(|r| r.endpoints.len() == 2));
+        .is_none_or(|(r, _)| r.endpoints.len() == 2));
     cache.on_store_answer(at(6_000));
     cache.remove(&"i-2".parse().unwrap(), 9, at(6_000));
-    let roster = cache.take_changed(at(6_000)).unwrap();
+    let (roster, _) = cache.take_changed(at(6_000)).unwrap();
     assert_eq!(names(&roster), ["i-1"]);
 }
 
@@ -78,9 +78,9 @@
     cache.merge_peer_roster(&peer_roster);
     cache.replace_all(vec![(listing("i-1"), 5)], at(500));
     let roster = cache.take_changed(at(500));
-    assert!(roster.is_none_or(|r| names(&r) == ["i-1", "i-2"]));
+    assert!(roster.is_none_or(|(r, _)| names(&r) == ["i-1", "i-2"]));
     cache.on_store_answer(at(3_000));
-    let roster = cache.take_changed(at(3_000)).unwrap();
+    let (roster, _) = cache.take_changed(at(3_000)).unwrap();
     assert_eq!(names(&roster), ["i-1"]);
 }
 
@@ -90,5 +90,5 @@
     let mut cache = cache(&["i-1", "i-2"]);
     cache.on_store_answer(at(9_000));
     cache.replace_all(vec![(listing("i-1"), 1)], at(9_000));
-    assert_eq!(names(&cache.take_changed(at(9_000)).unwrap()), ["i-1"]);
+    assert_eq!(names(&cache.take_changed(at(9_000)).unwrap().0), ["i-1"]);
 }
