An urgent change goes to distant members some at a time

Cause: a claim, a handover or a drain made a heartbeat due to every member in the same tick, and the next one again to all: N datagrams at once from each instance, and at a start N instances claim and hand over several times.

Change: distant members get theirs sixteen a tick, those who have waited longest first, and one heartbeat tells of all changes until then. Closely watched members are told at once, as before.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -221,6 +221,8 @@
     members_checked_at: Time,
     /// When the last heartbeat was sent; zero makes the next one due at once.
     announced_at: Time,
+    /// When something changed that all members must hear of soon.
+    changed_at: Time,
     rooms_sent_at: Time,
     all_rooms_sent_at: Time,
     audited_at: Time,
@@ -269,6 +271,7 @@
             coordinated_at: Time::default(),
             members_checked_at: Time::default(),
             announced_at: Time::default(),
+            changed_at: now,
             rooms_sent_at: Time::default(),
             all_rooms_sent_at: Time::default(),
             audited_at: Time::default(),
@@ -470,7 +473,7 @@
             Input::Drain => {
                 self.draining_since.get_or_insert(now);
                 out.outputs.push(Output::Log(LogRecord::new("draining")));
-                self.announced_at = Time::default();
+                self.announce(now);
                 self.on_tick(now, out);
             }
             Input::Closing => self.entry.give_up_all(now, out),
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -39,6 +39,9 @@
 /// Members that aren't watched closely to which heartbeats are sent in one tick.
 const MAX_DISTANT_PER_TICK: usize = 2;
 
+/// Members that aren't watched closely to which heartbeats are sent in one tick after an urgent change.
+const MAX_URGENT_PER_TICK: usize = 16;
+
 /// Members that aren't alive yet to which heartbeats are sent in one tick, so that the start of many instances at once costs
 /// each a quarter of a weak machine's processor at most.
 const MAX_CONTACTS_PER_TICK: usize = 4;
@@ -133,8 +136,15 @@
         }
     }
 
+    /// Makes heartbeats due to all members, since something changed that they must hear of soon: to closely watched ones at once,
+    /// to the others within some ticks.
+    pub(super) fn announce(&mut self, now: Time) {
+        self.announced_at = Time::default();
+        self.changed_at = now;
+    }
+
     /// Sends the heartbeats that are due: frequent ones to closely watched members, also when room has changed, and others at the
-    /// interval for distant members. After an urgent change all members get one.
+    /// interval for distant members or after an urgent change.
     pub(super) fn send_due_heartbeats(&mut self, now: Time, out: &mut Effects) {
         self.watch_work_peers(now);
         let (due, close_count) = self.due_members(now);
@@ -149,7 +159,6 @@
     /// Due are members that have just become closely watched, some of those that may be starting, and distant members whose
     /// interval is over.
     fn due_members(&self, now: Time) -> (Vec<Instance>, usize) {
-        let urgent = self.announced_at == Time::default();
         let (mut due, mut contacts, mut distant) = (Vec::new(), Vec::new(), Vec::new());
         let mut close_count = 0;
         for member in self.members.all() {
@@ -167,13 +176,16 @@
         let interval = watch::heartbeat_interval(distant.len());
         let since = |member: &Member| now.since(member.watch.heartbeat_sent);
         contacts.retain(|member| since(member) >= HEARTBEAT_INTERVAL);
-        distant.retain(|member| urgent || since(member) >= interval);
-        let max_distant = match urgent {
-            true => usize::MAX,
-            false => MAX_DISTANT_PER_TICK,
-        };
+        let is_uninformed = |member: &Member| member.watch.heartbeat_sent <= self.changed_at;
+        let uninformed: Vec<&Member> = distant
+            .iter()
+            .copied()
+            .filter(|m| is_uninformed(m))
+            .collect();
+        distant.retain(|member| !is_uninformed(member) && since(member) >= interval);
         due.extend(longest_due(contacts, MAX_CONTACTS_PER_TICK));
-        due.extend(longest_due(distant, max_distant));
+        due.extend(longest_due(uninformed, MAX_URGENT_PER_TICK));
+        due.extend(longest_due(distant, MAX_DISTANT_PER_TICK));
         let names = due.into_iter().map(|member| member.contact.name.clone());
         (names.collect(), close_count)
     }
--- a/src/dispatch/ownership.rs
+++ b/src/dispatch/ownership.rs
@@ -178,7 +178,7 @@
         self.owner
             .update_endpoints(&self.roster.endpoints, now, out);
         // Announces the claim at once, so that the others don't place tasks by the former owner's free room.
-        self.announced_at = Time::default();
+        self.announce(now);
     }
 
     /// Returns whether a rack that nobody is heard to own can be claimed. Probes its endpoints if it had an owner.
@@ -307,7 +307,7 @@
             out.messages
                 .push((to, Message::Handover(Box::new(handover))));
         }
-        self.announced_at = Time::default();
+        self.announce(now);
     }
 
     /// Hands all racks over to members that aren't draining.
@@ -331,7 +331,7 @@
         self.owner
             .take_over(handover, token, &self.roster.endpoints, now, out);
         self.update_owners();
-        self.announced_at = Time::default();
+        self.announce(now);
         if self.is_draining() {
             self.hand_over_all(now, out);
         }
--- a/tests/fleet/growth.rs
+++ b/tests/fleet/growth.rs
@@ -17,6 +17,9 @@
 /// The most members that an instance contacts in a second, in any fleet.
 const CONTACT_RATE: usize = 400;
 
+/// The most heartbeats in a tick: to the members that are watched closely, and some others.
+const MAX_BURST: usize = 80;
+
 /// The most bytes by which a heartbeat may grow when a data centre is lost.
 const MAX_ABSENCE_BYTES: usize = 200;
 
@@ -100,3 +103,21 @@
         assert_eq!(single.sent.members_lost, 0, "of {count}");
     }
 }
+
+/// A change of which all members must hear, such as a drain, must not go to all of them in one burst, which would delay the work
+/// on a slow link. Each must hear of it within a second.
+#[test]
+fn an_urgent_change_reaches_all_members_without_a_burst() {
+    for count in SIZES {
+        let mut single = start_calm(count);
+        single.feed(Input::Drain);
+        let mut most = single.sent.heartbeats;
+        for _ in 0..100 {
+            let before = single.sent.heartbeats;
+            single.run(Span::millis(10));
+            most = most.max(single.sent.heartbeats - before);
+        }
+        assert!(most <= MAX_BURST, "{most} in 10 ms, of {count}");
+        assert_eq!(single.count_draining_known(), count - 1);
+    }
+}
--- a/tests/fleet/single.rs
+++ b/tests/fleet/single.rs
@@ -60,6 +60,8 @@
     /// The session that the instance has begun with it, and its incarnation as the instance knows it.
     session: (u64, u32),
     has_connection: bool,
+    /// Whether it knows that the instance is draining.
+    knows_drain: bool,
 }
 
 /// The instance and its peers.
@@ -91,6 +93,7 @@
             close_until: Time::default(),
             session: (0, 0),
             has_connection: false,
+            knows_drain: false,
         };
         let peers = (1..count).map(|i| (contact(i).name, peer(i)));
         Self {
@@ -129,6 +132,11 @@
         }
     }
 
+    /// Returns how many peers know that the instance is draining.
+    pub(crate) fn count_draining_known(&self) -> usize {
+        self.peers.values().filter(|peer| peer.knows_drain).count()
+    }
+
     /// Gives an input to the instance and carries out its outputs.
     pub(crate) fn feed(&mut self, input: Input) {
         for output in self.dispatcher.step(self.now, input) {
@@ -170,6 +178,7 @@
             peer.knows = true;
             peer.sent_at = Time::default();
         }
+        peer.knows_drain |= heartbeat.status.draining;
         if heartbeat.watching {
             peer.close_until = now + WATCH_TIME;
         }
