Metrics count what instances send each other, by kind

Cause: of the traffic between instances only the number of delivered messages was counted, so that which kind fills a link couldn't be told.

Change: counters of queued messages and their bytes by kind, of connections to peers, and of heartbeats and their bytes.

--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -3,6 +3,7 @@
 mod call;
 mod handover;
 mod heartbeat;
+mod kind;
 mod line;
 mod store;
 mod suspicion;
--- a/src/instance/heartbeats.rs
+++ b/src/instance/heartbeats.rs
@@ -68,6 +68,7 @@
             match postcard::to_extend(&hub.peers.sender(&peer.name, sent), Vec::new()) {
                 Ok(mut bytes) => {
                     bytes.extend_from_slice(&body);
+                    hub.metrics.count_heartbeat(bytes.len());
                     self.socket.try_send_to(&bytes, address).ok();
                 }
                 Err(error) => log_unsent(hub, peer.name.as_str(), &error.to_string()),
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -52,6 +52,11 @@
     start_latency: Histogram,
     connections: Counter,
     messages: Counter,
+    queued_messages: Family<KindLabel, Counter>,
+    queued_bytes: Family<KindLabel, Counter>,
+    peer_connections: Counter,
+    heartbeats: Counter,
+    heartbeat_bytes: Counter,
     store_calls: Family<KindLabel, Counter>,
     malformed_rows: Counter,
     events: Family<KindLabel, Counter>,
@@ -80,6 +85,11 @@
             ),
             connections: r.add("connections", "Connections opened to endpoints"),
             messages: r.add("messages", "Messages to peers"),
+            queued_messages: r.add("queued_messages", "Messages queued for peers by kind"),
+            queued_bytes: r.add("queued_bytes", "Bytes of messages queued for peers by kind"),
+            peer_connections: r.add("peer_connections", "Connections opened to peers"),
+            heartbeats: r.add("heartbeats", "Heartbeats sent to peers"),
+            heartbeat_bytes: r.add("heartbeat_bytes", "Bytes of heartbeats sent to peers"),
             store_calls: r.add("store_calls", "Calls to the store"),
             malformed_rows: r.add(
                 "malformed_rows",
@@ -149,6 +159,24 @@
         self.messages.inc_by(count as u64);
     }
 
+    /// Counts a message that is queued for a peer, and its size in bytes.
+    pub fn count_queued(&self, kind: &'static str, bytes: usize) {
+        let label = kind_label(kind);
+        self.queued_messages.get_or_create(&label).inc();
+        self.queued_bytes.get_or_create(&label).inc_by(bytes as u64);
+    }
+
+    /// Counts a connection that is opened to a peer.
+    pub fn count_peer_connection(&self) {
+        self.peer_connections.inc();
+    }
+
+    /// Counts a heartbeat sent to a peer, and its size in bytes.
+    pub fn count_heartbeat(&self, bytes: usize) {
+        self.heartbeats.inc();
+        self.heartbeat_bytes.inc_by(bytes as u64);
+    }
+
     /// Counts a call to the store by its result.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.get_or_create(&kind_label(result)).inc();
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -132,6 +132,7 @@
         if !to.address.is_empty() {
             link.address.clone_from(&to.address);
         }
+        let kind = message.kind();
         let message = match postcard::to_stdvec(&message) {
             Ok(message) => message,
             Err(error) => {
@@ -143,6 +144,7 @@
             // A batch that is lost in this way is found when it is audited at its owner, or when the session ends.
             hub.log(&LogRecord::new("message_dropped").with("member", to.name.as_str()));
         } else {
+            hub.metrics.count_queued(kind, message.len());
             link.bytes += message.len();
             link.messages.push_back(message);
         }
@@ -315,6 +317,7 @@
                 .as_ref()
                 .is_none_or(|open| open.address != envelope.address)
             {
+                hub.metrics.count_peer_connection();
                 connection = Connection::open(hub.peers.own_ip, &envelope.address).await;
             }
             let Some(open) = &connection else {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -585,6 +585,20 @@
     Ok(())
 }
 
+/// The traffic between instances must show in the metrics: it's what grows with the fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_the_heartbeats_between_instances() -> Result {
+    let fleet = Fleet::start(program(), 2, 1, SHORT_TASK).await?;
+    let metrics = fleet.instances[0].metrics().await?;
+    for name in ["heartbeats", "heartbeat_bytes"] {
+        let name = format!("poplarknot_{name}_total ");
+        let count = metrics.lines().find_map(|line| line.strip_prefix(&name));
+        let count: u64 = count.ok_or("no such metric")?.trim().parse()?;
+        assert!(count > 0, "{metrics}");
+    }
+    Ok(())
+}
+
 /// An accepted job survives the kill of all instances in its first step: restarted ones read it from the store and run the
 /// rest. A task may run again only after the endpoint's lease has expired.
 #[tokio::test(flavor = "multi_thread")]
