A forwarded job isn't given up because its owner's connection is slow

Cause: an instance that forwards a job to the owner of its key gave the job up, as `unknown`, the moment the owner counted as lost: after one span of silence, 0.8 s in the proofs. A busy machine or a slow connection delays heartbeats that long while the owner lives, works and answers; an owner that drains answers no heartbeat any more while its last answers are on their way.

Change: a lost peer has one more span of silence, in which heartbeats go over a new connection, before what was forwarded to it is given up. Calls to a process that has ended fail by themselves, as before.

--- a/src/core.rs
+++ b/src/core.rs
@@ -140,6 +140,8 @@
     commands: HashMap<u64, store::Purpose>,
     /// The submissions and heartbeats that are sent to peers, by the number of the call.
     calls: HashMap<u64, peering::OutgoingCall>,
+    /// The peers that count as lost, and since when.
+    lost_peers: BTreeMap<Instance, Time>,
     peers_reported_at: Time,
     timers: Timers,
     outputs: Vec<Output>,
@@ -191,6 +193,7 @@
             store: store::Store::default(),
             commands: HashMap::new(),
             calls: HashMap::new(),
+            lost_peers: BTreeMap::new(),
             peers_reported_at: Time::default(),
             timers: Timers::default(),
             outputs: Vec::new(),
--- a/src/core/peering.rs
+++ b/src/core/peering.rs
@@ -139,10 +139,11 @@
                 membership::Action::Lost(name) => {
                     self.log_event(Code::PeerLost, name.to_string());
                     self.update_shares();
-                    self.fail_calls_to(&name);
+                    self.lost_peers.insert(name, self.now);
                 }
             }
         }
+        self.fail_calls_to_lost_peers();
         if self.now.since(self.peers_reported_at) < PEER_REPORT_PERIOD {
             return;
         }
@@ -185,10 +186,25 @@
         self.outputs.push(Output::ShareWriteRate(live));
     }
 
-    /// Fails the submissions that are forwarded to a lost peer.
+    /// Fails the submissions that are forwarded to peers that stay lost.
     ///
-    /// The connection to a frozen or partitioned instance stays open. Without this, the callers would wait until their
-    /// deadline.
+    /// The connection to a frozen or partitioned instance stays open, and without this its callers would wait until their
+    /// deadline. A peer whose connection is only slow counts as lost too, though: so a lost peer gets the time of one more
+    /// heartbeat, which goes over a new connection. If the peer's process has ended, the calls fail by themselves.
+    fn fail_calls_to_lost_peers(&mut self) {
+        let (now, membership) = (self.now, &self.membership);
+        self.lost_peers
+            .retain(|name, _| !membership.is_alive(now, name));
+        let wait = self.timing.peer_timeout;
+        let is_over = |at: &Time| now.since(*at) >= wait;
+        let lost = self.lost_peers.iter().filter(|(_, at)| is_over(at));
+        let lost: Vec<Instance> = lost.map(|(name, _)| name.clone()).collect();
+        for name in lost {
+            self.fail_calls_to(&name);
+        }
+    }
+
+    /// Fails the submissions that are forwarded to a peer.
     fn fail_calls_to(&mut self, peer: &Instance) {
         let mut calls: Vec<_> = self
             .calls
--- a/tests/proofs/answers.rs
+++ b/tests/proofs/answers.rs
@@ -68,3 +68,23 @@
     assert!(lookups > 0, "no status lookup was made");
     Ok(())
 }
+
+/// A connection between instances that is slower than the silence after which a peer counts as lost must cost no answer: the owner
+/// of the key is alive, and its answer is on its way.
+#[tokio::test]
+async fn a_slow_connection_to_the_owner_costs_no_answer() -> Result {
+    let cluster = launch(cluster_builder()).await?;
+    let range = submit(&cluster, 0, &new_job("range", [1])).await?.range;
+    let job = with_field(new_job("slow", [1_500]), "key", format!("{range}.slow"));
+    let call = spawn_submit(&cluster, 1, &job);
+    wait_for_start(&cluster, &job).await?;
+    for proxy in &cluster.proxies.peers {
+        proxy.set_mode(Mode::Delay {
+            up: Duration::from_millis(1_000),
+            down: Duration::from_millis(200),
+        });
+    }
+    call.await??.assert_complete(&job);
+    assert_start_counts(&cluster, &job, 1);
+    Ok(())
+}
