A member that others have lost is suspected until it's heard, not watched for a second

Cause: whoever lost a member announced it, and everyone then watched that member closely for a second, both ways, at ten heartbeats a second. In a fleet of 236 some instance takes some member for lost every few milliseconds at a start, when links are full: each instance watched nearly all others closely all the time and sent 2,200 heartbeats a second, which kept the links full.

Work that is shared still watches closely for a second.

--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -276,6 +276,7 @@
         member.clock_offset = Some(offset);
         let sent_here = Time((sent.0 as i64 + offset).max(1) as u64);
         member.last_heard = member.last_heard.max(Some(sent_here));
+        member.watch.on_heard(sent_here);
     }
 
     /// Handles a heartbeat that was sent at `sent` on its sender's clock.
@@ -306,13 +307,15 @@
         }
     }
 
-    /// Watches a member closely that another instance has lost.
+    /// Suspects a member that another instance has lost, unless this one has heard it lately: the other may have been late.
     fn on_absence(&mut self, absence: &Absence, now: Time) {
         let Some(member) = self.members.get_mut(&absence.name) else {
             return;
         };
-        if member.live && member.incarnation == absence.incarnation {
-            member.watch.extend(now);
+        let is_heard = |at| now.since(at) <= HEARTBEAT_TIMEOUT;
+        let is_same = member.live && member.incarnation == absence.incarnation;
+        if is_same && !member.last_heard.is_some_and(is_heard) {
+            member.watch.suspect(now);
         }
     }
 
@@ -365,7 +368,7 @@
                 member.roster_sent = 0;
                 self.claim_changes += 1;
             } else if member.last_heard.is_some_and(|at| now.since(at) > timeout) {
-                member.watch.extend(now);
+                member.watch.suspect(now);
             }
         }
         let absence = |member: &Member| Absence {
--- a/src/dispatch/watch.rs
+++ b/src/dispatch/watch.rs
@@ -28,6 +28,9 @@
 /// How long a member is watched closely after a reason for it was last seen.
 pub const WATCH_TIME: Span = Span::seconds(1);
 
+/// How long a member gets frequent heartbeats after it asked for them. It asks again with each of its own.
+const PEER_WATCH_TIME: Span = MIN_WATCH;
+
 /// The total rate of heartbeats to members that aren't watched closely, per second, while [`MAX_INTERVAL`] allows it.
 const DISTANT_RATE: u64 = 80;
 
@@ -39,8 +42,10 @@
 pub struct Watch {
     /// Whether it's a neighbour, which is always watched closely.
     neighbour: bool,
-    /// Until when this instance needs to watch it closely.
+    /// Until when this instance needs to watch it closely, since they share work.
     needed_until: Time,
+    /// Since when it's suspected to have failed: it's watched closely until it's heard.
+    suspected_since: Option<Time>,
     /// Until when the member watches this instance closely.
     peer_until: Time,
     /// When the close watch started.
@@ -57,7 +62,13 @@
 
     /// Returns whether this instance has a reason of its own to watch the member closely.
     pub fn is_needed_here(&self, now: Time) -> bool {
-        self.neighbour || now < self.needed_until
+        self.neighbour || now < self.needed_until || self.is_suspected(now)
+    }
+
+    /// Returns whether it's watched closely because it's suspected to have failed.
+    fn is_suspected(&self, now: Time) -> bool {
+        self.suspected_since
+            .is_some_and(|since| now.since(since) < WATCH_TIME)
     }
 
     /// Returns whether the member has been watched closely for so long that its silence counts as a failure.
@@ -81,10 +92,25 @@
         self.needed_until = now + WATCH_TIME;
     }
 
-    /// Watches the member closely for [`WATCH_TIME`] from now on, since it watches this instance.
+    /// Watches the member closely from now on until it's heard, for at most [`WATCH_TIME`].
+    pub fn suspect(&mut self, now: Time) {
+        if !self.is_suspected(now) {
+            self.start(now);
+            self.suspected_since = Some(now);
+        }
+    }
+
+    /// Ends the suspicion if the member was heard after it began.
+    pub fn on_heard(&mut self, sent: Time) {
+        if self.suspected_since.is_some_and(|since| sent >= since) {
+            self.suspected_since = None;
+        }
+    }
+
+    /// Watches the member closely for [`PEER_WATCH_TIME`] from now on, since it watches this instance.
     pub fn extend_for_peer(&mut self, now: Time) {
         self.start(now);
-        self.peer_until = now + WATCH_TIME;
+        self.peer_until = now + PEER_WATCH_TIME;
     }
 
     /// Sets whether it's a neighbour.
--- a/tests/fleet/growth.rs
+++ b/tests/fleet/growth.rs
@@ -121,3 +121,24 @@
         assert_eq!(single.count_draining_known(), count - 1);
     }
 }
+
+/// Instances that take live members for lost, since a link was full, announce them. If all others then watched these members closely for a
+/// second, the heartbeats would fill the links again, and more members would be taken for lost.
+#[test]
+fn false_announcements_of_losses_cost_few_heartbeats() {
+    for count in SIZES {
+        let mut single = start_calm(count);
+        single.run(Span::seconds(3));
+        let calm = single.sent.heartbeats;
+        single.sent = Sent::default();
+        single.announces_losses = true;
+        single.run(Span::seconds(3));
+        let sent = single.sent;
+        assert_eq!(sent.members_lost, 0, "of {count}");
+        assert!(
+            sent.heartbeats <= 2 * calm,
+            "{} heartbeats, {calm} without announcements, of {count}",
+            sent.heartbeats
+        );
+    }
+}
--- a/tests/fleet/single.rs
+++ b/tests/fleet/single.rs
@@ -6,6 +6,7 @@
     dispatch::{
         id::Epoch,
         message::{
+            Absence,
             Contact,
             Heartbeat,
             Input,
@@ -70,6 +71,8 @@
     pub dispatcher: Dispatcher,
     pub sent: Sent,
     pub status: Status,
+    /// Whether each heartbeat of a peer announces eight others as lost.
+    pub announces_losses: bool,
     peers: BTreeMap<Instance, Peer>,
 }
 
@@ -104,6 +107,7 @@
                 share: 120,
                 ..Status::default()
             },
+            announces_losses: false,
             peers: peers.collect(),
         }
     }
@@ -219,6 +223,16 @@
 
     fn due_heartbeats(&mut self) -> Vec<(Sender, Heartbeat)> {
         let (now, status) = (self.now, &self.status);
+        let names: Vec<Instance> = self.peers.keys().cloned().collect();
+        let announces_losses = self.announces_losses;
+        let absences = |first: usize| {
+            let names = names.iter().cycle().skip(first % names.len()).take(8);
+            names.map(|name| Absence {
+                name: name.clone(),
+                incarnation: 1,
+            })
+        };
+        let mut announced = (now.0 / TICK.0) as usize * 8;
         let is_due = |peer: &&mut Peer| {
             let interval = match now < peer.close_until {
                 true => CLOSE_INTERVAL,
@@ -237,9 +251,14 @@
                 session: peer.session.1,
                 sent: now,
             };
+            let mut status = status.clone();
+            if announces_losses {
+                announced += 8;
+                status.absences = absences(announced).collect();
+            }
             let heartbeat = Heartbeat {
                 watching: false,
-                status: status.clone(),
+                status,
                 rooms: Vec::new(),
             };
             (sender, heartbeat)
