The list of endpoints reaches instances that missed a change, however often it changes

Later changes didn't apply to its list, and it fetched the whole, in twenty pieces, which began anew whenever the list changed again, as it does twice a second while endpoints are replaced.

Change: a reader that sees a member's list stand still for a second although changes were sent sends them again. A peer that has begun to fetch a version gets the rest of that version, and an encoded list serves further peers for a second; what changed since follows as a change.

Measured: two new tests, a list that changes every 50 ms and a change that is lost, fail without the change and pass with it.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -445,7 +445,7 @@
             }
             Input::RosterListed(roster, changes) => {
                 self.apply_roster(roster, now, out);
-                self.send_roster_changes(changes, out);
+                self.send_roster_changes(changes, now, out);
             }
             Input::RosterRead(done) => self.reader.on_read(done, now),
             Input::MembersFound(contacts) => {
@@ -764,7 +764,7 @@
                 }
             }
             Message::Fetch { document, offset } => {
-                self.send_piece(&from.name, document, offset, out);
+                self.send_piece(&from.name, document, offset, now, out);
             }
             Message::Piece(piece) => self.on_piece(&from.name, *piece, now, out),
             Message::CancelJob(job) => {
--- a/src/dispatch/documents.rs
+++ b/src/dispatch/documents.rs
@@ -4,6 +4,8 @@
 //! peer at a time, in pieces. Documents are pulled rather than pushed, so each crosses a slow link only once,
 //! whatever the number of peers that have it.
 
+use std::collections::HashMap;
+
 use super::{
     id::keyed_hash,
     member::Member,
@@ -44,6 +46,17 @@
     }
 }
 
+impl Document {
+    /// Returns how long an encoding is sent to further peers although the document has changed. What has changed in the list of
+    /// endpoints since then follows as a change.
+    fn encoding_validity(self) -> Span {
+        match self {
+            Self::Configuration => Span(0),
+            Self::Roster => Span::seconds(1),
+        }
+    }
+}
+
 /// A peer that has a newer document.
 #[derive(Debug, Clone)]
 struct Holder {
@@ -176,13 +189,52 @@
 struct Encoded {
     version: u64,
     bytes: Vec<u8>,
+    since: Time,
+}
+
+/// The encoded documents that peers are being sent. A document may change more often than a slow link can carry it, so that a
+/// peer that has begun with one version gets the rest of that version.
+#[derive(Debug, Default)]
+struct Encodings {
+    current: Encoded,
+    previous: Encoded,
+    /// The version that each peer has begun with.
+    begun: HashMap<Instance, u64>,
+}
+
+impl Encodings {
+    /// Returns whether a peer that begins to fetch `version` needs it encoded anew.
+    fn is_outdated(&self, document: Document, version: u64, now: Time) -> bool {
+        let is_fresh = self.current.version > 0
+            && now.since(self.current.since) < document.encoding_validity();
+        self.current.version != version && !is_fresh
+    }
+
+    /// Replaces the current encoding.
+    fn set(&mut self, encoded: Encoded) {
+        self.previous = std::mem::replace(&mut self.current, encoded);
+        let kept = [self.current.version, self.previous.version];
+        self.begun.retain(|_, version| kept.contains(version));
+    }
+
+    /// Returns the encoding for a peer that asks for the piece at an offset, and that offset: zero if the version that it has
+    /// begun with is gone.
+    fn choose(&mut self, peer: &Instance, offset: u32) -> (&Encoded, u32) {
+        let begun = self.begun.get(peer).copied().filter(|_| offset > 0);
+        if begun.is_some_and(|version| version == self.previous.version) {
+            return (&self.previous, offset);
+        }
+        let is_current = begun == Some(self.current.version);
+        self.begun.insert(peer.clone(), self.current.version);
+        (&self.current, if is_current { offset } else { 0 })
+    }
 }
 
 /// The transfers of one document: to this instance, and from it.
 #[derive(Debug, Default)]
 struct Exchange {
     transfer: Transfer,
-    encoded: Encoded,
+    encodings: Encodings,
 }
 
 /// The transfers of all documents.
@@ -256,42 +308,47 @@
         }
     }
 
-    /// Sends the requested piece of a document to a peer, or the first one if the document has changed since.
+    /// Sends the requested piece of a document to a peer, or the first one if that version is gone.
     pub(super) fn send_piece(
         &mut self,
         to: &Instance,
         document: Document,
         offset: u32,
+        now: Time,
         out: &mut Effects,
     ) {
         let version = self.document_version(document);
         let Some(member) = self.members.get(to).filter(|_| version > 0) else {
             return;
         };
-        let to = member.contact.clone();
-        let encoded = &mut self.documents.exchange(document).encoded;
-        let mut offset = offset as usize;
-        if encoded.version != version {
-            let encoded_bytes = match document {
+        let contact = member.contact.clone();
+        let encodings = &mut self.documents.exchange(document).encodings;
+        if offset == 0 && encodings.is_outdated(document, version, now) {
+            let bytes = match document {
                 Document::Configuration => postcard::to_stdvec(&self.configuration),
                 Document::Roster => postcard::to_stdvec(&self.roster),
             };
-            // Encoding plain data can't fail.
-            encoded.bytes = encoded_bytes.unwrap_or_default();
-            encoded.version = version;
-            offset = 0;
+            encodings.set(Encoded {
+                version,
+                // Encoding plain data can't fail.
+                bytes: bytes.unwrap_or_default(),
+                since: now,
+            });
         }
-        let Some(rest) = encoded.bytes.get(offset..).filter(|rest| !rest.is_empty()) else {
+        let (encoded, offset) = encodings.choose(to, offset);
+        let rest = encoded.bytes.get(offset as usize..);
+        let Some(rest) = rest.filter(|rest| !rest.is_empty()) else {
             return;
         };
         let piece = Piece {
             document,
-            version,
+            version: encoded.version,
             size: encoded.bytes.len() as u32,
-            offset: offset as u32,
+            offset,
             bytes: rest[..rest.len().min(MAX_PIECE_BYTES)].to_vec(),
         };
-        out.messages.push((to, Message::Piece(Box::new(piece))));
+        out.messages
+            .push((contact, Message::Piece(Box::new(piece))));
     }
 
     /// Handles a piece of a document: requests the next one, or puts the complete document in force.
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -83,6 +83,8 @@
     pub status: Option<Status>,
     /// The version of the list of endpoints that this instance has sent it in changes, or zero.
     pub roster_sent: u64,
+    /// When it announced another version of its list of endpoints than before.
+    pub roster_advanced_at: Time,
     /// How closely it is watched.
     pub watch: Watch,
 }
@@ -201,6 +203,7 @@
             state_since: now,
             status: None,
             roster_sent: 0,
+            roster_advanced_at: now,
             watch: Watch::default(),
         };
         self.members.insert(contact.name.clone(), member);
@@ -296,6 +299,9 @@
         if claimed != Some(&status.racks) {
             self.claim_changes += 1;
         }
+        if member.status.as_ref().map(|status| status.roster) != Some(status.roster) {
+            member.roster_advanced_at = now;
+        }
         member.status = Some(status);
         let recent = member
             .last_heard
--- a/src/dispatch/reader.rs
+++ b/src/dispatch/reader.rs
@@ -40,6 +40,10 @@
 /// The longest delay before an instance starts to read, however many are preferred to it.
 const MAX_START_DELAY: Span = Span::millis(400);
 
+/// How long a member's list may stay at a version although later changes were sent to it. After that some of them were lost, and
+/// the changes are sent again.
+const CHANGE_TIMEOUT: Span = Span::seconds(1);
+
 /// Decides whether this instance reads the list of endpoints from the store.
 #[derive(Debug, Default)]
 pub(super) struct Reader {
@@ -109,18 +113,20 @@
         }
     }
 
-    /// Returns the changes after a version of the list, or none if it's older than the history. The last `new` changes are
+    /// Returns whether it holds all changes after a version of the list.
+    fn reaches(&self, version: u64) -> bool {
+        self.changes.front().is_some_and(|c| c.after <= version)
+    }
+
+    /// Returns the changes after a version of the list. The last `new` changes are
     /// included if they end at that version: the list may change twice at one version.
     fn since(&self, version: u64, new: usize) -> impl Iterator<Item = &RosterChange> {
-        let reaches = self.changes.front().is_some_and(|c| c.after <= version);
         let first_new = self.changes.len().saturating_sub(new);
         let changes = self.changes.iter().enumerate();
         let is_missing = move |(i, change): &(usize, &RosterChange)| {
             change.version > version || change.version == version && *i >= first_new
         };
-        changes
-            .filter(move |entry| reaches && is_missing(entry))
-            .map(|(_, change)| change)
+        changes.filter(is_missing).map(|(_, change)| change)
     }
 }
 
@@ -179,7 +185,12 @@
     }
 
     /// Sends the members of the data centre that don't read the list of endpoints the changes that they lack.
-    pub(super) fn send_roster_changes(&mut self, changes: Vec<RosterChange>, out: &mut Effects) {
+    pub(super) fn send_roster_changes(
+        &mut self,
+        changes: Vec<RosterChange>,
+        now: Time,
+        out: &mut Effects,
+    ) {
         let new = changes.len();
         self.history.add(changes, self.roster.endpoints.len());
         for member in self.members.live_mut() {
@@ -188,7 +199,14 @@
             let Some(known) = known.filter(|_| member.centre == self.identity.centre) else {
                 continue;
             };
-            let version = known.roster.max(member.roster_sent);
+            let is_stuck = now.since(member.roster_advanced_at) >= CHANGE_TIMEOUT;
+            let version = match is_stuck {
+                true => known.roster,
+                false => known.roster.max(member.roster_sent),
+            };
+            if !self.history.reaches(version) {
+                continue;
+            }
             for change in self.history.since(version, new) {
                 let message = Message::RosterChange(Box::new(change.clone()));
                 out.messages.push((member.contact.clone(), message));
--- a/tests/fleet/readers.rs
+++ b/tests/fleet/readers.rs
@@ -199,3 +199,53 @@
         assert_eq!(count, 20, "instance {i}");
     }
 }
+
+/// The list may change more often than a slow link carries it whole, while endpoints are replaced. An instance that fetches it
+/// must get it nevertheless, rather than begin anew with each version.
+#[test]
+fn a_roster_that_keeps_changing_is_fetched() {
+    let mut fleet = Fleet::new(INSTANCE_COUNT, CENTRE_COUNT);
+    let mut listed = roster(1, 0);
+    let holders = 1..4;
+    listed.endpoints = (0..20)
+        .flat_map(|copy| {
+            let endpoints = listed.endpoints.clone();
+            endpoints.into_iter().map(move |mut listing| {
+                listing.id = format!("{}-{copy}", listing.id).parse().unwrap();
+                listing
+            })
+        })
+        .collect();
+    let size = postcard::to_stdvec(&listed).unwrap().len();
+    assert!(size > 6 * (32 << 10), "{size} bytes are too few pieces");
+    for _ in 0..50 {
+        listed.version += 1;
+        for i in holders.clone() {
+            fleet.feed(i, Input::RosterListed(listed.clone(), Vec::new()));
+        }
+        fleet.run(Span::millis(50));
+    }
+    assert!(fleet.dispatchers[0].roster().version > 0);
+}
+
+/// A change that was lost on its way must be sent again, or the later ones wouldn't apply and endpoints that leave would go on
+/// getting tasks.
+#[test]
+fn a_lost_change_is_sent_again() {
+    let mut fleet = start_fleet();
+    let reader = readers(&fleet)[0];
+    let receiver = fleet.of_centre(reader % CENTRE_COUNT);
+    let receiver = receiver.filter(|i| !readers(&fleet).contains(i)).last();
+    let receiver = receiver.unwrap();
+    for version in 2..12 {
+        fleet.deaf = (version == 2).then_some(receiver).into_iter().collect();
+        let earlier = fleet.dispatchers[reader].roster().clone();
+        let later = roster(version, version as usize);
+        let changes = vec![change(&earlier, &later)];
+        fleet.feed(reader, Input::RosterListed(later, changes));
+        fleet.run(Span::millis(300));
+    }
+    let received = fleet.dispatchers[receiver].roster();
+    assert_eq!(received.version, 11);
+    assert!(fleet.traffic[receiver].fetched == 0, "it fetched the whole");
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -34,6 +34,8 @@
     pub bytes: usize,
     /// Messages to it with a change of the roster.
     pub changes: usize,
+    /// Messages to it with a piece of a document.
+    pub fetched: usize,
     /// Heartbeats that it sent.
     pub heartbeats: usize,
     /// The size of its heartbeats, in bytes.
@@ -51,6 +53,8 @@
     pub largest_message: usize,
     /// Instances whose messages are lost, except heartbeats.
     pub mute: Vec<usize>,
+    /// Instances to which messages are lost, except heartbeats.
+    pub deaf: Vec<usize>,
     /// Instances that have crashed.
     pub dead: BTreeSet<usize>,
     /// Instances that are partitioned from all others.
@@ -92,6 +96,7 @@
             traffic: vec![Traffic::default(); count],
             largest_message: 0,
             mute: Vec::new(),
+            deaf: Vec::new(),
             dead: BTreeSet::new(),
             partition: BTreeSet::new(),
             members_lost: 0,
@@ -175,7 +180,8 @@
         self.traffic[receiver].bytes += size;
         self.traffic[receiver].changes += usize::from(matches!(message, Message::RosterChange(_)));
         self.largest_message = self.largest_message.max(size);
-        if self.mute.contains(&i) {
+        self.traffic[receiver].fetched += usize::from(matches!(message, Message::Piece(_)));
+        if self.mute.contains(&i) || self.deaf.contains(&receiver) {
             return;
         }
         let from = self.sender(i, &to.name);
