A lost peer is forgotten once what was forwarded to it is given up

Cause: peers that stay lost were kept for ever, and the calls gone through for each of them on each tick.

--- a/src/core/peering.rs
+++ b/src/core/peering.rs
@@ -200,6 +200,7 @@
         let lost = self.lost_peers.iter().filter(|(_, at)| is_over(at));
         let lost: Vec<Instance> = lost.map(|(name, _)| name.clone()).collect();
         for name in lost {
+            self.lost_peers.remove(&name);
             self.fail_calls_to(&name);
         }
     }
