A list of endpoints that is read in pages counts as of its first page

An endpoint on an early page that said it leaves while later pages were read was missing from a list that counted as newer. An instance that read the list only once, since a reader was being restarted, was never sent that change.

Change: the list counts as of the version of the first page, from which on changes are read anyway.

--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -134,17 +134,18 @@
         }
     }
 
-    /// Replaces the whole list. Entries that aren't in it are handled as missing.
-    pub fn replace_all(&mut self, listings: Vec<(Listing, u64)>, now: Time) {
-        let version = listings.iter().map(|(_, v)| *v).max();
-        let version = version.unwrap_or(self.version).max(self.version);
-        let listed: HashSet<&Endpoint> = listings.iter().map(|(listing, _)| &listing.id).collect();
+    /// Replaces the whole list, as it was read from `version` on. Entries that aren't in it are handled as missing.
+    ///
+    /// The list is read in pages, so that later pages hold rows that are newer than `version`, while changes of that time in
+    /// earlier pages are missing. The list counts as of `version`, so that these aren't taken for known.
+    pub fn replace_all(&mut self, listings: Vec<Listing>, version: u64, now: Time) {
+        let listed: HashSet<&Endpoint> = listings.iter().map(|listing| &listing.id).collect();
         let ids = self.entries.keys();
         let missing: Vec<Endpoint> = ids.filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
             self.remove(&id, version, now);
         }
-        for (listing, version) in listings {
+        for listing in listings {
             self.set(listing, version);
         }
     }
--- a/src/instance/feeds.rs
+++ b/src/instance/feeds.rs
@@ -311,7 +311,8 @@
                         cache.borrow_mut().merge_peer_roster(dispatcher.roster())
                     });
                 }
-                apply_endpoints(&client, &cache, rows, version.is_none());
+                let whole = version.is_none().then_some(read_version);
+                apply_endpoints(&client, &cache, rows, whole);
                 version = Some(read_version);
             }
             Err(Failure::Status(status)) if store::is_compacted(status) => version = None,
@@ -327,17 +328,18 @@
     }
 }
 
-/// Applies rows of the endpoint table to the cache; `whole` tells whether they are all rows of the table.
-fn apply_endpoints(client: &Client, cache: &RefCell<Cache>, rows: Vec<Row>, whole: bool) {
-    let mut listings: Vec<(Listing, u64)> = Vec::new();
+/// Applies rows of the endpoint table to the cache. `whole` is the version from which on they were read if they are all rows of
+/// the table, and `None` if they are changes.
+fn apply_endpoints(client: &Client, cache: &RefCell<Cache>, rows: Vec<Row>, whole: Option<u64>) {
+    let mut listings: Vec<Listing> = Vec::new();
     let mut cache = cache.borrow_mut();
     for row in rows {
         match read_endpoint(&row.key, row.content) {
             Ok(Some(listing)) => {
                 client.clear_malformed(&row.key);
                 match whole {
-                    true => listings.push((listing, row.version)),
-                    false => cache.set(listing, row.version),
+                    Some(_) => listings.push(listing),
+                    None => cache.set(listing, row.version),
                 }
             }
             Ok(None) => {
@@ -354,8 +356,8 @@
             }
         }
     }
-    if whole {
-        cache.replace_all(listings, now());
+    if let Some(version) = whole {
+        cache.replace_all(listings, version, now());
     }
 }
 
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -38,8 +38,8 @@
 fn cache(ids: &[&str]) -> Cache {
     let mut cache = Cache::default();
     cache.on_store_answer(at(0));
-    let listings = ids.iter().map(|id| (listing(id), 1));
-    cache.replace_all(listings.collect(), at(0));
+    let listings = ids.iter().map(|id| listing(id));
+    cache.replace_all(listings.collect(), 1, at(0));
     cache.take_changed(at(0));
     cache
 }
@@ -76,7 +76,7 @@
     };
     cache.on_store_answer(at(500));
     cache.merge_peer_roster(&peer_roster);
-    cache.replace_all(vec![(listing("i-1"), 5)], at(500));
+    cache.replace_all(vec![listing("i-1")], 5, at(500));
     let roster = cache.take_changed(at(500));
     assert!(roster.is_none_or(|(r, _)| names(&r) == ["i-1", "i-2"]));
     cache.on_store_answer(at(3_000));
@@ -89,6 +89,23 @@
 fn missing_entries_are_dropped_at_once_without_an_outage() {
     let mut cache = cache(&["i-1", "i-2"]);
     cache.on_store_answer(at(9_000));
-    cache.replace_all(vec![(listing("i-1"), 1)], at(9_000));
+    cache.replace_all(vec![listing("i-1")], 1, at(9_000));
     assert_eq!(names(&cache.take_changed(at(9_000)).unwrap().0), ["i-1"]);
 }
+
+/// A row may change after its page was read and before the last page is. The list must not count as newer than the first page, or
+/// an instance that reads it once would never be sent that change, and give tasks to an endpoint that leaves.
+#[test]
+fn a_list_read_in_pages_counts_as_of_the_first_page() {
+    let mut cache = Cache::default();
+    cache.replace_all(vec![listing("i-1"), listing("i-2")], 4, at(0));
+    let (roster, _) = cache.take_changed(at(0)).unwrap();
+    assert_eq!(roster.version, 4);
+    let mut leaving = listing("i-1");
+    leaving.draining = true;
+    cache.set(leaving.clone(), 6);
+    let (_, changes) = cache.take_changed(at(500)).unwrap();
+    let changed = roster.with_change(&changes[0]).unwrap();
+    assert!(changed.endpoints.contains(&leaving));
+    assert_eq!((changes[0].after, changed.version), (4, 6));
+}
