--- a/src/dispatch/watch.rs
+++ b/src/dispatch/watch.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Watches the member closely for [`PEER_WATCH_TIME`] from now on, since it watches this instance.
+    /// Watches the member closely for a while from now on, since it watches this instance.
     pub fn extend_for_peer(&mut self, now: Time) {
         self.start(now);
         self.peer_until = now + PEER_WATCH_TIME;
