A read of the endpoints' list doesn't revert a newer list from peers

An endpoint that began to leave during the read was known from peers, and became one that takes tasks again, at the instance and, by its change, at all others of the data centre; the row that tells so again came with a version that those had passed.

Change: a whole read that began before the newest list from peers is ignored; the changes since its version are read next anyway.

--- a/src/dispatch/roster.rs
+++ b/src/dispatch/roster.rs
@@ -137,8 +137,12 @@
     /// Replaces the whole list, as it was read from `version` on. Entries that aren't in it are handled as missing.
     ///
     /// The list is read in pages, so that later pages hold rows that are newer than `version`, while changes of that time in
-    /// earlier pages are missing. The list counts as of `version`, so that these aren't taken for known.
+    /// earlier pages are missing. The list counts as of `version`, so that these aren't taken for known. It's ignored if peers have
+    /// sent a newer one meanwhile, which it would revert.
     pub fn replace_all(&mut self, listings: Vec<Listing>, version: u64, now: Time) {
+        if version < self.version {
+            return;
+        }
         let listed: HashSet<&Endpoint> = listings.iter().map(|listing| &listing.id).collect();
         let ids = self.entries.keys();
         let missing: Vec<Endpoint> = ids.filter(|id| !listed.contains(id)).cloned().collect();
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -109,3 +109,26 @@
     assert!(changed.endpoints.contains(&leaving));
     assert_eq!((changes[0].after, changed.version), (4, 6));
 }
+
+/// While the store's list is read, peers may send a newer one. The read must not revert it: an endpoint that has begun to leave
+/// would get tasks again, at all instances to which the reader sends its changes.
+#[test]
+fn a_list_from_peers_is_not_reverted_by_an_older_read() {
+    let mut leaving = listing("i-1");
+    leaving.draining = true;
+    let mut cache = Cache::default();
+    cache.merge_peer_roster(&Roster {
+        version: 9,
+        endpoints: vec![leaving.clone(), listing("i-2")],
+    });
+    cache.replace_all(vec![listing("i-1"), listing("i-2")], 7, at(0));
+    assert_eq!(cache.take_changed(at(0)), None);
+    cache.set(leaving, 8);
+    cache.set(listing("i-3"), 10);
+    let (roster, changes) = cache.take_changed(at(500)).unwrap();
+    assert!(roster.endpoints[0].draining);
+    assert_eq!(
+        (changes.len(), changes[0].after, changes[0].version),
+        (1, 9, 10)
+    );
+}
