--- a/tests/fleet/readers.rs
+++ b/tests/fleet/readers.rs
@@ -181,16 +181,21 @@
 fn a_reader_sends_each_instance_what_it_lacks() {
     let mut fleet = Fleet::new(INSTANCE_COUNT, CENTRE_COUNT);
     let versions: Vec<Roster> = (0..6).map(|v| roster(1 + v, v as usize * 4)).collect();
-    for i in 0..INSTANCE_COUNT {
-        let listed = versions[(i / CENTRE_COUNT) % 4].clone();
-        fleet.feed(i, Input::RosterListed(listed, Vec::new()));
-    }
-    fleet.run(Span::millis(300));
     let reader = 0;
-    for pair in versions.windows(2) {
+    fleet.feed(reader, Input::RosterListed(versions[0].clone(), Vec::new()));
+    let read = |fleet: &mut Fleet, pair: &[Roster]| {
         let changes = vec![change(&pair[0], &pair[1])];
         fleet.feed(reader, Input::RosterListed(pair[1].clone(), changes));
+    };
+    versions[..5]
+        .windows(2)
+        .for_each(|pair| read(&mut fleet, pair));
+    for i in 1..INSTANCE_COUNT {
+        let listed = versions[(i / CENTRE_COUNT) % 4].clone();
+        fleet.feed(i, Input::RosterListed(listed, Vec::new()));
     }
+    fleet.run(Span::millis(300));
+    read(&mut fleet, &versions[4..]);
     fleet.run(Span::millis(50));
     for i in fleet.of_centre(0) {
         let received = fleet.dispatchers[i].roster();
