Starts name their entry and batch; late stops, cancellations, deliveries and checks are logged

The logs couldn't tell apart how a task came to run twice at a time: a start named neither the entry nor the batch that it was for, so that a resubmission looked like a second placement by the same entry; the receipt of a cancellation and the order to stop a run weren't logged; a stop without an answer, a message that waited for its connection and a check for silent members that was skipped left no trace.

New lines: stop_ordered, run_discarded, stop_unanswered, batch_cancelled, messages_delayed, expiry_delayed; task_started has entry and batch; histogram delivery_seconds. No decision changes. dispatch, trace, owner, entry and platform tests pass.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -858,6 +858,9 @@
         }
         self.expired_at = now;
         if elapsed > MAX_EXPIRY_DELAY {
+            let record = LogRecord::new("expiry_delayed");
+            out.outputs
+                .push(Output::Log(record.with("late_ms", elapsed)));
             return;
         }
         for member in self.members.expire(now) {
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -589,7 +589,11 @@
             self.cancelled.add(key, now);
             return out.send(entry, Message::Unknown(vec![serial]));
         };
+        let job = self.assignments[&handle].batch.job;
         let started = self.drop_assignment(handle, out);
+        let record = LogRecord::routine("batch_cancelled").job(job);
+        let record = record.with("batch", serial);
+        out.log(record.with("entry", entry.name.as_str()));
         let message = Message::Report {
             serial,
             outcome: Outcome::Dropped,
@@ -654,10 +658,14 @@
             return;
         }
         if let Some(order) = state.stop(task, fate) {
-            let Order::Stop { task, run, .. } = &order else {
+            let Order::Stop {
+                task: name, run, ..
+            } = &order
+            else {
                 return;
             };
-            let purpose = Purpose::Stop(task.clone(), *run);
+            out.log(run_record("stop_ordered", &id, task, *run));
+            let purpose = Purpose::Stop(name.clone(), *run);
             self.call_endpoint(&id, order, purpose, false, out);
         }
     }
@@ -740,6 +748,13 @@
     }
 }
 
+/// Returns a routine log record about a run.
+fn run_record(event: &'static str, id: &Endpoint, task: TaskId, run: Run) -> LogRecord {
+    let record = LogRecord::routine(event).job(task.job);
+    let record = record.with("task", task.to_string()).with("run", run.0);
+    record.with("endpoint", id.as_str())
+}
+
 impl Assignment {
     /// Returns the unfinished tasks to the entry, and reports those that are done, so that they don't run again.
     fn return_to_entry(&self, out: &mut Effects) {
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -199,7 +199,13 @@
                 }
                 // A stop is sent until the endpoint answers or its leases have expired.
                 execution.sends = execution.sends.saturating_add(1);
-                match execution.sends {
+                let sends = execution.sends;
+                let record = LogRecord::new("stop_unanswered").job(task.job);
+                let record = record.with("task", task.to_string());
+                let record = record.with("endpoint", id.as_str());
+                let record = record.with("tries", u32::from(sends));
+                out.log(record.with("reply", format!("{reply:?}")));
+                match sends {
                     1 => self.resend(id, task, now, out),
                     _ => state.schedule_retry(task, now),
                 }
@@ -344,6 +350,9 @@
                 Event::Pace(change) => self.log_pace(id, change, out),
                 Event::Discarded(task) => {
                     self.run_locations.remove(&task);
+                    let record = LogRecord::routine("run_discarded").job(task.job);
+                    let record = record.with("task", task.to_string());
+                    out.log(record.with("endpoint", id.as_str()));
                 }
                 Event::Fenced => {
                     let state = self.endpoints.get(id);
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -344,6 +344,10 @@
             return;
         };
         let run = task_state.next;
+        let (entry, serial) = (
+            assignment.entry.name.as_str().to_owned(),
+            assignment.batch.serial,
+        );
         task_state.next = run.next();
         if (assignment.batch.stored || is_waiting_part) && !assignment.started {
             out.send(&assignment.entry, Message::Begun(assignment.batch.serial));
@@ -370,7 +374,8 @@
         }
         let record = LogRecord::routine("task_started").job(task.job);
         let record = record.with("task", task.to_string()).with("run", run.0);
-        out.log(record.with("endpoint", id.as_str()));
+        let record = record.with("endpoint", id.as_str());
+        out.log(record.with("entry", entry).with("batch", serial));
         let purpose = Purpose::Start(task, run);
         self.call_endpoint(id, order, purpose, false, out);
     }
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -55,6 +55,7 @@
     queued_messages: Family<KindLabel, Counter>,
     queued_bytes: Family<KindLabel, Counter>,
     peer_connections: Counter,
+    delivery_latency: Histogram,
     heartbeats: Counter,
     heartbeat_bytes: Counter,
     store_calls: Family<KindLabel, Counter>,
@@ -88,6 +89,11 @@
             queued_messages: r.add("queued_messages", "Messages queued for peers by kind"),
             queued_bytes: r.add("queued_bytes", "Bytes of messages queued for peers by kind"),
             peer_connections: r.add("peer_connections", "Connections opened to peers"),
+            delivery_latency: r.add_histogram(
+                "delivery_seconds",
+                "Time from the queueing of a message to a peer to its acknowledgement",
+                buckets(),
+            ),
             heartbeats: r.add("heartbeats", "Heartbeats sent to peers"),
             heartbeat_bytes: r.add("heartbeat_bytes", "Bytes of heartbeats sent to peers"),
             store_calls: r.add("store_calls", "Calls to the store"),
@@ -171,6 +177,11 @@
         self.peer_connections.inc();
     }
 
+    /// Observes how long messages to a peer took from their queueing to their acknowledgement.
+    pub fn observe_delivery(&self, took: Span) {
+        self.delivery_latency.observe(seconds(took));
+    }
+
     /// Counts a heartbeat sent to a peer, and its size in bytes.
     pub fn count_heartbeat(&self, bytes: usize) {
         self.heartbeats.inc();
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -74,6 +74,9 @@
 /// link.
 const MAX_ENVELOPE_BYTES: usize = 64 << 10;
 
+/// The time from a message's queueing to its acknowledgement above which its delivery is logged.
+const SLOW_DELIVERY: Span = Span::millis(250);
+
 /// Messages with their sender and their position in the session. The order of the fields is the wire format.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Envelope {
@@ -93,8 +96,8 @@
     /// Counts the sessions that this side has begun, so that a delivery notices that its session has ended.
     epoch: u64,
     serial: u64,
-    /// The encoded messages that wait.
-    messages: VecDeque<Vec<u8>>,
+    /// The encoded messages that wait, each with the time at which it was queued.
+    messages: VecDeque<(Time, Vec<u8>)>,
     /// The bytes of `messages` in total.
     bytes: usize,
     wake: Rc<Notify>,
@@ -144,7 +147,7 @@
         } else {
             hub.metrics.count_queued(kind, message.len());
             link.bytes += message.len();
-            link.messages.push_back(message);
+            link.messages.push_back((now(), message));
         }
         if link.task.is_none() {
             let (hub, name) = (hub.clone(), to.name.clone());
@@ -197,13 +200,15 @@
         // Plain data can always be encoded. postcard has no separators between fields, and prefixes a list with its
         // length, so that the bytes make an `Envelope`.
         let mut bytes = postcard::to_stdvec(&(sender, link.serial, count)).unwrap_or_default();
-        for message in link.messages.drain(..count) {
+        let queued_at = link.messages.front().map_or_else(now, |(at, _)| *at);
+        for (_, message) in link.messages.drain(..count) {
             link.bytes -= message.len();
             bytes.extend_from_slice(&message);
         }
         Some(EncodedEnvelope {
             bytes,
             count,
+            queued_at,
             address: link.address.clone(),
             epoch: link.epoch,
         })
@@ -225,6 +230,8 @@
     bytes: Vec<u8>,
     /// The number of messages in it.
     count: usize,
+    /// When the first of them was queued.
+    queued_at: Time,
     /// The address of the peer.
     address: String,
     /// The epoch of its session.
@@ -235,7 +242,7 @@
     /// Returns how many messages go into the next envelope: at least one, if any wait.
     fn count_fitting(&self) -> usize {
         let mut bytes = 0;
-        let fits = |message: &&Vec<u8>| {
+        let fits = |(_, message): &&(Time, Vec<u8>)| {
             let first = bytes == 0;
             bytes += message.len();
             first || bytes <= MAX_ENVELOPE_BYTES
@@ -325,7 +332,10 @@
             let mut request = open.client.deliver_request();
             request.get().set_envelope(&envelope.bytes);
             match within(DELIVERY_TIMEOUT, request.send().promise).await {
-                Ok(Ok(_)) => break,
+                Ok(Ok(_)) => {
+                    log_delay(&hub, &name, &envelope);
+                    break;
+                }
                 Ok(Err(error)) => {
                     let record = LogRecord::new("messages_broken").with("member", name.as_str());
                     hub.log(&record.with("error", error.extra));
@@ -342,6 +352,17 @@
     }
 }
 
+/// Logs a delivery that took so long that heartbeats have told the peer more recent news than the messages.
+fn log_delay(hub: &Hub, name: &Instance, envelope: &EncodedEnvelope) {
+    let waited = now().since(envelope.queued_at);
+    hub.metrics.observe_delivery(waited);
+    if waited > SLOW_DELIVERY {
+        let record = LogRecord::new("messages_delayed").with("member", name.as_str());
+        let record = record.with("waited_ms", waited);
+        hub.log(&record.with("messages", envelope.count));
+    }
+}
+
 /// Serves the peers that connect. A new connection replaces the former one from the same IP address: the peer has
 /// abandoned that one, and the packet that closes it may be lost.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
