Simulation: an owner that is always late runs a dead entry's tasks on

The world lets instances run only now and then, holds messages back, cuts one direction, loses stops for a span and breaks callers' connections.

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -15,6 +15,8 @@
 mod evacuation;
 #[path = "dispatch/headroom.rs"]
 mod headroom;
+#[path = "dispatch/overlap.rs"]
+mod overlap;
 #[path = "dispatch/overload.rs"]
 mod overload;
 #[path = "dispatch/placement.rs"]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -64,7 +64,10 @@
 };
 
 use super::{
-    endpoint::SimulatedEndpoint,
+    endpoint::{
+        RunRecord,
+        SimulatedEndpoint, //
+    },
     rows::Rows, //
 };
 
@@ -124,6 +127,12 @@
     PublishRoster,
     Resize(usize, u64),
     DenyStore(usize, bool),
+    Throttle(usize, Time, Span, (Span, Span)),
+    Stall(usize, usize, Time),
+    CutOneWay(usize, usize, bool),
+    LoseStops(usize, bool),
+    BreakCaller(JobId),
+    Abandoned(usize, u64, Ticket),
 }
 
 #[derive(Debug)]
@@ -242,6 +251,16 @@
     long_tasks: bool,
     /// Endpoints that no stop order reaches.
     unstoppable: HashSet<usize>,
+    /// Until when messages from one instance to another wait; they arrive in order then. Heartbeats pass.
+    stalled: HashMap<(usize, usize), Time>,
+    /// Pairs of instances of which the second doesn't hear the first.
+    cut_one_way: HashSet<(usize, usize)>,
+    /// The instance to which callers resubmit their jobs; a random one if there is none.
+    retry_at: Option<usize>,
+    /// How long after a resume an instance reads breaks of callers' connections.
+    read_lag: Span,
+    /// Whether two runs of a task at a time are reported at the end of a test, with their times, rather than at once.
+    collects_overlaps: bool,
     /// How often the instances logged each event.
     logged: HashMap<&'static str, usize>,
     /// The capacity of each resized endpoint, and when it was changed.
@@ -336,6 +355,11 @@
             uneven_tasks: false,
             long_tasks: false,
             unstoppable: HashSet::new(),
+            stalled: HashMap::new(),
+            cut_one_way: HashSet::new(),
+            retry_at: None,
+            read_lag: Span(1),
+            collects_overlaps: false,
             logged: HashMap::new(),
             resized: HashMap::new(),
         };
@@ -508,6 +532,8 @@
                 let sender = self.sender(i, &to.name);
                 // Messages of one pair arrive in order; a heartbeat may overtake them.
                 let earliest = self.now + self.draw_transit();
+                let stalled = self.stalled.get(&(i, to_index)).copied();
+                let earliest = earliest.max(stalled.unwrap_or_default());
                 let last_arrival = self.instances[i].last_arrivals.entry(to_index).or_default();
                 *last_arrival = earliest.max(*last_arrival);
                 let delay = last_arrival.since(self.now);
@@ -586,6 +612,9 @@
         if apart || self.disconnected.contains(&(i.min(to), i.max(to))) {
             return;
         }
+        if self.cut_one_way.contains(&(i, to)) {
+            return;
+        }
         let incarnation = self.instances[to].incarnation;
         self.schedule(delay, Event::Deliver(to, incarnation, delivery));
     }
@@ -817,7 +846,66 @@
                     false => self.store_denied.remove(&i),
                 };
             }
+            Event::Throttle(i, until, awake, pause) => {
+                if self.now >= until {
+                    return;
+                }
+                let pause_micros = self.random.random_range(pause.0 .0..=pause.1 .0);
+                let resumed = self.now + Span(pause_micros);
+                let instance = &mut self.instances[i];
+                instance.suspended_until = instance.suspended_until.max(resumed);
+                let next = Span(pause_micros) + awake;
+                self.schedule(next, Event::Throttle(i, until, awake, pause));
+            }
+            Event::Stall(from, to, until) => {
+                self.stalled.insert((from, to), until);
+            }
+            Event::CutOneWay(from, to, on) => {
+                match on {
+                    true => self.cut_one_way.insert((from, to)),
+                    false => self.cut_one_way.remove(&(from, to)),
+                };
+            }
+            Event::LoseStops(w, on) => {
+                match on {
+                    true => self.unstoppable.insert(w),
+                    false => self.unstoppable.remove(&w),
+                };
+            }
+            Event::BreakCaller(job) => self.break_caller(job),
+            Event::Abandoned(i, incarnation, ticket) => {
+                if self.instances[i].incarnation != incarnation {
+                    return;
+                }
+                if self.is_suspended(i) {
+                    let rest = self.instances[i].suspended_until.since(self.now) + self.read_lag;
+                    return self.schedule(rest, Event::Abandoned(i, incarnation, ticket));
+                }
+                self.feed(i, Input::Abandoned(ticket));
+            }
+        }
+    }
+
+    /// Breaks the connection of a job's caller, who then retries elsewhere. The entry reads the break once it isn't suspended.
+    fn break_caller(&mut self, job: JobId) {
+        let waits = |instance: &SimulatedInstance| {
+            let mut tickets = instance.tickets.iter();
+            let found = tickets.find(|(_, other)| **other == job);
+            found.map(|(ticket, _)| *ticket)
+        };
+        let found = self.instances.iter().map(waits);
+        let found = found.enumerate().find_map(|(i, ticket)| Some((i, ticket?)));
+        let Some((i, ticket)) = found else {
+            return;
+        };
+        self.instances[i].tickets.remove(&ticket);
+        if let Some(view) = self.jobs.get_mut(&job) {
+            // The caller can't know whether anything was run.
+            view.only_refused = false;
         }
+        self.resubmit(job);
+        let incarnation = self.instances[i].incarnation;
+        self.on_event(Event::Abandoned(i, incarnation, ticket));
     }
 
     fn evacuate(&mut self, centre: String, evacuated: bool) {
@@ -1005,7 +1093,7 @@
         );
         view.only_refused &= is_refusal;
         if answer == Answer::Completed {
-            let is_done = |b: &&super::endpoint::RunRecord| b.task.job == job && b.done;
+            let is_done = |b: &&RunRecord| b.task.job == job && b.done;
             let done: HashSet<u32> = self
                 .endpoints
                 .iter()
@@ -1056,6 +1144,7 @@
         };
         let (cpu, duration) = (self.needs[&task].cpu, self.durations[&job]);
         let at = self.random.random_range(0..self.instances.len());
+        let at = self.retry_at.unwrap_or(at);
         self.schedule(CALLER_RETRY, Event::Submit(at, job, tasks, cpu, duration));
     }
 
@@ -1148,6 +1237,9 @@
 
     /// Checks that no task runs twice at the same time.
     fn check_no_double_runs(&self) {
+        if self.collects_overlaps {
+            return;
+        }
         let mut running: HashMap<TaskId, &str> = HashMap::new();
         for endpoint in self.endpoints.iter().filter(|w| w.up && !w.down) {
             for task in endpoint.running.keys() {
@@ -1216,6 +1308,115 @@
         self.unstoppable.insert(w);
     }
 
+    /// Drops the stop orders to an endpoint for a span.
+    pub(crate) fn lose_stops_at(&mut self, after: Span, w: usize, span: Span) {
+        self.schedule(after, Event::LoseStops(w, true));
+        self.schedule(after + span, Event::LoseStops(w, false));
+    }
+
+    /// Lets an instance run only now and then for a span: for `awake`, then not for a random time within `pause`. What arrives
+    /// meanwhile waits, ticks included.
+    pub(crate) fn throttle_at(
+        &mut self,
+        after: Span,
+        i: usize,
+        span: Span,
+        awake: Span,
+        pause: (Span, Span),
+    ) {
+        let until = self.now + after + span;
+        self.schedule(after, Event::Throttle(i, until, awake, pause));
+    }
+
+    /// Holds back messages from one instance to another for a span. They arrive in order at its end; heartbeats pass.
+    pub(crate) fn stall_at(&mut self, after: Span, from: usize, to: usize, span: Span) {
+        let until = self.now + after + span;
+        self.schedule(after, Event::Stall(from, to, until));
+    }
+
+    /// Drops messages and heartbeats from one instance to another for a span. The other way they pass.
+    pub(crate) fn cut_one_way_at(&mut self, after: Span, from: usize, to: usize, span: Span) {
+        self.schedule(after, Event::CutOneWay(from, to, true));
+        self.schedule(after + span, Event::CutOneWay(from, to, false));
+    }
+
+    /// Breaks the connection of a job's caller, who retries elsewhere.
+    pub(crate) fn break_caller_at(&mut self, after: Span, job: JobId) {
+        self.schedule(after, Event::BreakCaller(job));
+    }
+
+    /// Makes callers whose connection broke resubmit their jobs at an instance.
+    pub(crate) fn set_retry_instance(&mut self, i: usize) {
+        self.retry_at = Some(i);
+    }
+
+    /// Sets how long after a resume an instance reads the breaks of callers' connections: sockets that are ready when a process
+    /// resumes are read in an order that isn't that of arrival. A break waits again if the instance is suspended by then.
+    pub(crate) fn set_read_lag(&mut self, lag: Span) {
+        self.read_lag = lag;
+    }
+
+    /// Returns the instances of a data centre that own a rack, and those that own none.
+    pub(crate) fn owners_in(&self, centre: &str) -> (Vec<usize>, Vec<usize>) {
+        let near = (0..self.instances.len()).filter(|i| self.instances[*i].centre == centre);
+        near.partition(|i| self.rack_count(*i) > 0)
+    }
+
+    /// Returns the runs of a job with their endpoints, in the order of their starts.
+    pub(crate) fn runs(&self, job: JobId) -> Vec<(usize, RunRecord)> {
+        let endpoints = self.endpoints.iter().enumerate();
+        let records = endpoints.flat_map(|(w, e)| e.history.iter().map(move |r| (w, *r)));
+        let mut runs: Vec<_> = records.filter(|(_, r)| r.task.job == job).collect();
+        runs.sort_by_key(|(w, record)| (record.from, *w));
+        runs
+    }
+
+    /// Reports two runs of a task at a time by [`World::check_no_overlaps`], with the time that they overlap, rather than at once.
+    pub(crate) fn collect_overlaps(&mut self) {
+        self.collects_overlaps = true;
+    }
+
+    /// Checks that no two runs of a task on different endpoints overlapped.
+    pub(crate) fn check_no_overlaps(&self) {
+        let mut runs: HashMap<TaskId, Vec<(usize, RunRecord, Time)>> = HashMap::new();
+        for (w, endpoint) in self.endpoints.iter().enumerate() {
+            for (n, record) in endpoint.history.iter().enumerate() {
+                let mut later = endpoint.history[n + 1..].iter();
+                // A later run of the task on the same endpoint has replaced it.
+                let replaced = later.find(|other| other.task == record.task);
+                let until = record.until.or(replaced.map(|other| other.from));
+                let until = until.unwrap_or(self.now);
+                runs.entry(record.task)
+                    .or_default()
+                    .push((w, *record, until));
+            }
+        }
+        let mut overlaps = Vec::new();
+        for runs in runs.values() {
+            for (n, (w, one, one_until)) in runs.iter().enumerate() {
+                for (other_w, other, other_until) in &runs[n + 1..] {
+                    let (from, until) = (one.from.max(other.from), *one_until.min(other_until));
+                    if w != other_w && from < until {
+                        overlaps.push((until.since(from), *w, *one, *other_w, *other));
+                    }
+                }
+            }
+        }
+        overlaps.sort_by_key(|(span, _, one, ..)| (Reverse(*span), one.task));
+        if let Some((span, w, one, other_w, other)) = overlaps.first() {
+            panic!(
+                "{} overlaps, the longest of {} ms: {} ran on w-{w} from {} to {:?} and on w-{other_w} from {} to {:?}",
+                overlaps.len(),
+                span.as_millis(),
+                one.task,
+                one.from.0,
+                one.until.map(|until| until.0),
+                other.from.0,
+                other.until.map(|until| until.0),
+            );
+        }
+    }
+
     /// Returns how often an event was logged.
     pub(crate) fn log_count(&self, event: &str) -> usize {
         self.logged.get(event).copied().unwrap_or_default()
