--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -131,6 +131,7 @@
     Stall(usize, usize, Time),
     CutOneWay(usize, usize, bool),
     LoseStops(usize, bool),
+    DelayStops(usize, Option<Span>),
     BreakCaller(JobId),
     Abandoned(usize, u64, Ticket),
 }
@@ -251,6 +252,8 @@
     long_tasks: bool,
     /// Endpoints that no stop order reaches.
     unstoppable: HashSet<usize>,
+    /// Endpoints that stop orders reach late and without an answer, and by how much.
+    late_stops: HashMap<usize, Span>,
     /// Until when messages from one instance to another wait; they arrive in order then. Heartbeats pass.
     stalled: HashMap<(usize, usize), Time>,
     /// Pairs of instances of which the second doesn't hear the first.
@@ -355,6 +358,7 @@
             uneven_tasks: false,
             long_tasks: false,
             unstoppable: HashSet::new(),
+            late_stops: HashMap::new(),
             stalled: HashMap::new(),
             cut_one_way: HashSet::new(),
             retry_at: None,
@@ -690,6 +694,15 @@
             Event::Order(w, ..) if self.isolated.contains(&w) => {}
             Event::Order(w, .., order, _)
                 if self.unstoppable.contains(&w) && matches!(*order, Order::Stop { .. }) => {}
+            Event::Order(w, i, incarnation, call, sent, order, false)
+                if self.late_stops.contains_key(&w) && matches!(*order, Order::Stop { .. }) =>
+            {
+                let delay = self.late_stops[&w];
+                self.schedule(
+                    delay,
+                    Event::Order(w, i, incarnation, call, sent, order, true),
+                );
+            }
             Event::Order(w, i, incarnation, call, sent, order, late) => {
                 let duration = match &*order {
                     Order::Start { task, .. } => self.duration(task),
@@ -872,6 +885,12 @@
                     false => self.unstoppable.remove(&w),
                 };
             }
+            Event::DelayStops(w, delay) => {
+                match delay {
+                    Some(delay) => self.late_stops.insert(w, delay),
+                    None => self.late_stops.remove(&w),
+                };
+            }
             Event::BreakCaller(job) => self.break_caller(job),
             Event::Abandoned(i, incarnation, ticket) => {
                 if self.instances[i].incarnation != incarnation {
@@ -1314,6 +1333,12 @@
         self.schedule(after + span, Event::LoseStops(w, false));
     }
 
+    /// Carries the stop orders to an endpoint that are sent within a span out late, and without an answer.
+    pub(crate) fn delay_stops_at(&mut self, after: Span, w: usize, span: Span, delay: Span) {
+        self.schedule(after, Event::DelayStops(w, Some(delay)));
+        self.schedule(after + span, Event::DelayStops(w, None));
+    }
+
     /// Lets an instance run only now and then for a span: for `awake`, then not for a random time within `pause`. What arrives
     /// meanwhile waits, ticks included.
     pub(crate) fn throttle_at(
