--- a/tests/dispatch/overlap.rs
+++ b/tests/dispatch/overlap.rs
@@ -3,7 +3,10 @@
 
 use poplarknot::{
     dispatch::{
-        id::JobId,
+        id::{
+            JobId,
+            RackId, //
+        },
         message::Answer, //
     },
     prelude::*, //
@@ -20,6 +23,14 @@
 /// The first job that is submitted by [`World::submit_at`].
 const JOB: JobId = JobId(1);
 
+/// The shape of a job whose caller waits until the job can have been placed twice.
+const PATIENT: Shape = Shape {
+    priority: 0,
+    estimate: 1.0,
+    wait: Span::seconds(9),
+    tail: 0.0,
+};
+
 /// How long an instance that is throttled is awake: less than the interval between checks for silent members.
 const AWAKE: Span = Span::millis(8);
 
@@ -38,30 +49,53 @@
 impl Site {
     /// Returns a site where a job of four tasks is submitted at the entry at once. Their first runs are on the owner's rack.
     fn new(seed: u64, duration: Span) -> Self {
+        let mut site = Self::idle(seed);
+        site.submit(duration);
+        site.world.run(Span::millis(100));
+        let runs = site.world.runs(JOB);
+        assert_eq!(runs.len(), 4, "not all tasks have started");
+        let is_near = runs.iter().all(|(endpoint, _)| *endpoint < 4);
+        assert!(is_near, "a task runs on another owner's rack");
+        site
+    }
+
+    /// Returns a site without jobs.
+    fn idle(seed: u64) -> Self {
         let mut world = World::new(seed, 4, 2, NO_FAULTS);
         let (owners, entries) = world.owners_in("ulemiste");
         let (others, _) = world.owners_in("maardu");
-        let (entry, owner) = (entries[0], owners[0]);
         world.set_retry_instance(others[0]);
         world.collect_overlaps();
-        let shape = Shape {
-            wait: Span::seconds(9),
-            ..Shape::default()
-        };
-        world.submit_at(Span(0), entry, (4, 1_500, duration), shape);
-        world.run(Span::millis(100));
-        let runs = world.runs(JOB);
-        assert_eq!(runs.len(), 4, "not all tasks have started");
-        let is_near = runs.iter().all(|(endpoint, _)| *endpoint < 4);
-        assert!(is_near, "a task runs on another owner's rack");
         Self {
             world,
-            entry,
-            owner,
+            entry: entries[0],
+            owner: owners[0],
         }
     }
 
-    /// Runs to the end. Checks that the job was started again and completed, and that no two runs of a task overlapped.
+    /// Submits the job at the entry.
+    fn submit(&mut self, duration: Span) {
+        let job = (4, 1_500, duration);
+        self.world.submit_at(Span(0), self.entry, job, PATIENT);
+    }
+
+    /// Drops the stops to the endpoints of the owner's rack for four seconds.
+    fn lose_stops(&mut self) {
+        for endpoint in 0..4 {
+            self.world
+                .lose_stops_at(Span(0), endpoint, Span::seconds(4));
+        }
+    }
+
+    /// Submits short jobs at the owner for a span, of which some tasks run on each endpoint that the job's tasks run on.
+    fn submit_others(&mut self, span: Span) {
+        for n in 0..span.as_millis() / 100 {
+            let (at, job) = (Span::millis(100 * n), (4, 800, Span::millis(200)));
+            self.world.submit_at(at, self.owner, job, Shape::default());
+        }
+    }
+
+    /// Runs to the end. Checks that the job was started again elsewhere and completed, and that no two runs of a task overlapped.
     fn finish_and_check(mut self) {
         self.world.run(Span::seconds(5));
         self.world.finish_and_check();
@@ -107,15 +141,8 @@
 fn starts_of_other_tasks_extend_no_run_whose_stop_is_lost() {
     for seed in 0..6 {
         let mut site = Site::new(seed, Span::millis(2_500));
-        for endpoint in 0..4 {
-            site.world
-                .lose_stops_at(Span(0), endpoint, Span::seconds(4));
-        }
-        for n in 0..25 {
-            let job = (4, 800, Span::millis(200));
-            let at = Span::millis(100 * n);
-            site.world.submit_at(at, site.owner, job, Shape::default());
-        }
+        site.lose_stops();
+        site.submit_others(Span::millis(2_500));
         site.world
             .kill_at(Span::millis(100), site.entry, Span::seconds(4));
         site.finish_and_check();
@@ -128,10 +155,7 @@
 fn runs_whose_stop_is_lost_expire_before_a_resubmission() {
     for seed in 0..6 {
         let mut site = Site::new(seed, Span::millis(2_500));
-        for endpoint in 0..4 {
-            site.world
-                .lose_stops_at(Span(0), endpoint, Span::seconds(4));
-        }
+        site.lose_stops();
         site.world
             .kill_at(Span::millis(100), site.entry, Span::seconds(4));
         site.finish_and_check();
@@ -174,10 +198,7 @@
 fn late_cancellation_and_lost_stops_leave_no_run_to_a_resubmitted_job() {
     for seed in 0..6 {
         let mut site = Site::new(seed, Span::millis(2_500));
-        for endpoint in 0..4 {
-            site.world
-                .lose_stops_at(Span(0), endpoint, Span::seconds(4));
-        }
+        site.lose_stops();
         site.world
             .suspend_at(Span::millis(50), site.entry, Span::millis(440));
         site.world.break_caller_at(Span::millis(51), JOB);
@@ -191,17 +212,167 @@
 fn owner_that_its_entry_does_not_hear_runs_no_task_twice() {
     for seed in 0..6 {
         let mut site = Site::new(seed, Span::millis(3_500));
-        for endpoint in 0..4 {
-            site.world
-                .lose_stops_at(Span(0), endpoint, Span::seconds(4));
-        }
-        for n in 0..35 {
-            let job = (4, 800, Span::millis(200));
-            let at = Span::millis(100 * n);
-            site.world.submit_at(at, site.owner, job, Shape::default());
-        }
+        site.lose_stops();
+        site.submit_others(Span::millis(3_500));
         site.world
             .cut_one_way_at(Span(0), site.owner, site.entry, Span::seconds(4));
         site.finish_and_check();
     }
 }
+
+/// An owner whose thread is late again and again is cut off from the others. The entry places the tasks again after the time within
+/// which their runs must have been stopped, but the owner doesn't find that it lost the entry.
+#[test]
+fn late_owner_that_is_cut_off_runs_no_task_twice() {
+    for seed in 0..6 {
+        let mut site = Site::new(seed, Span::millis(3_500));
+        let span = Span::seconds(5);
+        site.world
+            .throttle_at(Span(0), site.owner, span, AWAKE, PAUSE);
+        site.world.partition_at(Span(0), &[site.owner], span);
+        site.finish_and_check();
+    }
+}
+
+/// A batch waits in a stalled connection until its entry has died and its caller has resubmitted the job. Its owner is late again and
+/// again, so it doesn't know of the death and starts the tasks.
+#[test]
+fn batch_that_arrives_after_its_entry_has_died_is_not_started() {
+    for seed in 0..6 {
+        let mut site = Site::idle(seed);
+        let (stall, span) = (Span::millis(1_700), Span::seconds(5));
+        site.world.stall_at(Span(0), site.entry, site.owner, stall);
+        site.world
+            .throttle_at(Span(0), site.owner, span, AWAKE, PAUSE);
+        site.world.run(Span::millis(1));
+        site.submit(Span::millis(2_500));
+        site.world
+            .kill_at(Span::millis(100), site.entry, Span::seconds(4));
+        site.finish_and_check();
+    }
+}
+
+/// A batch waits in a stalled connection together with its cancellation, until its caller has resubmitted the job. Its tasks are
+/// started and stopped again, and the stops are lost.
+#[test]
+fn batch_that_arrives_after_its_caller_has_gone_is_not_started() {
+    for seed in 0..6 {
+        let mut site = Site::idle(seed);
+        site.world
+            .stall_at(Span(0), site.entry, site.owner, Span::seconds(2));
+        site.world.run(Span::millis(1));
+        site.submit(Span::millis(2_500));
+        site.lose_stops();
+        site.world.break_caller_at(Span::millis(100), JOB);
+        site.finish_and_check();
+    }
+}
+
+/// Six instances in two data centres with a rack each, of which the first hands its rack over.
+struct Move {
+    world: World,
+    /// The entry of the job. It owns no rack.
+    entry: usize,
+    /// The owner in the entry's data centre.
+    owner: usize,
+    /// The instance to which this owner hands its rack over.
+    next: usize,
+    /// The owner in the other data centre, where callers resubmit their jobs.
+    other: usize,
+}
+
+impl Move {
+    fn new(seed: u64) -> Self {
+        let mut world = World::new(seed, 6, 2, NO_FAULTS);
+        let (owners, mut rest) = world.owners_in("ulemiste");
+        let (others, _) = world.owners_in("maardu");
+        let rack = RackId::of("cells", "ulemiste", "r0");
+        rest.sort_by_key(|i| rack.weight(&format!("instance-{i}")));
+        world.collect_overlaps();
+        world.set_retry_instance(others[0]);
+        Self {
+            world,
+            entry: rest[0],
+            owner: owners[0],
+            next: rest[1],
+            other: others[0],
+        }
+    }
+
+    /// Lets tasks wait on both racks, and drains the owner while its messages to the next owner are stalled for 2.6 s. The entry
+    /// learns at once that the tasks have moved. It places them again on the other rack, as the first is full at that moment.
+    fn hand_over_late(&mut self) -> JobId {
+        let full = |millis| (4, 4_000, Span::millis(millis));
+        let (filler, job) = (JobId(2), JobId(3));
+        let start = Span(0);
+        self.world
+            .submit_at(start, self.other, full(1_500), Shape::default());
+        self.world
+            .submit_at(start, self.owner, full(400), Shape::default());
+        self.world.run(Span::millis(150));
+        let tasks = (8, 4_000, Span::millis(1_500));
+        self.world.submit_at(start, self.entry, tasks, PATIENT);
+        self.world.run(Span::millis(50));
+        self.world
+            .stall_at(start, self.owner, self.next, Span::millis(2_600));
+        // Frees the rack, so that the next owner has room.
+        self.world.break_caller_at(Span::millis(5), filler);
+        self.world.drain_at(Span::millis(5), self.owner);
+        self.world
+            .submit_at(Span::millis(2_300), self.next, full(250), PATIENT);
+        job
+    }
+
+    fn finish_and_check(mut self, job: JobId) {
+        self.world.run(Span::seconds(8));
+        self.world.finish_and_check();
+        assert_eq!(self.world.log_count("rack_handed_over"), 1);
+        let mut runs = self.world.runs(job).into_iter();
+        let again = runs.any(|(endpoint, _)| endpoint >= 4);
+        assert!(again, "no task was started elsewhere");
+        self.world.check_no_overlaps();
+        assert_eq!(self.world.jobs[&job].answer, Some(Answer::Completed));
+    }
+}
+
+/// A handover takes longer than an entry waits before it places the moved tasks again. The next owner starts them on arrival, before
+/// their entry can say that it has placed them elsewhere.
+#[test]
+fn handover_that_takes_long_runs_no_task_twice() {
+    for seed in 0..6 {
+        let mut site = Move::new(seed);
+        let job = site.hand_over_late();
+        site.finish_and_check(job);
+    }
+}
+
+/// As in [`handover_that_takes_long_runs_no_task_twice`], and messages of the next owner to the entry are stalled as well, so that the
+/// entry doesn't learn that the tasks have arrived.
+#[test]
+fn handover_that_takes_long_and_is_not_heard_of_runs_no_task_twice() {
+    for seed in 0..6 {
+        let mut site = Move::new(seed);
+        let job = site.hand_over_late();
+        let stall = Span::seconds(2);
+        site.world
+            .stall_at(Span::seconds(2), site.next, site.entry, stall);
+        site.finish_and_check(job);
+    }
+}
+
+/// An owner drains just after an entry has died. The instance that takes its rack over started after that death: it has never heard
+/// the entry, so it never finds it lost, and extends the leases of its runs.
+#[test]
+fn handover_to_a_new_instance_stops_runs_of_a_dead_entry() {
+    for seed in 0..6 {
+        let mut site = Move::new(seed);
+        site.world.kill_at(Span(0), site.next, Span::millis(1_500));
+        site.world.run(Span::millis(1_400));
+        let tasks = (4, 1_500, Span::millis(2_500));
+        site.world.submit_at(Span(0), site.entry, tasks, PATIENT);
+        site.world
+            .kill_at(Span::millis(80), site.entry, Span::seconds(4));
+        site.world.drain_at(Span::millis(200), site.owner);
+        site.finish_and_check(JOB);
+    }
+}
