--- a/tests/dispatch/overlap.rs
+++ b/tests/dispatch/overlap.rs
@@ -11,9 +11,15 @@
     },
     prelude::*, //
 };
+use rand::{
+    rngs::SmallRng,
+    Rng as _,
+    SeedableRng as _, //
+};
 
 use super::{
     world::{
+        Faults,
         Shape,
         World, //
     },
@@ -376,3 +382,85 @@
         site.finish_and_check(JOB);
     }
 }
+
+/// As in [`handover_to_a_new_instance_stops_runs_of_a_dead_entry`], but the next owner was suspended when the entry died, and has
+/// dropped what it knew of the others.
+#[test]
+fn handover_to_a_resumed_instance_stops_runs_of_a_dead_entry() {
+    for seed in 0..6 {
+        let mut site = Move::new(seed);
+        let tasks = (4, 1_500, Span::millis(2_500));
+        site.world.submit_at(Span(0), site.entry, tasks, PATIENT);
+        site.world
+            .suspend_at(Span::millis(50), site.next, Span::millis(500));
+        site.world
+            .kill_at(Span::millis(500), site.entry, Span::seconds(4));
+        site.world.drain_at(Span::millis(700), site.owner);
+        site.finish_and_check(JOB);
+    }
+}
+
+/// Late instances, stalled or one-way connections, lost or late stops, broken callers, kills, drains and silent endpoints together, at
+/// random times: no task runs twice.
+#[test]
+fn random_delays_run_no_task_twice() {
+    let faults = Faults {
+        lost_heartbeats: 0.05,
+        failed_runs: 0.02,
+        broken_links: 0.02,
+        ..NO_FAULTS
+    };
+    for seed in 0..36 {
+        // Printed with a failure.
+        println!("seed {seed}");
+        let mut world = World::new(seed, 6, 3, faults);
+        let mut random = SmallRng::seed_from_u64(seed);
+        world.collect_overlaps();
+        world.resubmit_given_up();
+        world.set_read_lag([Span(1), AWAKE][seed as usize % 2]);
+        for n in 0..40 {
+            let duration = Span::millis([200, 1_500, 2_500][random.random_range(0..3)]);
+            let tasks = (random.random_range(1..5), 1_000, duration);
+            let shape = Shape {
+                wait: duration + duration + Span::seconds(1),
+                ..Shape::default()
+            };
+            let entry = random.random_range(0..6);
+            world.submit_at(Span::millis(150 * n), entry, tasks, shape);
+        }
+        // Delays of several seconds, and during them events after which runs must be stopped.
+        for _ in 0..6 {
+            let at = Span::millis(random.random_range(300..3_000));
+            let span = Span::millis(random.random_range(1_500..4_000));
+            let one = random.random_range(0..6);
+            let others = (0..6).filter(|other| *other != one && random.random_bool(0.7));
+            let others: Vec<usize> = others.collect();
+            match random.random_range(0..6) {
+                0 | 1 => world.throttle_at(at, one, span, AWAKE, PAUSE),
+                2 => others
+                    .into_iter()
+                    .for_each(|other| world.stall_at(at, one, other, span)),
+                3 => others
+                    .into_iter()
+                    .for_each(|other| world.cut_one_way_at(at, one, other, span)),
+                4 => (0..12).for_each(|w| world.lose_stops_at(at, w, span)),
+                _ => (0..12).for_each(|w| world.delay_stops_at(at, w, span, Span::seconds(1))),
+            }
+        }
+        for n in 0..9 {
+            let at = Span::millis(500 + 500 * n + random.random_range(0..300));
+            let span = Span::millis(random.random_range(300..4_000));
+            let (instance, endpoint) = (random.random_range(0..6), random.random_range(0..12));
+            match random.random_range(0..9) {
+                0..=2 => world.kill_at(at, instance, span),
+                3..=5 => world.break_callers_at(at, instance),
+                6 => world.drain_at(at, instance),
+                7 => world.mute_endpoint_at(at, endpoint, span),
+                _ => world.suspend_at(at, instance, Span::millis(440)),
+            }
+        }
+        world.run(Span::seconds(8));
+        world.finish_and_check();
+        world.check_no_overlaps();
+    }
+}
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -133,6 +133,7 @@
     LoseStops(usize, bool),
     DelayStops(usize, Option<Span>),
     BreakCaller(JobId),
+    BreakCallers(usize),
     Abandoned(usize, u64, Ticket),
 }
 
@@ -260,6 +261,8 @@
     cut_one_way: HashSet<(usize, usize)>,
     /// The instance to which callers resubmit their jobs; a random one if there is none.
     retry_at: Option<usize>,
+    /// Whether callers resubmit jobs that were given up.
+    resubmits_given_up: bool,
     /// How long after a resume an instance reads breaks of callers' connections.
     read_lag: Span,
     /// Whether two runs of a task at a time are reported at the end of a test, with their times, rather than at once.
@@ -362,6 +365,7 @@
             stalled: HashMap::new(),
             cut_one_way: HashSet::new(),
             retry_at: None,
+            resubmits_given_up: false,
             read_lag: Span(1),
             collects_overlaps: false,
             logged: HashMap::new(),
@@ -892,6 +896,11 @@
                 };
             }
             Event::BreakCaller(job) => self.break_caller(job),
+            Event::BreakCallers(i) => {
+                let mut jobs: Vec<JobId> = self.instances[i].tickets.values().copied().collect();
+                jobs.sort_unstable();
+                jobs.into_iter().for_each(|job| self.break_caller(job));
+            }
             Event::Abandoned(i, incarnation, ticket) => {
                 if self.instances[i].incarnation != incarnation {
                     return;
@@ -908,9 +917,9 @@
     /// Breaks the connection of a job's caller, who then retries elsewhere. The entry reads the break once it isn't suspended.
     fn break_caller(&mut self, job: JobId) {
         let waits = |instance: &SimulatedInstance| {
-            let mut tickets = instance.tickets.iter();
-            let found = tickets.find(|(_, other)| **other == job);
-            found.map(|(ticket, _)| *ticket)
+            let tickets = instance.tickets.iter();
+            let found = tickets.filter(|(_, other)| **other == job);
+            found.map(|(ticket, _)| *ticket).min()
         };
         let found = self.instances.iter().map(waits);
         let found = found.enumerate().find_map(|(i, ticket)| Some((i, ticket?)));
@@ -1098,7 +1107,8 @@
         };
         view.answer = Some(answer);
         view.answered_at = now;
-        if self.stores_jobs && matches!(answer, Answer::GivenUp { .. }) {
+        let resubmits = self.stores_jobs || self.resubmits_given_up;
+        if resubmits && matches!(answer, Answer::GivenUp { .. }) {
             view.only_refused = false;
             self.resubmit(job);
             return;
@@ -1370,6 +1380,16 @@
         self.schedule(after, Event::BreakCaller(job));
     }
 
+    /// Breaks the connections of all callers of an instance, who retry elsewhere.
+    pub(crate) fn break_callers_at(&mut self, after: Span, i: usize) {
+        self.schedule(after, Event::BreakCallers(i));
+    }
+
+    /// Makes callers resubmit jobs that were given up, as after a broken connection.
+    pub(crate) fn resubmit_given_up(&mut self) {
+        self.resubmits_given_up = true;
+    }
+
     /// Makes callers whose connection broke resubmit their jobs at an instance.
     pub(crate) fn set_retry_instance(&mut self, i: usize) {
         self.retry_at = Some(i);
