--- a/tests/dispatch/overlap.rs
+++ b/tests/dispatch/overlap.rs
@@ -129,6 +129,21 @@
     }
 }
 
+/// An owner is suspended twice, each time too short to drop its state, just before it would find that an entry has died.
+#[test]
+fn owner_that_is_suspended_twice_stops_runs_of_a_dead_entry() {
+    for seed in 0..6 {
+        let mut site = Site::new(seed, Span::millis(2_500));
+        let (first, pause) = (Span::millis(600), Span::millis(440));
+        site.world
+            .kill_at(Span::millis(50), site.entry, Span::seconds(4));
+        site.world.suspend_at(first, site.owner, pause);
+        site.world
+            .suspend_at(first + pause + AWAKE, site.owner, pause);
+        site.finish_and_check();
+    }
+}
+
 /// Heartbeats pass while messages to the owner are stalled. The cancellation of a job whose caller has gone waits with them, and the
 /// heartbeats of its entry keep its runs alive.
 #[test]
