Tests of orders of events in which a task runs at two owners

Red on this commit, each for a fault that isn't fixed yet: - rack_moves_to_an_instance_that_has_never_heard_the_entry - rack_moves_to_an_instance_that_has_not_heard_the_entry_since_a_pause - drain_after_the_death_of_an_entry_hands_its_runs_to_a_new_instance - owner_dies_before_it_notices_the_death_of_an_entry - break_of_a_callers_connection_that_its_entry_does_not_see - coordinator_checks_its_locks_after_a_long_partition - owner_is_told_that_a_task_of_its_batch_is_done_elsewhere

Beside them stand the same orders of events without the decisive one, which pass.

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -15,6 +15,8 @@
 mod evacuation;
 #[path = "dispatch/headroom.rs"]
 mod headroom;
+#[path = "dispatch/orders_of_owners.rs"]
+mod orders_of_owners;
 #[path = "dispatch/overload.rs"]
 mod overload;
 #[path = "dispatch/placement.rs"]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -1248,6 +1248,17 @@
         job
     }
 
+    /// Submits a job with a given ID at an instance, also one that was submitted before.
+    pub(crate) fn submit_job_again_at(
+        &mut self,
+        after: Span,
+        i: usize,
+        job: JobId,
+        (tasks, cpu, duration): (u32, u64, Span),
+    ) {
+        self.schedule(after, Event::Submit(i, job, tasks, cpu, duration));
+    }
+
     pub(crate) fn kill_at(&mut self, after: Span, i: usize, down: Span) {
         self.schedule(after, Event::Kill(i, down));
     }
