Tests of a caller's connection that breaks while its job runs

break_of_a_connection_with_unread_data_stops_its_job is red on this commit: while a request is in progress and data lies in its buffer, the HTTP server reads nothing more, so it doesn't see the break, and the job's run goes on.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -757,3 +757,43 @@
     }
     json!({"spec": "cell", "steps": steps})
 }
+
+/// Submits a job over a connection, sends `rest` while the answer is pending, breaks the connection, and returns whether the job's
+/// run has ended 600 ms later.
+async fn run_ends_after_break(rest: &[u8]) -> Result<bool> {
+    const TASK: Duration = Duration::from_secs(2);
+    let fleet = Fleet::start(program(), 1, 1, TASK).await?;
+    let body = fleet::job_body(1, TASK.as_millis() as u64, true).to_string();
+    let head = format!(
+        "POST {PREFIX}{:016x} HTTP/1.1\r\nhost: {HOST}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        5,
+        body.len()
+    );
+    let mut stream = TcpStream::connect(fleet.instances[0].caller_address()).await?;
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(body.as_bytes()).await?;
+    wait_until("the task runs", || async {
+        (!fleet.endpoints[0].history().is_empty()).then_some(())
+    })
+    .await?;
+    stream.write_all(rest).await?;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(stream);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let history = fleet.endpoints[0].history();
+    Ok(history.iter().all(|run| run.ended_at.is_some()))
+}
+
+/// A caller's connection breaks while its job runs. The run must be stopped before the caller comes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn break_of_a_connection_stops_its_job() -> Result {
+    assert!(run_ends_after_break(b"").await?);
+    Ok(())
+}
+
+/// The same after the caller has sent more on the connection, such as its next request. What isn't read yet must not hide the break.
+#[tokio::test(flavor = "multi_thread")]
+async fn break_of_a_connection_with_unread_data_stops_its_job() -> Result {
+    assert!(run_ends_after_break(b"\r\n").await?);
+    Ok(())
+}
