--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -17,6 +17,8 @@
 mod headroom;
 #[path = "dispatch/overlap.rs"]
 mod overlap;
+#[path = "dispatch/orders_of_owners.rs"]
+mod orders_of_owners;
 #[path = "dispatch/overload.rs"]
 mod overload;
 #[path = "dispatch/placement.rs"]
