Test that a late owner ends the runs of a dead entry

The owner is stopped and continued by turns (70 and 5 ms), so that each of its checks for silent members is late and is skipped. It never learns that the entry died, and its polls extend the leases of runs that the caller has submitted again at another instance.

Fails on: the first runs end by themselves, 1.7 s after the kill of the entry, beside the second ones, which started after 1.3 s.

--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,366 @@
+//! Real instances and stand-ins of the platform in faults that let a run outlive its attempt: a caller that comes again after a
+//! broken connection must not find its tasks still running.
+//!
+//! Only the overlap of two runs of a task, as the endpoints see it, decides. A run that ends before the second attempt starts its
+//! task passes, however late the machine is.
+
+#![allow(dead_code)] // Other tests use more of these modules.
+
+#[path = "platform/endpoint.rs"]
+mod endpoint;
+#[path = "platform/fleet.rs"]
+mod fleet;
+#[path = "platform/store.rs"]
+mod store;
+mod support;
+
+use std::{
+    path::Path,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc, //
+    },
+    thread::JoinHandle,
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use endpoint::{
+    Execution,
+    BRIEF, //
+};
+use fleet::{
+    job_body,
+    write_configuration,
+    Fleet,
+    Instance,
+    HOST,
+    PREFIX, //
+};
+use nix::sys::signal::{
+    kill,
+    Signal, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use support::{
+    client::Client,
+    wait_until,
+    Result, //
+};
+use tokio::{
+    io::AsyncWriteExt as _,
+    net::TcpStream,
+    time::{
+        sleep,
+        sleep_until,
+        Instant, //
+    }, //
+};
+
+/// The duration of the tasks that must not run twice: longer than [`RETRY_DELAY`], or the first runs would end by themselves.
+const TASK: Duration = Duration::from_millis(2_500);
+/// How long after the break of its connection a caller comes again (`retry_ms`).
+const RETRY_DELAY: Duration = Duration::from_millis(1_300);
+/// How long the first attempt has run when its connection breaks.
+const RUN_TIME: Duration = Duration::from_millis(500);
+/// The timeout of the route, longer than a task, in milliseconds.
+const ROUTE_TIMEOUT_MS: u64 = 8_000;
+/// The data centre of the first attempt, and its endpoint in a fleet of two.
+const FIRST_CENTRE: (&str, usize) = ("maardu", 1);
+/// The job that is submitted twice.
+const JOB: u64 = 0x7a;
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_poplarknot"))
+}
+
+/// Stops and continues a process by turns, so that its threads are late again and again; the process runs on when this is dropped.
+struct Turns {
+    ended: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Turns {
+    /// Shorter than the interval between steps of an instance (10 ms), so that each step finds that it is late.
+    const RUNNING: Duration = Duration::from_millis(5);
+    /// Far below the pause after which an instance drops all that it holds (450 ms).
+    const STOPPED: Duration = Duration::from_millis(70);
+
+    fn start(instance: &Instance) -> Result<Self> {
+        let process = instance.process_id()?;
+        let ended = Arc::new(AtomicBool::new(false));
+        let e = ended.clone();
+        let thread = std::thread::spawn(move || {
+            while !e.load(Ordering::SeqCst) {
+                let _ = kill(process, Signal::SIGSTOP);
+                std::thread::sleep(Self::STOPPED);
+                let _ = kill(process, Signal::SIGCONT);
+                std::thread::sleep(Self::RUNNING);
+            }
+        });
+        Ok(Self {
+            ended,
+            thread: Some(thread),
+        })
+    }
+}
+
+impl Drop for Turns {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A fleet in which an instance without racks takes the first attempt of a job.
+///
+/// Its tasks go to the rack of its data centre, which `owner` owns. The second attempt goes to `third`, whose tasks go to its own
+/// rack in the other data centre.
+struct World {
+    fleet: Fleet,
+    entry: Instance,
+}
+
+impl World {
+    /// Starts a fleet with `endpoints` endpoints, which are spread over the two racks.
+    async fn start(endpoints: usize) -> Result<Self> {
+        Self::complete(Fleet::start(program(), 2, endpoints, TASK).await?).await
+    }
+
+    /// Starts a fleet with two endpoints behind proxies.
+    async fn start_behind_proxies() -> Result<Self> {
+        Self::complete(Fleet::start_behind_proxies(program(), 2, 2, TASK).await?).await
+    }
+
+    /// Adds the entry once both racks have an owner in their data centre. An instance that starts later gets none of them.
+    async fn complete(fleet: Fleet) -> Result<Self> {
+        write_configuration(&fleet.store, 8, ROUTE_TIMEOUT_MS);
+        wait_until("each instance owns the rack of its data centre", || async {
+            let owns = |instance: &Instance| instance.log().contains("rack_claimed");
+            fleet.instances.iter().all(owns).then_some(())
+        })
+        .await?;
+        let store = fleet.store.address();
+        let entry = Instance::start(program(), "instance-2", FIRST_CENTRE.0, &store).await?;
+        entry.wait_until_ready().await?;
+        // The entry has heard the free room of both racks by then.
+        sleep(Duration::from_millis(500)).await;
+        Ok(Self { fleet, entry })
+    }
+
+    fn third(&self) -> &Instance {
+        &self.fleet.instances[0]
+    }
+
+    fn owner(&self) -> &Instance {
+        &self.fleet.instances[1]
+    }
+
+    /// Submits a job of long tasks to the entry over a connection that the caller can break.
+    async fn submit(&self, job: u64, tasks: u32) -> Result<TcpStream> {
+        let mut stream = TcpStream::connect(self.entry.caller_address()).await?;
+        stream.write_all(&request(job, &long_job(tasks))).await?;
+        Ok(stream)
+    }
+
+    /// Waits until `tasks` tasks of a job have run for [`RUN_TIME`] on the owner's endpoints.
+    async fn wait_for_runs(&self, job: u64, tasks: usize) -> Result {
+        wait_until("the first attempt's tasks run", || async {
+            let running = self.first_runs(job).len();
+            (running == tasks).then_some(())
+        })
+        .await
+        .map_err(|e| format!("{e}\n{}", self.log_of(&[job], Instant::now())))?;
+        sleep(RUN_TIME).await;
+        Ok(())
+    }
+
+    /// Returns the runs of a job on the owner's endpoints.
+    fn first_runs(&self, job: u64) -> Vec<Execution> {
+        let endpoints = self.fleet.endpoints.iter().skip(1).step_by(2);
+        let runs = endpoints.flat_map(|endpoint| endpoint.current_history());
+        runs.filter(|run| is_of_job(run, job)).collect()
+    }
+
+    /// Returns the runs of a job on all endpoints.
+    fn runs(&self, job: u64) -> Vec<Execution> {
+        let endpoints = self.fleet.endpoints.iter();
+        let runs = endpoints.flat_map(|endpoint| endpoint.current_history());
+        runs.filter(|run| is_of_job(run, job)).collect()
+    }
+
+    /// Submits a job again [`RETRY_DELAY`] after the break of its connection, and checks that no task runs twice at a time.
+    async fn retry(&self, job: u64, tasks: u32, broken_at: Instant) -> Result {
+        assert!(
+            self.first_runs(job)
+                .iter()
+                .all(|run| run.started_at < broken_at),
+            "the runs started after the break"
+        );
+        sleep_until(broken_at + RETRY_DELAY).await;
+        let mut client = Client::connect(self.third().caller_address()).await?;
+        let answer = self
+            .third()
+            .submit_over(&mut client, job, &long_job(tasks))
+            .await?;
+        let runs = self.runs(job);
+        for run in &runs {
+            println!("{}", describe(run, broken_at));
+        }
+        assert_eq!(answer.status, 200, "{}", self.log_of(&[job], broken_at));
+        let again = runs.iter().filter(|run| run.started_at > broken_at);
+        assert!(
+            again.count() >= tasks as usize,
+            "the second attempt ran nothing: {}",
+            self.log_of(&[job], broken_at)
+        );
+        self.assert_no_overlap(&runs, job, broken_at);
+        Ok(())
+    }
+
+    fn assert_no_overlap(&self, runs: &[Execution], job: u64, broken_at: Instant) {
+        for (i, one) in runs.iter().enumerate() {
+            for other in &runs[i + 1..] {
+                let disjoint = one.ended_at.is_some_and(|end| end <= other.started_at)
+                    || other.ended_at.is_some_and(|end| end <= one.started_at);
+                assert!(
+                    one.task != other.task || disjoint,
+                    "two runs of a task at a time, in ms from the break:\n{}\n{}\nlost stops: {:?}\n{}",
+                    describe(one, broken_at),
+                    describe(other, broken_at),
+                    self.lost_stops(broken_at),
+                    self.log_of(&[job], broken_at),
+                );
+            }
+        }
+    }
+
+    /// Returns the stop orders that were lost, with their times in milliseconds from the break.
+    fn lost_stops(&self, broken_at: Instant) -> Vec<(String, i64)> {
+        let endpoints = self.fleet.endpoints.iter();
+        let lost = endpoints.flat_map(|endpoint| endpoint.lost_stops());
+        lost.map(|(task, at)| (task, millis(at, broken_at)))
+            .collect()
+    }
+
+    /// Returns the log lines of all instances that concern the jobs, racks or members, with their times in milliseconds from the
+    /// break.
+    fn log_of(&self, jobs: &[u64], broken_at: Instant) -> String {
+        let jobs: Vec<String> = jobs.iter().map(|job| format!("{job:016x}")).collect();
+        let concerns = |line: &str| {
+            let of_job = jobs.iter().any(|job| line.contains(job));
+            of_job || line.contains("\"rack_") || line.contains("\"member_")
+        };
+        let broken_ms = (SystemTime::now() - broken_at.elapsed())
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis() as i64);
+        let time = |line: &str| {
+            let fields: Value = serde_json::from_str(line).unwrap_or_default();
+            fields["time_ms"].as_i64().unwrap_or(broken_ms) - broken_ms
+        };
+        let instances = self.fleet.instances.iter().chain([&self.entry]);
+        let lines = instances.flat_map(|instance| {
+            let log = instance.log();
+            let lines = log.lines().filter(|line| concerns(line));
+            lines
+                .map(|line| (time(line), line.to_owned()))
+                .collect::<Vec<_>>()
+        });
+        let mut lines: Vec<_> = lines.collect();
+        lines.sort();
+        lines
+            .iter()
+            .map(|(time, line)| format!("{time:6} {line}\n"))
+            .collect()
+    }
+}
+
+/// Submits jobs of one short task to an instance, one after another, until it's dropped.
+struct Load(tokio::task::JoinHandle<()>);
+
+impl Load {
+    fn start(instance: &Instance) -> Self {
+        let address = instance.caller_address();
+        Self(tokio::spawn(async move {
+            for job in 0x10_000_u64.. {
+                let mut body = job_body(1, 60, true);
+                body["spec"] = json!(BRIEF);
+                let headers = [("host", HOST), ("x-poplarknot-deadline-ms", "2000")];
+                let path = format!("{PREFIX}{job:016x}");
+                let attempt = async {
+                    let mut client = Client::connect(address).await?;
+                    client.post(&path, &headers, &body).await
+                };
+                let _ = attempt.await;
+                sleep(Duration::from_millis(5)).await;
+            }
+        }))
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn is_of_job(run: &Execution, job: u64) -> bool {
+    run.task.starts_with(&format!("{job:016x}."))
+}
+
+/// Returns the time from the break in milliseconds, negative before it.
+fn millis(at: Instant, broken_at: Instant) -> i64 {
+    let after = at.saturating_duration_since(broken_at).as_millis() as i64;
+    after - broken_at.saturating_duration_since(at).as_millis() as i64
+}
+
+fn describe(run: &Execution, broken_at: Instant) -> String {
+    let end = run.ended_at.map(|at| millis(at, broken_at));
+    let end = end.map_or("still runs".to_owned(), |end| {
+        format!("{end} {}", run.outcome)
+    });
+    let start = millis(run.started_at, broken_at);
+    format!("{} run {}: {start} to {end}", run.task, run.run)
+}
+
+fn long_job(tasks: u32) -> Value {
+    job_body(tasks, TASK.as_millis() as u64, true)
+}
+
+/// Returns the bytes of a request that submits a job.
+fn request(job: u64, body: &Value) -> Vec<u8> {
+    let body = body.to_string();
+    let length = body.len();
+    format!(
+        "POST {PREFIX}{job:016x} HTTP/1.1\r\nhost: {HOST}\r\ncontent-type: application/json\r\n\
+         x-poplarknot-deadline-ms: 8000\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// A late owner must notice the death of an entry: it would go on extending the leases of the entry's runs, which the caller has
+/// submitted again elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_owner_ends_the_runs_of_a_dead_entry() -> Result {
+    let world = World::start(2).await?;
+    let caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    let _late = Turns::start(world.owner())?;
+    sleep(Duration::from_millis(300)).await;
+    world.entry.signal(Signal::SIGKILL)?;
+    let broken_at = Instant::now();
+    world.retry(JOB, 2, broken_at).await?;
+    drop(caller);
+    Ok(())
+}
--- a/tests/platform/endpoint.rs
+++ b/tests/platform/endpoint.rs
@@ -39,6 +39,12 @@
 /// The `spec` of a task that crashes its endpoint.
 pub(crate) const CRASH: &str = "crash";
 
+/// The `spec` of a task that runs for [`BRIEF_DURATION`], whatever the duration of other tasks.
+pub(crate) const BRIEF: &str = "brief";
+
+/// The duration of a task whose `spec` is [`BRIEF`].
+const BRIEF_DURATION: Duration = Duration::from_millis(60);
+
 /// The time for which an endpoint is down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 
@@ -103,6 +109,10 @@
     slots: usize,
     /// The number of next orders that are carried out without an answer.
     responses_to_drop: usize,
+    /// Until when stop orders are neither carried out nor answered.
+    stops_lost_until: Option<Instant>,
+    /// Stop orders that were lost: the task, and when the order arrived.
+    lost_stops: Vec<(String, Instant)>,
 }
 
 /// A running endpoint; stopped when dropped.
@@ -173,6 +183,26 @@
         self.state.lock().unwrap().history.clone()
     }
 
+    #[allow(dead_code)] // Not used by every test.
+    /// Returns the history as of now. [`Self::history`] lists an end only once a request has arrived after it.
+    pub(crate) fn current_history(&self) -> Vec<Execution> {
+        let mut state = self.state.lock().unwrap();
+        state.end_due_runs();
+        state.history.clone()
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Makes the endpoint neither carry out nor answer stop orders for some time, as if they were lost on the way.
+    pub(crate) fn lose_stops(&self, time: Duration) {
+        self.state.lock().unwrap().stops_lost_until = Some(Instant::now() + time);
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Returns the stop orders that were lost: the task, and when the order arrived.
+    pub(crate) fn lost_stops(&self) -> Vec<(String, Instant)> {
+        self.state.lock().unwrap().lost_stops.clone()
+    }
+
     /// Returns the crashes in runs of a job's tasks.
     pub(crate) fn crashes_of_job(&self, job: &str) -> Vec<Crash> {
         let state = self.state.lock().unwrap();
@@ -299,6 +329,17 @@
         self.finished.push(row);
     }
 
+    /// Records a stop order. Returns whether it's lost.
+    fn loses_stop(&mut self, body: &Value) -> bool {
+        let lost = self
+            .stops_lost_until
+            .is_some_and(|until| Instant::now() < until);
+        if let (true, Some(task)) = (lost, body["task"].as_str()) {
+            self.lost_stops.push((task.to_owned(), Instant::now()));
+        }
+        lost
+    }
+
     fn forbid_run(&mut self, task: &str, run: u64) {
         let last_forbidden = self.forbidden_runs.entry(task.to_owned()).or_default();
         *last_forbidden = (*last_forbidden).max(run);
@@ -335,9 +376,13 @@
         }
         self.lease = self.lease.max(lease.min(clock + 1_000));
         let now = Instant::now();
+        let duration = match body["spec"] == BRIEF {
+            true => BRIEF_DURATION,
+            false => self.task_duration,
+        };
         let active = ActiveRun {
             run,
-            ends_at: now + self.task_duration,
+            ends_at: now + duration,
             history_index: self.history.len(),
         };
         self.history.push(Execution {
@@ -373,6 +418,10 @@
     if expected.is_some_and(|expected| expected != name) {
         return json_response(421, &json!({}));
     }
+    if request.path == "/api/run-stop" && state.lock().unwrap().loses_stop(&body) {
+        // The sender closes the connection when the call times out.
+        return std::future::pending().await;
+    }
     let response = {
         let mut state = state.lock().unwrap();
         if state.is_down() {
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -175,9 +175,14 @@
     }
 
     pub(crate) fn signal(&self, signal: Signal) -> Result {
+        Ok(kill(self.process_id()?, signal)?)
+    }
+
+    /// Returns the process ID. It isn't reused before the instance is dropped or [`Self::wait_for_exit`] is called.
+    pub(crate) fn process_id(&self) -> Result<Pid> {
         let id = self.child.lock().unwrap().id();
         let id = id.ok_or("the process has ended")?;
-        Ok(kill(Pid::from_raw(id.try_into()?), signal)?)
+        Ok(Pid::from_raw(id.try_into()?))
     }
 
     #[allow(dead_code)] // Used by the soak test only.
