Test that no run of a dead entry outlives lost stops or a held link

The stand-in of an endpoint can lose stop orders: it neither carries them out nor answers them. A second caller's short tasks run on the same endpoint all the while.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -53,6 +53,7 @@
 };
 use support::{
     client::Client,
+    proxy::Mode,
     wait_until,
     Result, //
 };
@@ -72,6 +73,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1_300);
 /// How long the first attempt has run when its connection breaks.
 const RUN_TIME: Duration = Duration::from_millis(500);
+/// How long stop orders are lost, or all bytes held, after the break.
+const FAULT_DURATION: Duration = Duration::from_millis(2_000);
 /// The timeout of the route, longer than a task, in milliseconds.
 const ROUTE_TIMEOUT_MS: u64 = 8_000;
 /// The data centre of the first attempt, and its endpoint in a fleet of two.
@@ -364,3 +367,41 @@
     drop(caller);
     Ok(())
 }
+
+/// Stop orders that an endpoint doesn't get must not keep a run alive: starts for other callers on that endpoint would extend its
+/// lease beyond the time at which the caller comes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_stops_leave_no_run_of_a_dead_entry() -> Result {
+    let world = World::start(2).await?;
+    let caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    let _load = Load::start(world.owner());
+    world.entry.signal(Signal::SIGKILL)?;
+    let broken_at = Instant::now();
+    world.fleet.endpoints[FIRST_CENTRE.1].lose_stops(FAULT_DURATION);
+    world.retry(JOB, 2, broken_at).await?;
+    drop(caller);
+    Ok(())
+}
+
+/// The link to an endpoint holds all bytes when the owner finds that the entry is dead: neither the stops nor anything else
+/// arrives, and the lease of the last poll before must have expired when the caller comes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn held_link_leaves_no_run_of_a_dead_entry() -> Result {
+    let world = World::start_behind_proxies().await?;
+    let caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    let _load = Load::start(world.owner());
+    world.entry.signal(Signal::SIGKILL)?;
+    let broken_at = Instant::now();
+    // Just before the owner has heard nothing for 600 ms: the entry's last heartbeat left up to 100 ms before the kill.
+    sleep_until(broken_at + Duration::from_millis(490)).await;
+    let held = Mode::Delay {
+        up: FAULT_DURATION,
+        down: Duration::ZERO,
+    };
+    world.fleet.proxies.endpoints[FIRST_CENTRE.1].set_mode(held);
+    world.retry(JOB, 2, broken_at).await?;
+    drop(caller);
+    Ok(())
+}
