Test that a late entry leaves no run of a broken caller

The entry is stopped for 400 ms when its caller breaks off, then stopped and continued by turns, and the endpoint loses the owner's stops.

Fails on: the entry gives the job up 401 ms after the break, the stops at 404 ms and later are lost, and the runs end by themselves 2.0 s after the break, beside those of the second attempt.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -405,3 +405,24 @@
     drop(caller);
     Ok(())
 }
+
+/// An entry that sees the break of its caller's connection late must not leave a run until the caller comes again, even if the
+/// stops are lost as well: all that its owner hears from it is that it lives.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_entry_leaves_no_run_of_a_broken_caller() -> Result {
+    /// Shorter than the pause after which an instance drops all that it holds (450 ms).
+    const STALL: Duration = Duration::from_millis(400);
+    let world = World::start(2).await?;
+    let caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    let _load = Load::start(world.owner());
+    world.fleet.endpoints[FIRST_CENTRE.1].lose_stops(STALL + FAULT_DURATION);
+    world.entry.signal(Signal::SIGSTOP)?;
+    let stalled_at = Instant::now();
+    drop(caller);
+    let broken_at = Instant::now();
+    sleep_until(stalled_at + STALL).await;
+    world.entry.signal(Signal::SIGCONT)?;
+    let _late = Turns::start(&world.entry)?;
+    world.retry(JOB, 2, broken_at).await
+}
