Test what ends the runs of a caller that breaks its connection off

A close and a reset end the runs, also with a late entry and owner, and a shutdown of the write side counts as a break.

Three tests fail on: while bytes of a further request wait on the connection, the entry doesn't notice a close or a reset before it answers. An empty line after the body is enough.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -51,6 +51,7 @@
     json,
     Value, //
 };
+use socket2::SockRef;
 use support::{
     client::Client,
     proxy::Mode,
@@ -426,3 +427,107 @@
     let _late = Turns::start(&world.entry)?;
     world.retry(JOB, 2, broken_at).await
 }
+
+/// How a caller breaks its connection off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Break {
+    Close,
+    Reset,
+}
+
+impl Break {
+    fn apply(self, caller: TcpStream) -> Result<Instant> {
+        if self == Self::Reset {
+            SockRef::from(&caller).set_linger(Some(Duration::ZERO))?;
+        }
+        drop(caller);
+        Ok(Instant::now())
+    }
+}
+
+/// A caller that breaks its connection off in the middle of its job must end the job's runs, whether it closes the connection or
+/// resets it, and however late the entry and the owner are.
+async fn break_ends_runs(how: Break, late: bool) -> Result {
+    let world = World::start(2).await?;
+    let caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    let turns = |instance| late.then(|| Turns::start(instance)).transpose();
+    let _late = (turns(&world.entry)?, turns(world.owner())?);
+    if late {
+        sleep(RUN_TIME / 2).await;
+    }
+    let broken_at = how.apply(caller)?;
+    world.retry(JOB, 2, broken_at).await
+}
+
+/// An entry must notice that a caller has closed its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_ends_the_runs() -> Result {
+    break_ends_runs(Break::Close, false).await
+}
+
+/// An entry must notice that a caller has reset its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_connection_ends_the_runs() -> Result {
+    break_ends_runs(Break::Reset, false).await
+}
+
+/// A late entry and a late owner must end the runs of a closed connection before the caller comes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_ends_the_runs_of_late_instances() -> Result {
+    break_ends_runs(Break::Close, true).await
+}
+
+/// A late entry and a late owner must end the runs of a reset connection before the caller comes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_connection_ends_the_runs_of_late_instances() -> Result {
+    break_ends_runs(Break::Reset, true).await
+}
+
+/// A further request that waits on a connection must not hide that the connection is closed: bytes that are still unread keep the
+/// server from reading on to the end.
+async fn break_behind_unread_bytes_ends_runs(bytes: &[u8], how: Break) -> Result {
+    let world = World::start(2).await?;
+    let mut caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    caller.write_all(bytes).await?;
+    sleep(Duration::from_millis(100)).await;
+    let broken_at = how.apply(caller)?;
+    world.retry(JOB, 2, broken_at).await
+}
+
+/// See [`break_behind_unread_bytes_ends_runs`]: the further request is complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_with_a_pipelined_request_ends_the_runs() -> Result {
+    let next = request(JOB + 1, &long_job(1));
+    break_behind_unread_bytes_ends_runs(&next, Break::Close).await
+}
+
+/// See [`break_behind_unread_bytes_ends_runs`]: the connection is reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_connection_with_a_pipelined_request_ends_the_runs() -> Result {
+    let next = request(JOB + 1, &long_job(1));
+    break_behind_unread_bytes_ends_runs(&next, Break::Reset).await
+}
+
+/// See [`break_behind_unread_bytes_ends_runs`]: some clients send an empty line after a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_after_an_empty_line_ends_the_runs() -> Result {
+    break_behind_unread_bytes_ends_runs(b"\r\n", Break::Close).await
+}
+
+/// A caller that has shut down only its write side, then closes the connection, must not find a run of its first attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_closed_connection_leaves_no_runs() -> Result {
+    let world = World::start(2).await?;
+    let mut caller = world.submit(JOB, 2).await?;
+    world.wait_for_runs(JOB, 2).await?;
+    caller.shutdown().await?;
+    let half_closed_at = Instant::now();
+    sleep(Duration::from_millis(300)).await;
+    for run in world.first_runs(JOB) {
+        println!("after the half-close: {}", describe(&run, half_closed_at));
+    }
+    let broken_at = Break::Close.apply(caller)?;
+    world.retry(JOB, 2, broken_at).await
+}
