--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -531,3 +531,31 @@
     let broken_at = Break::Close.apply(caller)?;
     world.retry(JOB, 2, broken_at).await
 }
+
+/// Many callers' connections that break at once must leave no run until the callers come again, while the owner is late and under
+/// load.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_broken_connections_leave_no_runs() -> Result {
+    const CALLERS: u64 = 10;
+    let world = World::start(8).await?;
+    let jobs: Vec<u64> = (JOB..JOB + CALLERS).collect();
+    let mut callers = Vec::new();
+    for job in &jobs {
+        callers.push(world.submit(*job, 1).await?);
+    }
+    for job in &jobs {
+        wait_until("each first attempt runs", || async {
+            (!world.first_runs(*job).is_empty()).then_some(())
+        })
+        .await?;
+    }
+    sleep(RUN_TIME / 2).await;
+    let _load = Load::start(world.owner());
+    let _late = Turns::start(world.owner())?;
+    sleep(RUN_TIME / 2).await;
+    drop(callers);
+    let broken_at = Instant::now();
+    let retries = jobs.iter().map(|job| world.retry(*job, 1, broken_at));
+    futures::future::try_join_all(retries).await?;
+    Ok(())
+}
