Test broken connections with instances that hardly run

Entry and owner are stopped for 380 ms and run for 1 ms by turns, which keeps both below the pause after which an instance drops all that it holds.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -94,21 +94,35 @@
 }
 
 impl Turns {
-    /// Shorter than the interval between steps of an instance (10 ms), so that each step finds that it is late.
-    const RUNNING: Duration = Duration::from_millis(5);
-    /// Far below the pause after which an instance drops all that it holds (450 ms).
-    const STOPPED: Duration = Duration::from_millis(70);
-
+    /// Lets the instance run for less than the interval between its steps (10 ms), so that each step is late.
     fn start(instance: &Instance) -> Result<Self> {
+        Self::with_times(
+            instance,
+            Duration::from_millis(70),
+            Duration::from_millis(5),
+        )
+    }
+
+    /// Stops the instance for little less than the pause after which it drops all that it holds (450 ms), and lets it run for so
+    /// short a time that what it reads in one turn it may handle or send in another.
+    fn start_long(instance: &Instance) -> Result<Self> {
+        Self::with_times(
+            instance,
+            Duration::from_millis(380),
+            Duration::from_millis(1),
+        )
+    }
+
+    fn with_times(instance: &Instance, stopped: Duration, running: Duration) -> Result<Self> {
         let process = instance.process_id()?;
         let ended = Arc::new(AtomicBool::new(false));
         let e = ended.clone();
         let thread = std::thread::spawn(move || {
             while !e.load(Ordering::SeqCst) {
                 let _ = kill(process, Signal::SIGSTOP);
-                std::thread::sleep(Self::STOPPED);
+                std::thread::sleep(stopped);
                 let _ = kill(process, Signal::SIGCONT);
-                std::thread::sleep(Self::RUNNING);
+                std::thread::sleep(running);
             }
         });
         Ok(Self {
@@ -532,13 +546,17 @@
     world.retry(JOB, 2, broken_at).await
 }
 
-/// Many callers' connections that break at once must leave no run until the callers come again, while the owner is late and under
-/// load.
-#[tokio::test(flavor = "multi_thread")]
-async fn many_broken_connections_leave_no_runs() -> Result {
-    const CALLERS: u64 = 10;
-    let world = World::start(8).await?;
-    let jobs: Vec<u64> = (JOB..JOB + CALLERS).collect();
+/// The callers whose connections break at once.
+const CALLERS: u64 = 10;
+
+/// Breaks the connections of [`CALLERS`] callers at once, whose jobs begin at `first_job`, and submits the jobs again. `make_late`
+/// makes instances late until the end.
+async fn break_many<T>(
+    world: &World,
+    first_job: u64,
+    make_late: impl AsyncFnOnce() -> Result<T>,
+) -> Result {
+    let jobs: Vec<u64> = (first_job..first_job + CALLERS).collect();
     let mut callers = Vec::new();
     for job in &jobs {
         callers.push(world.submit(*job, 1).await?);
@@ -550,8 +568,7 @@
         .await?;
     }
     sleep(RUN_TIME / 2).await;
-    let _load = Load::start(world.owner());
-    let _late = Turns::start(world.owner())?;
+    let _late = make_late().await?;
     sleep(RUN_TIME / 2).await;
     drop(callers);
     let broken_at = Instant::now();
@@ -559,3 +576,36 @@
     futures::future::try_join_all(retries).await?;
     Ok(())
 }
+
+/// Many callers' connections that break at once must leave no run until the callers come again, while the owner is late and under
+/// load.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_broken_connections_leave_no_runs() -> Result {
+    let world = World::start(8).await?;
+    let make_late = async || {
+        let load = Load::start(world.owner());
+        Ok((load, Turns::start(world.owner())?))
+    };
+    break_many(&world, JOB, make_late).await
+}
+
+/// An entry and an owner that hardly run must neither leave a run nor start one for callers whose connections broke at once: the
+/// entry still lives for the owner, whose runs go on or are started again after the callers came again.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_broken_connections_leave_no_runs_of_instances_that_hardly_run() -> Result {
+    /// Whether an order is delayed depends on when in the turns the connections break.
+    const ROUNDS: u64 = 6;
+    let world = World::start(8).await?;
+    for round in 0..ROUNDS {
+        let make_late = async || {
+            let load = [(); 8].map(|()| Load::start(world.owner()));
+            let owner = Turns::start_long(world.owner())?;
+            sleep(Duration::from_millis(30 + 60 * round)).await;
+            Ok((load, owner, Turns::start_long(&world.entry)?))
+        };
+        break_many(&world, JOB + round * CALLERS, make_late).await?;
+        // The instances find each other again, and the owner its racks.
+        sleep(Duration::from_secs(4)).await;
+    }
+    Ok(())
+}
