Advertised address for peers, and a proxy between instances for tests

Messages and heartbeats share one address, so that no proxy could stand between instances. An instance may now advertise another address than the one it listens at, as it must behind address translation. The test proxy forwards both and holds, drops or delays them by sender and by direction.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -98,7 +98,10 @@
     let metrics_address = SocketAddr::new(settings.readiness_address.ip(), METRICS_PORT);
     let contact = Contact {
         name: settings.name.clone(),
-        address: settings.peer_address.to_string(),
+        address: settings
+            .advertised_address
+            .unwrap_or(settings.peer_address)
+            .to_string(),
     };
     let identity = Identity {
         contact: contact.clone(),
@@ -110,7 +113,7 @@
     let heartbeat_socket = UdpSocket::bind(settings.peer_address).await;
     let heartbeat_socket = heartbeat_socket.map_err(|source| Error::Listen {
         what: "heartbeats",
-        address: contact.address.clone(),
+        address: settings.peer_address.to_string(),
         source,
     })?;
     let journal = Journal::open(settings.name.clone())?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -31,6 +31,9 @@
     pub readiness_address: SocketAddr,
     /// The address at which peers connect and heartbeats arrive.
     pub peer_address: SocketAddr,
+    /// The address at which peers reach the instance, where it differs from `peer_address`, behind address translation
+    /// for example.
+    pub advertised_address: Option<SocketAddr>,
     /// Addresses of some peers, which may have left.
     pub seeds: Vec<String>,
     /// The address of the store.
@@ -69,6 +72,8 @@
     /// Set only if the role serves the control plane. No other process connects there, so that peers use it; `seeds`
     /// then holds addresses of peers.
     control: Option<SocketAddr>,
+    /// The address at which peers reach this instance, where it differs from the one it listens at.
+    advertised: Option<SocketAddr>,
 }
 
 #[derive(Deserialize)]
@@ -144,6 +149,7 @@
         caller_address: file.listen_addrs.front,
         readiness_address: file.listen_addrs.ready,
         peer_address: peers.ok_or_else(|| Fault::new("port_range", "has no port for peers"))?,
+        advertised_address: file.listen_addrs.advertised,
         seeds: match file.listen_addrs.control {
             Some(_) => file.seeds,
             None => Vec::new(),
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -65,6 +65,12 @@
     let control = SETTINGS.replace("front =", "control = \"10.1.0.13:8166\"\nfront =");
     let parsed = settings::parse(&control).unwrap();
     assert_eq!((parsed.peer_address.port(), parsed.seeds.len()), (8166, 2));
+    assert_eq!(parsed.advertised_address, None);
+    let advertised = SETTINGS.replace("front =", "advertised = \"192.0.2.7:8166\"\nfront =");
+    let parsed = settings::parse(&advertised).unwrap();
+    let expected = "192.0.2.7:8166".parse().unwrap();
+    assert_eq!(parsed.advertised_address, Some(expected));
+    assert_eq!(parsed.peer_address.port(), 7720);
     let fault = settings::parse(&SETTINGS.replace("address", "adress")).unwrap_err();
     assert!(fault.to_string().contains("platform"), "{fault}");
     let fault = settings::parse(&SETTINGS.replace("10.1.0.13:8167", "nowhere")).unwrap_err();
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -46,6 +46,7 @@
         Client,
         Response, //
     },
+    peer_proxy::PeerProxy,
     proxy::Proxy,
     wait_until,
     Result,
@@ -72,6 +73,8 @@
     pub(crate) ip: String,
     centre: String,
     store: String,
+    /// The address at which its peers reach it, if that isn't its own.
+    advertised: Option<SocketAddr>,
     child: Mutex<Child>,
     folder: tempfile::TempDir,
 }
@@ -83,19 +86,20 @@
         centre: &str,
         store: &str,
     ) -> Result<Self> {
-        Self::start_at(program, name, centre, store, next_address()).await
+        let place = Place {
+            name,
+            centre,
+            store,
+            ip: &next_address(),
+            advertised: None,
+        };
+        Self::start_at(program, place).await
     }
 
-    async fn start_at(
-        program: &Path,
-        name: &str,
-        centre: &str,
-        store: &str,
-        ip: String,
-    ) -> Result<Self> {
+    async fn start_at(program: &Path, place: Place<'_>) -> Result<Self> {
         let folder = tempfile::tempdir()?;
         let settings = folder.path().join("boot.toml");
-        std::fs::write(&settings, render_settings(name, centre, store, &ip))?;
+        std::fs::write(&settings, place.render_settings())?;
         let log = File::create(folder.path().join("log"))?;
         let child = Command::new(program)
             .args(["dispatch", "--settings"])
@@ -106,10 +110,11 @@
             .kill_on_drop(true)
             .spawn()?;
         Ok(Self {
-            name: name.to_owned(),
-            centre: centre.to_owned(),
-            store: store.to_owned(),
-            ip,
+            name: place.name.to_owned(),
+            centre: place.centre.to_owned(),
+            store: place.store.to_owned(),
+            ip: place.ip.to_owned(),
+            advertised: place.advertised,
             child: Mutex::new(child),
             folder,
         })
@@ -117,14 +122,14 @@
 
     /// Starts the instance again at the same address.
     pub(crate) async fn restart(&self, program: &Path) -> Result<Self> {
-        Self::start_at(
-            program,
-            &self.name,
-            &self.centre,
-            &self.store,
-            self.ip.clone(),
-        )
-        .await
+        let place = Place {
+            name: &self.name,
+            centre: &self.centre,
+            store: &self.store,
+            ip: &self.ip,
+            advertised: self.advertised,
+        };
+        Self::start_at(program, place).await
     }
 
     pub(crate) fn caller_address(&self) -> SocketAddr {
@@ -245,9 +250,28 @@
     }
 }
 
-fn render_settings(name: &str, centre: &str, store: &str, ip: &str) -> String {
-    format!(
-        r#"node = "{name}"
+/// What an instance is started with.
+struct Place<'a> {
+    name: &'a str,
+    centre: &'a str,
+    store: &'a str,
+    ip: &'a str,
+    advertised: Option<SocketAddr>,
+}
+
+impl Place<'_> {
+    fn render_settings(&self) -> String {
+        let Self {
+            name,
+            centre,
+            store,
+            ip,
+            advertised,
+        } = self;
+        let advertised = advertised.map(|address| format!("advertised = \"{address}\"\n"));
+        let advertised = advertised.unwrap_or_default();
+        format!(
+            r#"node = "{name}"
 zone = "{centre}"
 ip = "{ip}"
 port_range = [7720, 7735]
@@ -255,8 +279,8 @@
 [listen_addrs]
 front = "{ip}:8161"
 ready = "{ip}:8167"
-control = "{ip}:8166"
-[limits]
+control = "{ip}:{PEER_PORT}"
+{advertised}[limits]
 cpu_share = 0.25
 cores = 1
 max_fds = 1000
@@ -265,7 +289,8 @@
 [platform]
 address = "{store}"
 "#
-    )
+        )
+    }
 }
 
 /// A store, endpoints in two data centres, and instances.
@@ -282,6 +307,18 @@
 pub(crate) struct Proxies {
     pub(crate) endpoints: Vec<Proxy>,
     pub(crate) stores: Vec<Proxy>,
+    /// In front of each instance, for its peers.
+    pub(crate) peers: Vec<PeerProxy>,
+}
+
+/// Where proxies stand in a fleet.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Proxied {
+    Nothing,
+    /// The endpoints and the store.
+    Servers,
+    /// The endpoints, the store, and the instances for their peers.
+    All,
 }
 
 impl Fleet {
@@ -292,7 +329,14 @@
         endpoints: usize,
         task_duration: Duration,
     ) -> Result<Self> {
-        Self::assemble(program, instances, endpoints, task_duration, false).await
+        Self::assemble(
+            program,
+            instances,
+            endpoints,
+            task_duration,
+            Proxied::Nothing,
+        )
+        .await
     }
 
     #[allow(dead_code)] // Used by the soak test only.
@@ -303,7 +347,25 @@
         endpoints: usize,
         task_duration: Duration,
     ) -> Result<Self> {
-        Self::assemble(program, instances, endpoints, task_duration, true).await
+        Self::assemble(
+            program,
+            instances,
+            endpoints,
+            task_duration,
+            Proxied::Servers,
+        )
+        .await
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Starts a fleet with proxies between the instances and what they call, and between the instances.
+    pub(crate) async fn start_behind_peer_proxies(
+        program: &Path,
+        instances: usize,
+        endpoints: usize,
+        task_duration: Duration,
+    ) -> Result<Self> {
+        Self::assemble(program, instances, endpoints, task_duration, Proxied::All).await
     }
 
     async fn assemble(
@@ -311,7 +373,7 @@
         instances: usize,
         endpoints: usize,
         task_duration: Duration,
-        proxied: bool,
+        proxied: Proxied,
     ) -> Result<Self> {
         let store = Store::start()?;
         write_configuration(&store, 7, 4_000);
@@ -325,7 +387,7 @@
         for i in 0..endpoints {
             let (id, rack) = (format!("i-{i}"), format!("r{}", i % 2));
             let mut endpoint = Endpoint::start(&id, centre(i), &rack, 4, task_duration)?;
-            if proxied {
+            if proxied != Proxied::Nothing {
                 let proxy = Proxy::start(endpoint.address())?;
                 endpoint = endpoint.with_proxy(&proxy);
                 fleet.proxies.endpoints.push(proxy);
@@ -336,12 +398,30 @@
         for i in 0..instances {
             let name = format!("instance-{i}");
             let mut store = fleet.store.address();
-            if proxied {
+            if proxied != Proxied::Nothing {
                 let proxy = Proxy::start(store.parse()?)?;
                 store = proxy.address().to_string();
                 fleet.proxies.stores.push(proxy);
             }
-            let instance = Instance::start(program, &name, centre(i), &store).await?;
+            let ip = next_address();
+            let mut advertised = None;
+            if proxied == Proxied::All {
+                let address = format!("{}:{PEER_PORT}", next_address()).parse()?;
+                let target = format!("{ip}:{PEER_PORT}").parse()?;
+                fleet
+                    .proxies
+                    .peers
+                    .push(PeerProxy::start(address, target).await?);
+                advertised = Some(address);
+            }
+            let place = Place {
+                name: &name,
+                centre: centre(i),
+                store: &store,
+                ip: &ip,
+                advertised,
+            };
+            let instance = Instance::start_at(program, place).await?;
             fleet.instances.push(instance);
         }
         for instance in &fleet.instances {
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use hyper::Method;
@@ -28,6 +31,11 @@
         Client, //
     },
     instance,
+    peer_proxy::{
+        Faults,
+        PeerProxy,
+        Treatment, //
+    },
     platform::{
         Platform,
         Settings, //
@@ -43,6 +51,18 @@
     },
     Result, //
 };
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    net::{
+        TcpListener,
+        TcpSocket,
+        UdpSocket, //
+    },
+    time::timeout, //
+};
 
 /// Returns a commit that inserts rows that don't exist, each in a group of its own.
 fn insert_commit(keys: &[&str]) -> Commit {
@@ -292,6 +312,66 @@
     Ok(())
 }
 
+/// Guards against faults on links between instances that never take effect, or lose what they should delay.
+#[tokio::test]
+async fn peers_are_told_apart_and_their_messages_held_in_order() -> Result {
+    const SHORT: Duration = Duration::from_millis(100);
+    let target = TcpListener::bind("127.0.0.1:0").await?;
+    let datagrams = UdpSocket::bind(target.local_addr()?).await?;
+    let free = UdpSocket::bind("127.0.0.1:0").await?.local_addr()?;
+    let proxy = PeerProxy::start(free, target.local_addr()?).await?;
+    let sender: SocketAddr = "127.0.0.2:0".parse()?;
+    let connect = || async {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(sender)?;
+        socket.connect(free).await
+    };
+    let heartbeats = UdpSocket::bind(sender).await?;
+    let faults = |messages, heartbeats| Faults {
+        messages,
+        heartbeats,
+        ..Faults::default()
+    };
+    let mut buffer = [0; 16];
+
+    proxy.set_faults(sender.ip(), faults(Treatment::Hold, Treatment::Pass));
+    let mut stream = connect().await?;
+    stream.write_all(b"held").await?;
+    drop(stream);
+    heartbeats.send_to(b"first", free).await?;
+    assert_eq!(datagrams.recv(&mut buffer).await?, 5);
+    assert!(timeout(SHORT, target.accept()).await.is_err());
+    proxy.set_faults(sender.ip(), faults(Treatment::Pass, Treatment::Hold));
+    let (mut stream, from) = target.accept().await?;
+    assert_eq!(from.ip(), sender.ip());
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await?;
+    assert_eq!(text, "held");
+
+    for datagram in [b"1", b"2"] {
+        heartbeats.send_to(datagram, free).await?;
+    }
+    let early = timeout(SHORT, datagrams.recv(&mut buffer)).await;
+    assert!(early.is_err());
+    proxy.set_faults(sender.ip(), faults(Treatment::Drop, Treatment::Pass));
+    for expected in [b'1', b'2'] {
+        datagrams.recv(&mut buffer).await?;
+        assert_eq!(buffer[0], expected);
+    }
+
+    let mut stream = connect().await?;
+    stream.write_all(b"lost").await?;
+    let (mut accepted, _) = target.accept().await?;
+    accepted.write_all(b"heard").await?;
+    assert_eq!(stream.read(&mut buffer).await?, 5);
+    proxy.set_faults(sender.ip(), faults(Treatment::Pass, Treatment::Drop));
+    stream.write_all(b"after the gap").await?;
+    heartbeats.send_to(b"lost", free).await?;
+    assert!(timeout(SHORT, accepted.read(&mut buffer)).await.is_err());
+    assert!(timeout(SHORT, datagrams.recv(&mut buffer)).await.is_err());
+    Ok(())
+}
+
 #[tokio::test]
 async fn an_instance_is_started_signalled_and_reaped() -> Result {
     const SCRIPT: &str = "trap 'exit 3' TERM; cat \"$3\" >&2; \
--- a/tests/support.rs
+++ b/tests/support.rs
@@ -14,6 +14,8 @@
 pub mod instance;
 #[path = "support/monitor.rs"]
 pub mod monitor;
+#[path = "support/peer_proxy.rs"]
+pub mod peer_proxy;
 #[path = "support/platform.rs"]
 pub mod platform;
 #[path = "support/proxy.rs"]
