Leases end soon after the entry last confirmed its batches

Callers saw a task run twice at a time: at the owner that their first submission had reached, and at another one after they had submitted the job again 1.3 s after a break.

That the first runs have ended by then rested on what the owner believed about the entry: the entry counts as lost after 600 ms of silence, a cancellation arrives at once, and then a stop or the lapse of a lease ends the run. Each part has its own clock or its own connection, nothing adds them up, and nothing checks them where the run is.

An owner extends and grants leases only up to 1.25 s after the last time at which the entry is known to have wanted the batch (dispatch/license.rs): what it believes, and when its thread runs, doesn't matter any more, since the endpoint ends the run. A heartbeat counts as such a confirmation, as of the time by which its sender had read all its sockets, once all messages have arrived that were sent before it: so a cancellation in a stalled connection stops the confirmations at once. A batch that came with a rack needs a confirmation that was sent after the entry learnt of the move. The lease of an endpoint is bounded by all of its runs whose stop isn't confirmed; nothing starts where less than a start's lease is left.

Silence is judged as of the last tick, by which all heartbeats were read, in place of skipping the check when it's late. A session whose messages don't arrive for 600 ms although heartbeats do begins anew. A message that a full queue drops leaves an empty one in its place, as messages are counted, and cancellations aren't dropped. Heartbeats carry a receipt behind the loads, which earlier builds ignore; their own heartbeats confirm by the time at which they were sent.

The heartbeat tests of the owner confirm entries as the dispatcher does. In entry_that_is_always_late the break is read in the turn in which it's ready: the runtime reads all sockets between two ticks.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -426,6 +426,7 @@
         },
         rooms: Vec::new(),
         loads: Vec::new(),
+        receipt: None,
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -18,6 +18,7 @@
 pub mod evacuation;
 pub mod headroom;
 pub mod id;
+pub mod license;
 pub mod member;
 pub mod message;
 pub mod owner;
@@ -54,7 +55,9 @@
         RackId,
         Token, //
     },
+    license::Confirmation,
     member::{
+        Member,
         Members,
         SenderCheck, //
     },
@@ -102,12 +105,8 @@
 /// gap means that its process was paused; its peers take over what it owned after [`member::HEARTBEAT_TIMEOUT`].
 const MAX_STEP_GAP: Span = Span::millis(450);
 
-/// Interval between checks for members that have been silent too long: a tenth of the heartbeat interval.
-const EXPIRY_INTERVAL: Span = Span::millis(10);
-
-/// The longest interval between these checks after which silence counts at once. After a longer one this instance was late
-/// itself, and heartbeats of its members may wait to be read.
-const MAX_EXPIRY_DELAY: Span = Span::millis(50);
+/// The time between two ticks above which it's logged that this instance's thread is late.
+const LATE_TICK: Span = Span::millis(50);
 
 /// Interval between checks of which documents members have, and of who reads the list of endpoints.
 const MEMBER_CHECK_INTERVAL: Span = Span::millis(50);
@@ -234,11 +233,16 @@
     started_at: Time,
     startup: Startup,
     stepped_at: Time,
-    expired_at: Time,
+    /// When the last tick was.
+    ticked_at: Time,
+    /// When the tick before was. What had arrived by then has been handled, since the runtime reads all sockets between two ticks.
+    settled_at: Time,
     coordinated_at: Time,
     members_checked_at: Time,
     /// When the last heartbeat was sent; zero makes the next one due at once.
     announced_at: Time,
+    /// Members that wait for this instance's next heartbeat, since its receipt confirms batches that have moved to them.
+    awaiting_receipt: BTreeSet<Instance>,
     /// When something changed that all members must hear of soon.
     changed_at: Time,
     rooms_sent_at: Time,
@@ -287,10 +291,12 @@
             started_at: now,
             startup: Startup::default(),
             stepped_at: Time::default(),
-            expired_at: Time::default(),
+            ticked_at: now,
+            settled_at: now,
             coordinated_at: Time::default(),
             members_checked_at: Time::default(),
             announced_at: Time::default(),
+            awaiting_receipt: BTreeSet::new(),
             changed_at: now,
             rooms_sent_at: Time::default(),
             scarcity_sent_at: Time::default(),
@@ -396,16 +402,7 @@
         if paused {
             self.on_process_pause(now, &mut out);
         }
-        // Heartbeats are processed before silent members expire: they may have queued up while the process was
-        // paused.
-        let heartbeats = matches!(input, Input::Heartbeats(_));
-        if !heartbeats {
-            self.expire_members(now, &mut out);
-        }
         self.on_input(now, input, &mut out);
-        if heartbeats {
-            self.expire_members(now, &mut out);
-        }
         self.deliver_messages(now, &mut out);
         out.outputs
     }
@@ -427,9 +424,14 @@
                 if to.name == self.identity.contact.name {
                     let own = self.identity.contact.clone();
                     self.on_message(&own, message, now, out);
-                } else if let Some(member) = self.members.get(&to.name) {
-                    let to = member.contact.clone();
-                    out.outputs.push(Output::Send(to, message));
+                } else if let Some(count) = self.members.count_sent(&to.name) {
+                    if let Message::Moved { serial, .. } = &message {
+                        self.owner.on_move_announced(&to.name, *serial, count);
+                    }
+                    if let Some(member) = self.members.get(&to.name) {
+                        out.outputs
+                            .push(Output::Send(member.contact.clone(), message));
+                    }
                 }
             }
         }
@@ -486,11 +488,17 @@
             }
             Input::Received { from, messages } => {
                 if self.check_sender(&from, now, out) {
-                    self.members
-                        .update_last_heard(&from.contact.name, from.sent, now);
+                    let name = &from.contact.name;
+                    self.members.update_last_heard(name, from.sent, now);
+                    let count = messages.len();
                     for message in messages {
                         self.on_message(&from.contact, message, now, out);
                     }
+                    // Messages of an earlier session with an instance that didn't know this one yet aren't counted there either.
+                    if from.receiver_incarnation == self.identity.incarnation {
+                        self.members.count_received(name, count);
+                        self.update_confirmation(name);
+                    }
                 }
             }
             Input::Heartbeats(heartbeats) => self.on_heartbeats(heartbeats, now, out),
@@ -504,7 +512,11 @@
                 self.on_tick(now, out);
             }
             Input::Closing => self.entry.give_up_all(now, out),
-            Input::Tick => self.on_tick(now, out),
+            Input::Tick => {
+                self.settle(now, out);
+                self.expire_members(now, out);
+                self.on_tick(now, out);
+            }
         }
     }
 
@@ -673,6 +685,12 @@
         }
         self.members
             .on_heartbeat(name, heartbeat.status, from.sent, now);
+        let receipt = heartbeat.receipt.as_ref();
+        // Counts in a heartbeat for another life of this instance, or for an unknown one, are of no use.
+        if receipt.is_none() || from.receiver_incarnation == self.identity.incarnation {
+            self.members.on_receipt(name, receipt, from.sent, now);
+            self.update_confirmation(name);
+        }
         if heartbeat.watching {
             self.members.on_watched_by(name, now);
         }
@@ -684,6 +702,13 @@
         }
     }
 
+    /// Passes a member's latest confirmation of its batches to the owner.
+    fn update_confirmation(&mut self, name: &Instance) {
+        if let Some(confirmation) = self.members.confirmation(name) {
+            self.owner.confirm_entry(name, confirmation);
+        }
+    }
+
     /// Checks a sender's incarnation and session; returns whether its messages are valid.
     fn check_sender(&mut self, from: &Sender, now: Time, out: &mut Effects) -> bool {
         let name = &from.contact.name;
@@ -782,6 +807,7 @@
             } => self.owner.reassign_waiting(rack, to, rooms, now, out),
             Message::Handover(handover) => self.accept_handover(*handover, now, out),
             Message::Moved { serial, to, moves } => {
+                self.awaiting_receipt.insert(from.name.clone());
                 let owner_lost = to != self.identity.contact.name
                     && self.members.get(&to).is_none_or(|member| !member.live);
                 self.entry
@@ -850,36 +876,52 @@
         self.update_owners();
     }
 
-    /// Declares members lost that have been silent too long, and takes back their batches.
+    /// Records at a tick that all that had arrived by the last tick is handled by now.
+    fn settle(&mut self, now: Time, out: &mut Effects) {
+        let elapsed = now.since(self.ticked_at);
+        if elapsed > LATE_TICK {
+            out.log(LogRecord::new("tick_delayed").with("late_ms", elapsed));
+        }
+        self.settled_at = self.ticked_at;
+        self.ticked_at = now;
+        let own = &self.identity.contact.name;
+        self.owner
+            .confirm_entry(own, Confirmation::of_self(self.settled_at));
+    }
+
+    /// Declares members lost that have been silent too long, and voids sessions whose messages don't arrive.
+    ///
+    /// Silence counts up to the last tick: if this instance's thread is late, heartbeats may wait to be read. They have been by the
+    /// next tick, however late that is.
     fn expire_members(&mut self, now: Time, out: &mut Effects) {
-        let elapsed = now.since(self.expired_at);
-        if elapsed < EXPIRY_INTERVAL {
-            return;
-        }
-        self.expired_at = now;
-        if elapsed > MAX_EXPIRY_DELAY {
-            let record = LogRecord::new("expiry_delayed");
-            out.outputs
-                .push(Output::Log(record.with("late_ms", elapsed)));
-            return;
-        }
-        for member in self.members.expire(now) {
+        for member in self.members.expire(self.settled_at) {
             let name = member.contact.name.clone();
             let record = LogRecord::new("member_lost").with("member", name.as_str());
             let heard = member.last_heard.unwrap_or(now);
-            out.outputs
-                .push(Output::Log(record.with("silent_ms", now.since(heard))));
-            out.outputs.push(Output::BeginSession {
-                to: member.contact,
-                incarnation: member.incarnation,
-                session: member.session,
-            });
-            let claims = member.status.map_or_else(Vec::new, |status| status.racks);
+            out.log(record.with("silent_ms", now.since(heard)));
+            let claims = member.status.as_ref();
+            let claims = claims.map_or_else(Vec::new, |status| status.racks.clone());
+            self.end_session(member, now, out);
             self.add_former_owner(&name, &claims, now);
-            self.owner.drop_entry(&name, out);
-            self.entry.on_owner_lost(&name, now, out);
             self.coordinator.require_lock_checks(now);
         }
+        for member in self.members.reset_stalled(self.settled_at) {
+            let record = LogRecord::new("session_stalled");
+            out.log(record.with("member", member.contact.name.as_str()));
+            self.end_session(member, now, out);
+        }
+    }
+
+    /// Begins a new session with a member and drops what belongs to the last one.
+    fn end_session(&mut self, member: Member, now: Time, out: &mut Effects) {
+        let name = member.contact.name.clone();
+        out.outputs.push(Output::BeginSession {
+            to: member.contact,
+            incarnation: member.incarnation,
+            session: member.session,
+        });
+        self.owner.drop_entry(&name, out);
+        self.entry.on_owner_lost(&name, now, out);
     }
 
     /// Runs the periodic work: ownership of racks, shards, requests, documents, audits, heartbeats and the drain.
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -3,6 +3,7 @@
 use std::slice;
 
 use super::{
+    license::Receipt,
     member::{
         Member,
         Pace,
@@ -74,8 +75,9 @@
         let (watched, others): (Vec<Instance>, Vec<Instance>) =
             to.iter().cloned().partition(is_needed);
         for (names, watching) in [(watched, true), (others, false)] {
-            let mark_sent = |name| self.members.mark_heartbeat_sent(name, now);
-            let to: Vec<Contact> = names.iter().filter_map(mark_sent).collect();
+            let settled = self.settled_at;
+            let mark_sent = |name| self.members.mark_heartbeat_sent(name, settled, now);
+            let to: Vec<(Contact, Receipt)> = names.iter().filter_map(mark_sent).collect();
             if !to.is_empty() {
                 self.push_heartbeats(&to, watching, rooms, now, out);
             }
@@ -85,7 +87,7 @@
     /// Adds a heartbeat to the outputs, in several parts if there are many rooms.
     fn push_heartbeats(
         &self,
-        to: &[Contact],
+        to: &[(Contact, Receipt)],
         watching: bool,
         rooms: &[Vacancy],
         now: Time,
@@ -105,6 +107,7 @@
                 status: status.clone(),
                 loads: self.owner.loads(&rooms, now),
                 rooms,
+                receipt: None,
             };
             out.outputs.push(Output::Heartbeat(to.to_vec(), heartbeat));
         }
@@ -154,7 +157,12 @@
     /// interval for distant members or after an urgent change.
     pub(super) fn send_due_heartbeats(&mut self, now: Time, out: &mut Effects) {
         self.watch_work_peers(now);
-        let (due, close_count) = self.due_members(now);
+        let (mut due, close_count) = self.due_members(now);
+        for name in std::mem::take(&mut self.awaiting_receipt) {
+            if !due.contains(&name) {
+                due.push(name);
+            }
+        }
         if !due.is_empty() {
             let rooms = self.owner.vacancies(now);
             self.send_heartbeats(&due, &rooms, now, out);
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -27,6 +27,7 @@
         TaskId,
         Token, //
     },
+    license::LICENSE,
     message::{
         CallId,
         End,
@@ -270,7 +271,7 @@
             straggler: Detector::default(),
             unknown_runs: BTreeSet::new(),
             reading: None,
-            leases_end: now + LEASE + Span::millis(50),
+            leases_end: now + LICENSE,
             last_end: 0,
             unstored_ends: BTreeSet::new(),
             late_ends: BTreeSet::new(),
@@ -292,6 +293,7 @@
             && self.late_ends.is_empty()
             && (!self.probation || self.executions.is_empty())
             && !self.has_strong_suspect()
+            && self.licenses_end() >= now + START_LEASE
     }
 
     /// Returns whether the endpoint is neither draining nor delisted nor evacuated.
@@ -393,10 +395,34 @@
         }
     }
 
-    /// Returns a lease that ends `span` from now on the endpoint's clock, and records its expiry.
+    /// Updates until when leases may last on account of each run; `license_end` returns `None` where that doesn't change.
+    pub fn update_licenses(&mut self, license_end: impl Fn(&Execution) -> Option<Time>) {
+        for execution in self.executions.values_mut() {
+            if let Some(end) = license_end(execution) {
+                execution.license_end = end;
+            }
+        }
+    }
+
+    /// Returns until when leases may last: they are shared by all runs here. A run ends soon after its stop was confirmed, whatever
+    /// the lease is.
+    fn licenses_end(&self) -> Time {
+        let is_stopped = |execution: &&Execution| {
+            execution.phase == Phase::Stopping && execution.answered_at.is_some()
+        };
+        let runs = self.executions.values().filter(|run| !is_stopped(run));
+        let ends = runs.map(|run| run.license_end);
+        ends.min().unwrap_or(Time(u64::MAX))
+    }
+
+    /// Returns a lease that ends `span` from now on the endpoint's clock, or earlier if a license does, and records its expiry.
     fn grant_lease(&mut self, span: Span, now: Time) -> Option<u64> {
         let reading = self.reading?;
         let until = reading.latest_clock(now) + span.as_millis();
+        let until = match self.licenses_end() {
+            Time(u64::MAX) => until,
+            end => until.min(reading.deadline_before(end)?),
+        };
         self.leases_end = self.leases_end.max(reading.expiry(until));
         Some(until)
     }
@@ -431,6 +457,7 @@
             true => self.grant_lease(LEASE, now),
             false => None,
         };
+        // An answer at once would be followed by the next poll at once.
         let wait = match extend {
             true => POLL_WAIT,
             false => Span(0),
--- a/src/dispatch/endpoint/clock.rs
+++ b/src/dispatch/endpoint/clock.rs
@@ -21,6 +21,14 @@
         self.clock + now.since(self.sent).as_millis()
     }
 
+    /// Returns the latest deadline on the clock that has passed for certain at a time, in milliseconds; `None` if that is before the
+    /// reading.
+    pub(super) fn deadline_before(&self, time: Time) -> Option<u64> {
+        let remaining = time.since(self.received).0 as f64 * (1.0 - MAX_CLOCK_LAG);
+        let millis = (remaining as u64 / 1_000).checked_sub(1)?;
+        Some(self.clock + millis)
+    }
+
     /// Returns when a deadline on the clock, in milliseconds, has passed for certain, even if the clock is slow.
     pub(super) fn expiry(&self, deadline: u64) -> Time {
         let remaining =
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -68,6 +68,8 @@
     /// Set if the endpoint restarted after the start was sent and hasn't listed the run since. The value tells
     /// whether the task was the sole suspect.
     pub(super) lost_in_crash: Option<bool>,
+    /// Until when leases may last on its account.
+    pub license_end: Time,
     /// When its start or stop is resent.
     pub(super) retry_at: Option<Time>,
 }
@@ -91,6 +93,7 @@
             suspicion: Suspicion::default(),
             reached: false,
             lost_in_crash: None,
+            license_end: Time::default(),
             retry_at: None,
         }
     }
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -12,6 +12,11 @@
         RackId,
         Token, //
     },
+    license::{
+        Channel,
+        Confirmation,
+        Receipt, //
+    },
     message::{
         Absence,
         Contact,
@@ -87,6 +92,8 @@
     pub roster_advanced_at: Time,
     /// How closely it is watched.
     pub watch: Watch,
+    /// The messages to and from it in the session.
+    channel: Channel,
 }
 
 impl Member {
@@ -105,6 +112,18 @@
         }
     }
 
+    /// Begins a new session, which voids the messages of the last one.
+    fn begin_session(&mut self) {
+        self.session += 1;
+        self.channel = Channel::default();
+    }
+
+    /// Returns a time on its clock as a time on this instance's clock, at most `now`.
+    fn local_time(&self, time: Time, now: Time) -> Time {
+        let offset = self.clock_offset.unwrap_or_default();
+        Time((time.0 as i64 + offset).max(1) as u64).min(now)
+    }
+
     /// Returns whether it hasn't been heard, or was silent for longer than [`HEARTBEAT_TIMEOUT`] while it was watched closely.
     fn is_silent(&self, now: Time) -> bool {
         let timed_out = |at| now.since(at) > HEARTBEAT_TIMEOUT && self.watch.is_conclusive(now);
@@ -205,6 +224,7 @@
             roster_sent: 0,
             roster_advanced_at: now,
             watch: Watch::default(),
+            channel: Channel::default(),
         };
         self.members.insert(contact.name.clone(), member);
         true
@@ -242,6 +262,9 @@
             self.claim_changes += 1;
         }
         let new_session = restarted || from.session > member.session;
+        if new_session {
+            member.channel = Channel::default();
+        }
         member.session = member.session.max(from.session);
         member.incarnation = from.incarnation;
         if member.contact != from.contact {
@@ -277,11 +300,63 @@
             difference.min(offset + (since as f64 * MAX_CLOCK_DRIFT) as i64)
         });
         member.clock_offset = Some(offset);
-        let sent_here = Time((sent.0 as i64 + offset).max(1) as u64);
+        let sent_here = member.local_time(sent, now);
         member.last_heard = member.last_heard.max(Some(sent_here));
         member.watch.on_heard(sent_here);
     }
 
+    /// Counts a message to a member, and returns the number of all in the session.
+    pub fn count_sent(&mut self, name: &Instance) -> Option<u64> {
+        let member = self.members.get_mut(name)?;
+        Some(member.channel.count_sent())
+    }
+
+    /// Counts messages of a member that have arrived.
+    pub fn count_received(&mut self, name: &Instance, messages: usize) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.channel.count_received(messages as u64);
+        }
+    }
+
+    /// Handles what a heartbeat says about messages. One without a receipt, of an earlier build, confirms what it's sent after.
+    pub fn on_receipt(
+        &mut self,
+        name: &Instance,
+        receipt: Option<&Receipt>,
+        sent: Time,
+        now: Time,
+    ) {
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        match receipt {
+            Some(receipt) => {
+                let settled = member.local_time(receipt.settled, now);
+                member.channel.on_receipt(receipt, settled);
+            }
+            None => {
+                let sent = member.local_time(sent, now);
+                member.channel.on_plain_heartbeat(sent);
+            }
+        }
+    }
+
+    /// Returns a member's latest confirmation of its batches.
+    pub fn confirmation(&self, name: &Instance) -> Option<Confirmation> {
+        self.members.get(name)?.channel.confirmation()
+    }
+
+    /// Begins a new session with the members whose messages don't arrive although their heartbeats do, and returns them.
+    pub fn reset_stalled(&mut self, now: Time) -> Vec<Member> {
+        let members = self.members.values_mut();
+        let stalled = members.filter(|member| member.live && member.channel.is_stalled(now));
+        let reset = |member: &mut Member| {
+            member.begin_session();
+            member.clone()
+        };
+        stalled.map(reset).collect()
+    }
+
     /// Handles a heartbeat that was sent at `sent` on its sender's clock.
     pub fn on_heartbeat(&mut self, name: &Instance, status: Status, sent: Time, now: Time) {
         self.update_last_heard(name, sent, now);
@@ -352,11 +427,16 @@
         }
     }
 
-    /// Marks that a member is sent a heartbeat now, and returns its contact.
-    pub fn mark_heartbeat_sent(&mut self, name: &Instance, now: Time) -> Option<Contact> {
+    /// Marks that a member is sent a heartbeat now, and returns its contact and the receipt for it.
+    pub fn mark_heartbeat_sent(
+        &mut self,
+        name: &Instance,
+        settled: Time,
+        now: Time,
+    ) -> Option<(Contact, Receipt)> {
         let member = self.members.get_mut(name)?;
         member.watch.heartbeat_sent = now;
-        Some(member.contact.clone())
+        Some((member.contact.clone(), member.channel.receipt(settled)))
     }
 
     /// Marks members as lost that have been silent too long, starts a new session with each, and returns them. A member that
@@ -367,7 +447,7 @@
         for member in self.members.values_mut().filter(|member| member.live) {
             if member.is_silent(now) {
                 member.live = false;
-                member.session += 1;
+                member.begin_session();
                 member.state_since = now;
                 lost.push(member.clone());
                 member.status = None;
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -65,6 +65,7 @@
         Run,
         TaskId, //
     },
+    license::Receipt,
     route::Configuration,
     task::{
         AcceptedJob,
@@ -268,8 +269,8 @@
     },
     /// Send a message to a peer, in order and reliably within the session.
     Send(Contact, Message),
-    /// Send a heartbeat to some peers; each copy may be lost.
-    Heartbeat(Vec<Contact>, Heartbeat),
+    /// Send a heartbeat to some peers, each with its own receipt; each copy may be lost.
+    Heartbeat(Vec<(Contact, Receipt)>, Heartbeat),
     /// Drop unsent messages to a peer and begin a session with it.
     BeginSession {
         /// The peer.
--- a/src/dispatch/message/heartbeat.rs
+++ b/src/dispatch/message/heartbeat.rs
@@ -13,6 +13,7 @@
         ShardId,
         Token, //
     },
+    license::Receipt,
     queue::Class,
     task::Resources, //
 };
@@ -34,6 +35,10 @@
     /// that don't know it ignore it.
     #[serde(skip)]
     pub loads: Vec<Load>,
+    /// What it says about the messages between sender and receiver. It follows the loads in its datagram, and is missing in those
+    /// of earlier builds.
+    #[serde(skip)]
+    pub receipt: Option<Receipt>,
 }
 
 /// The status of a member.
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -5,6 +5,7 @@
 mod ends;
 mod handover;
 mod hold;
+mod licensing;
 mod migration;
 mod place;
 mod probe;
@@ -45,6 +46,7 @@
         TaskId,
         Token, //
     },
+    license::Confirmation,
     message::{
         Batch,
         CallId,
@@ -149,6 +151,9 @@
     done: Vec<u32>,
     /// Whether a start of one of its tasks may have been sent.
     started: bool,
+    /// The number of messages that the entry must have handled for its confirmations to count, if the batch came with a rack: the
+    /// entry learns from one of them that the batch is here.
+    confirmed_after: u64,
 }
 
 /// The state of a task that is not done.
@@ -207,6 +212,8 @@
     live_entries: HashSet<Instance>,
     /// Entries that had a heartbeat and lost it.
     lost_entries: HashSet<Instance>,
+    /// The latest confirmation of each entry in its session.
+    confirmations: HashMap<Instance, Confirmation>,
     cancelled: CancelledBatches,
     /// Data centres where no task may start.
     evacuated: BTreeSet<String>,
@@ -239,7 +246,7 @@
 }
 
 impl Effects {
-    fn log(&mut self, record: LogRecord) {
+    pub(super) fn log(&mut self, record: LogRecord) {
         self.outputs.push(Output::Log(record));
     }
 
@@ -515,6 +522,7 @@
             tasks,
             done: Vec::new(),
             started,
+            confirmed_after: 0,
         };
         if let Some(rack) = self.racks.get_mut(&assignment.batch.rack) {
             let (estimate, priority) = (assignment.batch.estimate, assignment.batch.priority);
@@ -617,6 +625,7 @@
         if self.live_entries.remove(entry) {
             self.lost_entries.insert(entry.clone());
         }
+        self.confirmations.remove(entry);
         let of_entry = |(handle, assignment): (&Handle, &Assignment)| {
             (assignment.entry.name == *entry).then_some(*handle)
         };
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -121,8 +121,12 @@
             }
             self.announce_moved(&held, out);
             let handle = self.add_assignment(&held.entry, held.batch, tasks, held.started, now);
+            let own = self.own.as_ref();
             if let Some(assignment) = self.assignments.get_mut(&handle) {
                 assignment.done = held.done;
+                if own != Some(&assignment.entry.name) {
+                    assignment.await_announcement();
+                }
             }
         }
         for run in handover.runs {
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -64,6 +64,7 @@
     pub fn process_due(&mut self, now: Time, out: &mut Effects) {
         self.update_speeds(now, out);
         self.expire_silent(now, out);
+        self.return_unconfirmed(now, out);
         self.release_due(now);
         self.resend_due(now, out);
         let racks: Vec<RackId> = self.racks.keys().copied().collect();
@@ -96,6 +97,7 @@
         let ids: Vec<Endpoint> = self.endpoints.iter().filter_map(due).collect();
         for id in ids {
             let call = self.next_call_id();
+            self.update_licenses(&id);
             let Some(state) = self.endpoints.get_mut(&id) else {
                 continue;
             };
@@ -119,6 +121,12 @@
             return;
         }
         rack.next_review = now + REVIEW_INTERVAL;
+        for endpoint in rack.endpoints.clone() {
+            self.update_licenses(&endpoint);
+        }
+        let Some(rack) = self.racks.get_mut(&id) else {
+            return;
+        };
         rack.waits = Waits::default();
         let by_speed = rack.places_by_speed(now);
         rack.queue.update(now);
@@ -142,7 +150,8 @@
             let (need, label) = (assignment.batch.need, assignment.batch.label.as_ref());
             let task = assignment.task_id(waiting.index);
             let entry_lost = !self.live_entries.contains(&assignment.entry.name);
-            if entry_lost || self.run_locations.contains_key(&task) {
+            let may_start = !entry_lost && self.may_start(assignment, now);
+            if !may_start || self.run_locations.contains_key(&task) {
                 continue;
             }
             let same = |(n, l, _): &&Misfit| *n == need && l.as_ref() == label;
@@ -332,6 +341,10 @@
         now: Time,
         out: &mut Effects,
     ) {
+        let Some(assignment) = self.assignments.get(&waiting.batch) else {
+            return;
+        };
+        let license_end = self.license_end(assignment).unwrap_or_default();
         let Some(assignment) = self.assignments.get_mut(&waiting.batch) else {
             return;
         };
@@ -361,6 +374,7 @@
         );
         execution.stored = assignment.batch.stored;
         execution.suspicion = task_state.suspicion;
+        execution.license_end = license_end;
         let Some(order) = state.start(task, execution, assignment.batch.spec.clone(), now) else {
             return;
         };
--- a/src/instance/heartbeats.rs
+++ b/src/instance/heartbeats.rs
@@ -12,12 +12,15 @@
     now,
     Hub, //
 };
-use crate::dispatch::message::{
-    Contact,
-    Heartbeat,
-    Input,
-    LogRecord,
-    Sender, //
+use crate::dispatch::{
+    license::Receipt,
+    message::{
+        Contact,
+        Heartbeat,
+        Input,
+        LogRecord,
+        Sender, //
+    }, //
 };
 
 /// The longest datagram that is read, in bytes.
@@ -49,14 +52,14 @@
     /// Sends a heartbeat to peers. A datagram that doesn't fit the socket's buffer is dropped, and the next heartbeat
     /// replaces it.
     ///
-    /// The heartbeat is encoded once for all peers; only the sender differs, by its session.
-    pub fn send(&self, hub: &Hub, to: &[Contact], heartbeat: &Heartbeat) {
+    /// The heartbeat is encoded once for all peers; only the sender differs, by its session, and the receipt.
+    pub fn send(&self, hub: &Hub, to: &[(Contact, Receipt)], heartbeat: &Heartbeat) {
         let body = match encode(heartbeat) {
             Ok(body) => body,
             Err(error) => return log_unsent(hub, "all", &error.to_string()),
         };
         let sent = now();
-        for peer in to {
+        for (peer, receipt) in to {
             let address = match peer.address.parse::<SocketAddr>() {
                 Ok(address) => address,
                 Err(error) => {
@@ -65,9 +68,13 @@
                 }
             };
             // postcard has no separators between fields, so that the encoded sender and heartbeat make a `Datagram`.
-            match postcard::to_extend(&hub.peers.sender(&peer.name, sent), Vec::new()) {
-                Ok(mut bytes) => {
-                    bytes.extend_from_slice(&body);
+            let sender = postcard::to_stdvec(&hub.peers.sender(&peer.name, sent));
+            let with_body = sender.map(|mut bytes| {
+                bytes.extend_from_slice(&body);
+                bytes
+            });
+            match with_body.and_then(|bytes| postcard::to_extend(receipt, bytes)) {
+                Ok(bytes) => {
                     hub.metrics.count_heartbeat(bytes.len());
                     self.socket.try_send_to(&bytes, address).ok();
                 }
@@ -99,20 +106,19 @@
     }
 }
 
-/// Encodes a heartbeat without its sender, and its loads after it if there are any: builds that don't know them ignore what follows the heartbeat.
+/// Encodes a heartbeat without its sender, and its loads after it. The receipt follows. Builds that don't know these ignore what follows
+/// the heartbeat.
 ///
 /// # Errors
 ///
 /// Returns an error if the heartbeat can't be encoded.
 pub fn encode(heartbeat: &Heartbeat) -> postcard::Result<Vec<u8>> {
     let body = postcard::to_stdvec(heartbeat)?;
-    match heartbeat.loads.is_empty() {
-        true => Ok(body),
-        false => postcard::to_extend(&heartbeat.loads, body),
-    }
+    postcard::to_extend(&heartbeat.loads, body)
 }
 
-/// Decodes a datagram, that is an encoded sender and heartbeat. Loads that are missing or can't be read count as none.
+/// Decodes a datagram, that is an encoded sender and heartbeat with loads and receipt. Loads that are missing or can't be read count
+/// as none, and so does the receipt.
 ///
 /// # Errors
 ///
@@ -123,7 +129,10 @@
         sender,
         mut heartbeat,
     } = datagram;
-    heartbeat.loads = postcard::from_bytes(rest).unwrap_or_default();
+    if let Ok((loads, rest)) = postcard::take_from_bytes(rest) {
+        heartbeat.loads = loads;
+        heartbeat.receipt = postcard::from_bytes(rest).ok();
+    }
     Ok((sender, heartbeat))
 }
 
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -124,7 +124,8 @@
         }
     }
 
-    /// Queues a message to a peer, after those sent before it. Drops it if too many bytes are queued.
+    /// Queues a message to a peer, after those sent before it. If too many bytes are queued, or it can't be encoded, an empty message
+    /// takes its place, since the peer counts messages. A cancellation is never dropped.
     pub fn send(&self, hub: &Rc<Hub>, to: &Contact, message: Message) {
         let mut links = self.links.borrow_mut();
         let link = links
@@ -134,21 +135,27 @@
             link.address.clone_from(&to.address);
         }
         let kind = message.kind();
-        let message = match postcard::to_stdvec(&message) {
-            Ok(message) => message,
+        let is_cancellation = matches!(message, Message::Cancel(_));
+        let encoded = match postcard::to_stdvec(&message) {
+            Ok(bytes) if is_cancellation || link.bytes + bytes.len() <= MAX_QUEUED_BYTES => {
+                hub.metrics.count_queued(kind, bytes.len());
+                Some(bytes)
+            }
+            Ok(_) => {
+                // A batch that is lost in this way is found when it is audited at its owner, or when the session ends.
+                hub.log(&LogRecord::new("message_dropped").with("member", to.name.as_str()));
+                None
+            }
             Err(error) => {
                 let record = LogRecord::new("messages_unwritten").with("error", error.to_string());
-                return hub.log(&record);
+                hub.log(&record);
+                None
             }
         };
-        if link.bytes + message.len() > MAX_QUEUED_BYTES {
-            // A batch that is lost in this way is found when it is audited at its owner, or when the session ends.
-            hub.log(&LogRecord::new("message_dropped").with("member", to.name.as_str()));
-        } else {
-            hub.metrics.count_queued(kind, message.len());
-            link.bytes += message.len();
-            link.messages.push_back((now(), message));
-        }
+        let empty = || postcard::to_stdvec(&Message::Unknown(Vec::new())).unwrap_or_default();
+        let bytes = encoded.unwrap_or_else(empty);
+        link.bytes += bytes.len();
+        link.messages.push_back((now(), bytes));
         if link.task.is_none() {
             let (hub, name) = (hub.clone(), to.name.clone());
             link.task = Some(spawn_local(
--- a/tests/dispatch/headroom.rs
+++ b/tests/dispatch/headroom.rs
@@ -599,18 +599,25 @@
 }
 
 /// Two owners die in the burst, and a tenth of the heartbeats is lost. No task may run twice, and the next owners, which know no demand at
-/// first, may neither starve long tasks nor leave room unused. Without headroom 70 of 393, 56 of 1,132 and 12 of 128 jobs of the three
-/// priorities are late, mostly for the loss of the owners: no more urgent ones may be, and few more others.
+/// first, may neither starve long tasks nor leave room unused. Without headroom 455 of 3,180, 473 of 9,076 and 142 of 1,001 jobs of the
+/// three priorities are late, mostly for the loss of the owners: no more urgent ones may be, and few more others.
 #[test]
 fn headroom_survives_the_loss_of_owners_and_heartbeats() {
     let faults = Faults {
         lost_heartbeats: 0.1,
         ..NO_FAULTS
     };
-    let (all, late) = replay_in_world(1, faults, |world| {
-        world.kill_at(Span::millis(5_000), 1, Span::millis(1_000));
-        world.kill_at(Span::millis(7_000), 2, Span::millis(1_000));
-    });
+    let (mut all, mut late) = ([0; 3], [0; 3]);
+    for seed in 1..9 {
+        let (jobs, late_jobs) = replay_in_world(seed, faults, |world| {
+            world.kill_at(Span::millis(5_000), 1, Span::millis(1_000));
+            world.kill_at(Span::millis(7_000), 2, Span::millis(1_000));
+        });
+        for priority in 0..3 {
+            all[priority] += jobs[priority];
+            late[priority] += late_jobs[priority];
+        }
+    }
     println!("{late:?} of {all:?} jobs are late");
-    assert!(late[0] <= 70 && late[1] <= 75 && late[2] <= 20);
+    assert!(late[0] <= 455 && late[1] <= 633 && late[2] <= 237);
 }
--- a/tests/dispatch/overlap.rs
+++ b/tests/dispatch/overlap.rs
@@ -40,6 +40,10 @@
 /// How long an instance that is throttled is awake: less than the interval between checks for silent members.
 const AWAKE: Span = Span::millis(8);
 
+/// How long after a resume a throttled instance reads the breaks of callers' connections: after all else, but in the same turn of its event
+/// loop, as the runtime reads what is ready before the next tick.
+const READ_LAG: Span = Span::millis(7);
+
 /// The range of the pauses of an instance that is throttled: more than the longest delay after which silence counts at once.
 const PAUSE: (Span, Span) = (Span::millis(60), Span::millis(85));
 
@@ -205,7 +209,7 @@
 fn entry_that_is_always_late_leaves_no_run_to_a_resubmitted_job() {
     for seed in 0..6 {
         let mut site = Site::new(seed, Span::millis(2_500));
-        site.world.set_read_lag(AWAKE);
+        site.world.set_read_lag(READ_LAG);
         let pause = Span::seconds(3);
         site.world
             .throttle_at(Span(0), site.entry, pause, AWAKE, PAUSE);
--- a/tests/dispatch/speed.rs
+++ b/tests/dispatch/speed.rs
@@ -16,6 +16,7 @@
             TaskId,
             Token, //
         },
+        license::Confirmation,
         message::{
             Batch,
             CallId,
@@ -187,6 +188,8 @@
             }
             self.end_runs();
             let mut out = Effects::default();
+            let confirmation = Confirmation::of_self(self.now);
+            self.owner.confirm_entry(&self.own.name, confirmation);
             self.owner.process_due(self.now, &mut out);
             self.carry_out(out);
         }
@@ -489,6 +492,7 @@
             status: Status::default(),
             rooms,
             loads: Vec::new(),
+            receipt: None,
         };
         plain += encode(&heartbeat).unwrap().len();
         heartbeat.loads = loads;
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -549,7 +549,7 @@
                 self.deliver_later(i, to_index, delay, delivery);
             }
             Output::Heartbeat(to, heartbeat) => {
-                for to in to {
+                for (to, receipt) in to {
                     let Some(to_index) = self.index(&to.name) else {
                         continue;
                     };
@@ -558,7 +558,11 @@
                     }
                     let sender = self.sender(i, &to.name);
                     let delay = Span(TRANSIT_MICROS + self.random.random_range(0..400));
-                    let delivery = Box::new(Delivery::Heartbeat(sender, heartbeat.clone()));
+                    let heartbeat = Heartbeat {
+                        receipt: Some(receipt),
+                        ..heartbeat.clone()
+                    };
+                    let delivery = Box::new(Delivery::Heartbeat(sender, heartbeat));
                     self.deliver_later(i, to_index, delay, delivery);
                 }
             }
--- a/tests/fleet/single.rs
+++ b/tests/fleet/single.rs
@@ -149,7 +149,7 @@
                     let size = postcard::to_stdvec(&heartbeat).unwrap().len();
                     self.sent.heartbeats += to.len();
                     self.sent.heartbeat_bytes += to.len() * size;
-                    for to in to {
+                    for (to, _) in to {
                         self.on_heartbeat(&to.name, &heartbeat);
                     }
                 }
@@ -261,6 +261,7 @@
                 status,
                 rooms: Vec::new(),
                 loads: Vec::new(),
+                receipt: None,
             };
             (sender, heartbeat)
         })
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -157,8 +157,13 @@
         match output {
             Output::Send(to, message) => self.send(i, &to, message),
             Output::Heartbeat(to, heartbeat) => {
-                for to in to {
-                    self.send_heartbeat(i, &to, heartbeat.clone());
+                for (to, receipt) in to {
+                    let receipt = Some(receipt);
+                    let heartbeat = Heartbeat {
+                        receipt,
+                        ..heartbeat.clone()
+                    };
+                    self.send_heartbeat(i, &to, heartbeat);
                 }
             }
             Output::BeginSession {
@@ -192,7 +197,9 @@
     fn send_heartbeat(&mut self, i: usize, to: &Contact, heartbeat: Heartbeat) {
         let receiver = self.index(&to.name);
         let from = self.sender(i, &to.name);
-        let size = postcard::to_stdvec(&(&from, &heartbeat)).unwrap().len();
+        let size = postcard::to_stdvec(&(&from, &heartbeat, &heartbeat.receipt))
+            .unwrap()
+            .len();
         self.traffic[i].heartbeats += 1;
         self.traffic[i].heartbeat_bytes += size;
         self.heartbeats_in_tick[i] += 1;
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -45,6 +45,7 @@
             backlog: 2,
         }],
         loads,
+        receipt: None,
     }
 }
 
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -16,6 +16,10 @@
             TaskId,
             Token, //
         },
+        license::{
+            Confirmation,
+            LICENSE, //
+        },
         message::{
             Batch,
             CallId,
@@ -105,6 +109,13 @@
     }
 }
 
+/// Confirms the batches of all entries, as their heartbeats do.
+fn confirm_entries(owner: &mut Owner, now: Time) {
+    for entry in ["own", "entry", "next"] {
+        owner.confirm_entry(&contact(entry).name, Confirmation::of_self(now));
+    }
+}
+
 /// An owner of one rack, and the rack's ID.
 struct TestOwner {
     owner: Owner,
@@ -146,6 +157,7 @@
     fn process_due(&mut self, now: Time) -> Vec<Order> {
         let mut orders = Vec::new();
         let mut out = Effects::default();
+        confirm_entries(&mut self.owner, now);
         self.owner.process_due(now, &mut out);
         for output in out.outputs {
             let Output::Call { call, order, .. } = output else {
@@ -233,7 +245,9 @@
         step: 0,
         index: 0,
     };
-    let execution = Execution::new(Handle(1), Run::FIRST, listing(1).capacity, Span::millis(60));
+    let mut execution =
+        Execution::new(Handle(1), Run::FIRST, listing(1).capacity, Span::millis(60));
+    execution.license_end = START + LICENSE;
     state.start(task, execution, String::new(), START).unwrap();
     let mut polls = 0;
     for n in 0..100 {
