The break of a caller's connection is noticed behind unread bytes

Callers saw a task run twice at a time after they had broken a connection off behind a request that was followed by an empty line or by a further request: the first runs went to their ends, the job's second submission ran beside them.

Cause: the HTTP library doesn't read while a request is in progress and bytes behind it wait to be parsed, so that it doesn't see the end of the connection, and the entry keeps the job until its answer or its deadline.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod metrics;
 pub mod peers;
+mod read_ahead;
 
 use std::{
     net::SocketAddr,
--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -6,7 +6,9 @@
         RefCell, //
     },
     collections::BTreeMap,
+    future::poll_fn,
     rc::Rc,
+    task::Poll,
     time::Duration, //
 };
 
@@ -49,9 +51,12 @@
     time::sleep, //
 };
 
-use super::hub::{
-    now,
-    Hub, //
+use super::{
+    hub::{
+        now,
+        Hub, //
+    },
+    read_ahead, //
 };
 use crate::{
     dispatch::{
@@ -222,6 +227,13 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
+        let (stream, watch) = read_ahead::split(stream);
+        // While no request is in progress, the library reads by itself.
+        let caller_gone = poll_fn(|context| match state.idle_since.get() {
+            Some(_) => Poll::Pending,
+            None => watch.poll_end(context),
+        });
+        let mut caller_gone = std::pin::pin!(caller_gone);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         loop {
@@ -230,6 +242,7 @@
                 biased;
                 // Ends with the connection; a caller may disconnect at any time.
                 _ = connection.as_mut() => return,
+                () = caller_gone.as_mut() => return,
                 reason = self.wait_until_due(state) => reason,
             };
             let since = state.idle_since.get();
