A given-up job's caller may be back when its runs have ended, not before

The answer 504 named 1 s, while the leases of the job's runs may last up to 1.25 s after the entry's last confirmation when their stops are lost. A caller that goes by Retry-After had its tasks started beside them. The delay is the one by which licenses are bounded, 1.3 s, which the header rounds up to 2 s.

--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -34,6 +34,7 @@
         JobId,
         RackId, //
     },
+    license::RETRY_DELAY,
     message::{
         Answer,
         Batch,
@@ -72,11 +73,9 @@
 /// comes on top, see [`Entry::refuse`].
 const RETRY_DELAY_RANGE: (Span, Span) = (Span::seconds(1), Span::seconds(4));
 
-/// The answer to a job that was given up after it may have started. The retry delay covers the stop of its runs,
-/// in the worst case until their leases have expired.
-const GIVEN_UP: Answer = Answer::GivenUp {
-    again: RETRY_DELAY_RANGE.0,
-};
+/// The answer to a job that was given up after it may have started. Its runs have ended by the time at which the caller may retry,
+/// whatever becomes of their stops.
+const GIVEN_UP: Answer = Answer::GivenUp { again: RETRY_DELAY };
 
 /// The time limit of a stored job, about 30 years: it runs to its end, however late.
 pub(super) const UNLIMITED: Span = Span::seconds(1_000_000_000);
