A coordinator checks its locks as long as a known member isn't heard

Stored jobs ran twice at a time after a partition of over 30 s whose other side had started again: 40 pairs, up to 1.3 s, in coordinator_checks_its_locks_after_a_long_partition.

The lock in the store decides, so it's looked at while any known member isn't heard or was removed for that. This costs three reads a second at each coordinator while a machine is away, also one that was removed for good but whose row is left.

--- a/src/dispatch/coordination.rs
+++ b/src/dispatch/coordination.rs
@@ -71,6 +71,9 @@
         if now.since(self.started_at) < STARTUP_DELAY {
             return;
         }
+        if self.members.has_absent() {
+            self.coordinator.require_lock_checks(now);
+        }
         let own = self.identity.contact.name.clone();
         let coordinators = self.coordinators();
         let mut actions = Vec::new();
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -50,7 +50,7 @@
 /// may be alive and have taken it over.
 const LOCK_VALIDITY: Span = Span::millis(1_000);
 
-/// How long locks are checked after the loss of a member. After that the member is forgotten and takes nothing over.
+/// How long locks are checked after they were last required to be.
 const LOCK_CHECK_PERIOD: Span = Span::seconds(30);
 
 /// How long an instance doesn't claim a shard again after another one took it over. Without the delay, the two sides of a
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -190,6 +190,11 @@
         self.missing
     }
 
+    /// Returns whether a known member isn't heard, or was removed for that: it may be alive behind a partition.
+    pub fn has_absent(&self) -> bool {
+        self.missing || self.members.values().any(|member| !member.live)
+    }
+
     /// Records that the store's list of members was read.
     pub fn clear_missing(&mut self) {
         self.missing = false;
