--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -23,6 +23,8 @@
 mod overload;
 #[path = "dispatch/placement.rs"]
 mod placement;
+#[path = "dispatch/review.rs"]
+mod review;
 #[path = "dispatch/rows.rs"]
 mod rows;
 #[path = "dispatch/speed.rs"]
