--- a/tests/overlap.rs
+++ b/tests/overlap.rs
@@ -86,9 +86,17 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1_300);
 /// Submissions of one job at the most.
 const MAX_SUBMISSIONS: usize = 4;
-/// How long the processes of a starved instance run and are stopped by turns, in milliseconds. The stops are shorter than the
-/// pause of a process after which it drops all it has.
-const STARVATION: [(u64, u64); 5] = [(8, 70), (15, 70), (20, 80), (40, 60), (10, 120)];
+/// How long the process of a starved instance runs and is stopped by turns, in milliseconds. Only the last stop is longer
+/// than the pause after which a process drops all it has.
+const STARVATION: [(u64, u64); 7] = [
+    (8, 70),
+    (15, 70),
+    (20, 80),
+    (40, 60),
+    (10, 120),
+    (60, 300),
+    (300, 900),
+];
 /// How long before a caller breaks off, at the least, the messages of its entry stall: more than it takes to apply faults.
 const STALL_LEAD: Duration = Duration::from_millis(40);
 /// How often faults on links are updated.
