--- a/tests/overlap.rs
+++ b/tests/overlap.rs
@@ -142,6 +142,8 @@
     ledger: Mutex<Ledger>,
     /// Instances whose messages to all others are to stall, and for how long.
     stalls: Mutex<Vec<(usize, Duration)>>,
+    /// When the links to half of the endpoints are to be held, so that stops are late.
+    late_stops: Mutex<Vec<Instant>>,
     end: Instant,
     /// The origin of the times in reports.
     start: (Instant, u64),
@@ -161,6 +163,12 @@
         self.stalls.lock().unwrap().push((i, span));
     }
 
+    /// Holds links to endpoints from shortly before an instance's death is noticed, after the last extensions of leases.
+    fn delay_stops(&self, random: &mut SmallRng) {
+        let lead = Duration::from_millis(random.random_range(350..600));
+        self.late_stops.lock().unwrap().push(Instant::now() + lead);
+    }
+
     /// Waits for a span, or until the faults end.
     async fn wait(&self, span: Duration) {
         let left = self.end.saturating_duration_since(Instant::now());
@@ -245,6 +253,7 @@
             .collect(),
         ledger: Mutex::default(),
         stalls: Mutex::default(),
+        late_stops: Mutex::default(),
         end: now + FAULT_SPAN,
         start: (now, unix_millis()),
     });
@@ -501,6 +510,9 @@
                 if random.random_ratio(1, 2) {
                     starve_some(&mut random, world, count / 2, &mut recoveries);
                 }
+                if random.random_ratio(2, 3) {
+                    world.delay_stops(&mut random);
+                }
                 recoveries.spawn(restart(world.clone(), i, Signal::SIGKILL, span));
             }
             4 => {
@@ -718,6 +730,18 @@
             ends.insert(i, Instant::now() + span);
             next_fault = Instant::now() + Duration::from_millis(random.random_range(100..400));
         }
+        let mut late_stops = world.late_stops.lock().unwrap();
+        let count = late_stops.len();
+        late_stops.retain(|at| *at > Instant::now());
+        if late_stops.len() < count {
+            world.record("Stops are held at half of the endpoints".to_owned());
+            let first = random.random_range(0..2);
+            for i in (first..links.len()).step_by(2) {
+                links[i].set_mode(Mode::Hold(Direction::Up));
+                ends.insert(i, Instant::now() + Duration::from_millis(1_200));
+            }
+        }
+        drop(late_stops);
         ends.retain(|i, end| {
             let is_over = *end <= Instant::now();
             if is_over {
