--- a/tests/overlap.rs
+++ b/tests/overlap.rs
@@ -169,6 +169,14 @@
         self.late_stops.lock().unwrap().push(Instant::now() + lead);
     }
 
+    /// Returns whether links to endpoints are to be held from now on.
+    fn are_stops_due_late(&self) -> bool {
+        let mut late_stops = self.late_stops.lock().unwrap();
+        let count = late_stops.len();
+        late_stops.retain(|at| *at > Instant::now());
+        late_stops.len() < count
+    }
+
     /// Waits for a span, or until the faults end.
     async fn wait(&self, span: Duration) {
         let left = self.end.saturating_duration_since(Instant::now());
@@ -730,10 +738,7 @@
             ends.insert(i, Instant::now() + span);
             next_fault = Instant::now() + Duration::from_millis(random.random_range(100..400));
         }
-        let mut late_stops = world.late_stops.lock().unwrap();
-        let count = late_stops.len();
-        late_stops.retain(|at| *at > Instant::now());
-        if late_stops.len() < count {
+        if world.are_stops_due_late() {
             world.record("Stops are held at half of the endpoints".to_owned());
             let first = random.random_range(0..2);
             for i in (first..links.len()).step_by(2) {
@@ -741,7 +746,6 @@
                 ends.insert(i, Instant::now() + Duration::from_millis(1_200));
             }
         }
-        drop(late_stops);
         ends.retain(|i, end| {
             let is_over = *end <= Instant::now();
             if is_over {
