--- a/tests/overlap.rs
+++ b/tests/overlap.rs
@@ -86,9 +86,17 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1_300);
 /// Submissions of one job at the most.
 const MAX_SUBMISSIONS: usize = 4;
-/// How long the processes of a starved instance run and are stopped by turns, in milliseconds. The stops are shorter than the
-/// pause of a process after which it drops all it has.
-const STARVATION: [(u64, u64); 5] = [(8, 70), (15, 70), (20, 80), (40, 60), (10, 120)];
+/// How long the process of a starved instance runs and is stopped by turns, in milliseconds. Only the last stop is longer
+/// than the pause after which a process drops all it has.
+const STARVATION: [(u64, u64); 7] = [
+    (8, 70),
+    (15, 70),
+    (20, 80),
+    (40, 60),
+    (10, 120),
+    (60, 300),
+    (300, 900),
+];
 /// How long before a caller breaks off, at the least, the messages of its entry stall: more than it takes to apply faults.
 const STALL_LEAD: Duration = Duration::from_millis(40);
 /// How often faults on links are updated.
@@ -134,6 +142,8 @@
     ledger: Mutex<Ledger>,
     /// Instances whose messages to all others are to stall, and for how long.
     stalls: Mutex<Vec<(usize, Duration)>>,
+    /// When the links to half of the endpoints are to be held, so that stops are late.
+    late_stops: Mutex<Vec<Instant>>,
     end: Instant,
     /// The origin of the times in reports.
     start: (Instant, u64),
@@ -153,6 +163,20 @@
         self.stalls.lock().unwrap().push((i, span));
     }
 
+    /// Holds links to endpoints from shortly before an instance's death is noticed, after the last extensions of leases.
+    fn delay_stops(&self, random: &mut SmallRng) {
+        let lead = Duration::from_millis(random.random_range(350..600));
+        self.late_stops.lock().unwrap().push(Instant::now() + lead);
+    }
+
+    /// Returns whether links to endpoints are to be held from now on.
+    fn are_stops_due_late(&self) -> bool {
+        let mut late_stops = self.late_stops.lock().unwrap();
+        let count = late_stops.len();
+        late_stops.retain(|at| *at > Instant::now());
+        late_stops.len() < count
+    }
+
     /// Waits for a span, or until the faults end.
     async fn wait(&self, span: Duration) {
         let left = self.end.saturating_duration_since(Instant::now());
@@ -237,6 +261,7 @@
             .collect(),
         ledger: Mutex::default(),
         stalls: Mutex::default(),
+        late_stops: Mutex::default(),
         end: now + FAULT_SPAN,
         start: (now, unix_millis()),
     });
@@ -493,6 +518,9 @@
                 if random.random_ratio(1, 2) {
                     starve_some(&mut random, world, count / 2, &mut recoveries);
                 }
+                if random.random_ratio(2, 3) {
+                    world.delay_stops(&mut random);
+                }
                 recoveries.spawn(restart(world.clone(), i, Signal::SIGKILL, span));
             }
             4 => {
@@ -710,6 +738,14 @@
             ends.insert(i, Instant::now() + span);
             next_fault = Instant::now() + Duration::from_millis(random.random_range(100..400));
         }
+        if world.are_stops_due_late() {
+            world.record("Stops are held at half of the endpoints".to_owned());
+            let first = random.random_range(0..2);
+            for i in (first..links.len()).step_by(2) {
+                links[i].set_mode(Mode::Hold(Direction::Up));
+                ends.insert(i, Instant::now() + Duration::from_millis(1_200));
+            }
+        }
         ends.retain(|i, end| {
             let is_over = *end <= Instant::now();
             if is_over {
