No task starts under a lease that outlives its license

A lease belongs to the endpoint, is shared by all runs there and is never shortened.

The owner starts a task only where all leases that the endpoint may have end within the license of the task.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -27,7 +27,7 @@
         TaskId,
         Token, //
     },
-    license::LICENSE,
+
     message::{
         CallId,
         End,
@@ -271,7 +271,7 @@
             straggler: Detector::default(),
             unknown_runs: BTreeSet::new(),
             reading: None,
-            leases_end: now + LICENSE,
+            leases_end: now + LEASE + Span::millis(50),
             last_end: 0,
             unstored_ends: BTreeSet::new(),
             late_ends: BTreeSet::new(),
@@ -395,6 +395,11 @@
         }
     }
 
+    /// Returns when all leases that the endpoint may have been given have expired.
+    pub fn leases_end(&self) -> Time {
+        self.leases_end
+    }
+
     /// Updates until when leases may last on account of each run; `license_end` returns `None` where that doesn't change.
     pub fn update_licenses(&mut self, license_end: impl Fn(&Execution) -> Option<Time>) {
         for execution in self.executions.values_mut() {
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -353,7 +353,12 @@
         let Some(task_state) = assignment.tasks.get_mut(&waiting.index) else {
             return;
         };
-        let Some(state) = self.endpoints.get_mut(id) else {
+        // A lease is shared by all runs there and never shortened: what was granted for others must not outlive this license.
+        let Some(state) = self
+            .endpoints
+            .get_mut(id)
+            .filter(|state| state.leases_end() <= license_end)
+        else {
             return;
         };
         let run = task_state.next;
