A short stall of messages ends no session, and a batch that wasn't announced is never confirmed

A session ends as stalled after 1 s, while there is time to stop the runs before the license is over.

Found by reading, without a run: a queue that is full could drop the message that tells an entry of a moved batch, with the count of messages going on, so that the batch was confirmed by an entry that doesn't know of the move. That message isn't dropped either, and a batch counts as unconfirmed until the message was counted.

Batches that came with a rack are kept in a list until they are confirmed: the search through all batches at each event cost processor time. Licenses are updated in place.

--- a/src/dispatch/license.rs
+++ b/src/dispatch/license.rs
@@ -13,7 +13,6 @@
     Serialize, //
 };
 
-use super::member::HEARTBEAT_TIMEOUT;
 use crate::prelude::*;
 
 /// The delay after which a caller whose connection broke, or who got no outcome, submits its job again (`retry_ms`).
@@ -23,6 +22,10 @@
 /// (`stop_ms`).
 pub const LICENSE: Span = Span::millis(1_250);
 
+/// How long messages of a member may be missing while its heartbeats arrive. After that the session ends, so that the runs of its
+/// batches are stopped before the license is over: without a license, all runs on their endpoints would lapse.
+const STALL_TIMEOUT: Span = Span::millis(1_000);
+
 /// The most heartbeats that are kept until the messages that were sent before them have arrived. Any more don't count.
 const MAX_PENDING: usize = 32;
 
@@ -123,9 +126,9 @@
         self.confirmation
     }
 
-    /// Returns whether messages haven't arrived that the member had sent [`HEARTBEAT_TIMEOUT`] ago, although its heartbeats do.
+    /// Returns whether messages haven't arrived that the member had sent [`STALL_TIMEOUT`] ago, although its heartbeats do.
     pub fn is_stalled(&self, now: Time) -> bool {
         let oldest = self.pending.front();
-        oldest.is_some_and(|(_, confirmation)| now.since(confirmation.at) > HEARTBEAT_TIMEOUT)
+        oldest.is_some_and(|(_, confirmation)| now.since(confirmation.at) > STALL_TIMEOUT)
     }
 }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -212,6 +212,8 @@
     live_entries: HashSet<Instance>,
     /// Entries that had a heartbeat and lost it.
     lost_entries: HashSet<Instance>,
+    /// Batches that came with a rack and weren't confirmed at the last look.
+    unconfirmed: Vec<Handle>,
     /// The latest confirmation of each entry in its session.
     confirmations: HashMap<Instance, Confirmation>,
     cancelled: CancelledBatches,
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -126,6 +126,7 @@
                 assignment.done = held.done;
                 if own != Some(&assignment.entry.name) {
                     assignment.await_announcement();
+                    self.unconfirmed.push(handle);
                 }
             }
         }
--- a/src/dispatch/owner/licensing.rs
+++ b/src/dispatch/owner/licensing.rs
@@ -1,5 +1,7 @@
 //! Licenses of runs: leases end soon after the last confirmation by the entry, whatever this owner believes about it.
 
+use std::collections::HashMap;
+
 use super::{
     super::{
         endpoint::{
@@ -40,9 +42,7 @@
 
     /// Returns until when leases of a batch's runs may last; `None` if its entry hasn't confirmed it.
     pub(super) fn license_end(&self, assignment: &Assignment) -> Option<Time> {
-        let confirmation = self.confirmations.get(&assignment.entry.name)?;
-        let is_confirmed = confirmation.received >= assignment.confirmed_after;
-        is_confirmed.then(|| confirmation.at + LICENSE)
+        assignment.license_end(&self.confirmations)
     }
 
     /// Returns whether a task of a batch may be started: its license must outlast the first lease.
@@ -53,34 +53,28 @@
 
     /// Updates the licenses of an endpoint's runs. Those of runs that aren't wanted any more stay as they were.
     pub(super) fn update_licenses(&mut self, id: &Endpoint) {
-        let Some(mut state) = self.endpoints.remove(id) else {
-            return;
-        };
-        state.update_licenses(|execution: &Execution| {
-            let assignment = self.assignments.get(&execution.batch)?;
-            self.license_end(assignment)
-        });
-        self.endpoints.insert(id.clone(), state);
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.update_licenses(|execution: &Execution| {
+                let assignment = self.assignments.get(&execution.batch)?;
+                assignment.license_end(&self.confirmations)
+            });
+        }
     }
 
     /// Returns batches that came with a rack and weren't confirmed in time to their entries. Their runs would keep the leases of
     /// other runs on the same endpoints from being extended.
     pub(super) fn return_unconfirmed(&mut self, now: Time, out: &mut Effects) {
-        let is_overdue = |assignment: &Assignment| {
-            assignment.confirmed_after > 0
-                && now.since(assignment.accepted_at) > HEARTBEAT_TIMEOUT
-                && self.license_end(assignment).is_none()
-        };
-        let overdue: Vec<_> = self
-            .assignments
-            .iter()
-            .filter(|(_, assignment)| is_overdue(assignment))
-            .map(|(handle, _)| *handle)
-            .collect();
-        for handle in overdue {
+        for handle in std::mem::take(&mut self.unconfirmed) {
             let Some(assignment) = self.assignments.get(&handle) else {
                 continue;
             };
+            if self.license_end(assignment).is_some() {
+                continue;
+            }
+            if now.since(assignment.accepted_at) <= HEARTBEAT_TIMEOUT {
+                self.unconfirmed.push(handle);
+                continue;
+            }
             let record = LogRecord::new("batch_unconfirmed").job(assignment.batch.job);
             let record = record.with("batch", assignment.batch.serial);
             out.log(record.with("entry", assignment.entry.name.as_str()));
@@ -99,4 +93,11 @@
     fn is_unannounced(&self) -> bool {
         self.confirmed_after == u64::MAX
     }
+
+    /// Returns until when leases of its runs may last, by the latest confirmations; `None` if its entry hasn't confirmed it.
+    fn license_end(&self, confirmations: &HashMap<Instance, Confirmation>) -> Option<Time> {
+        let confirmation = confirmations.get(&self.entry.name)?;
+        let is_confirmed = !self.is_unannounced() && confirmation.received >= self.confirmed_after;
+        is_confirmed.then(|| confirmation.at + LICENSE)
+    }
 }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -66,7 +66,7 @@
 /// Delay between attempts to connect to a peer.
 const RECONNECT_DELAY: Duration = Duration::from_millis(60);
 
-/// The most bytes that are queued for one peer: a second of a 25 Mbit/s link, after which the session ends anyway. A
+/// The most bytes that are queued for one peer: a second of a 25 Mbit/s link, about when a session ends as stalled. A
 /// limit on the number of messages alone would let large ones exhaust the memory.
 const MAX_QUEUED_BYTES: usize = 3 << 20;
 
@@ -125,7 +125,7 @@
     }
 
     /// Queues a message to a peer, after those sent before it. If too many bytes are queued, or it can't be encoded, an empty message
-    /// takes its place, since the peer counts messages. A cancellation is never dropped.
+    /// takes its place, since the peer counts messages. A message that decides which confirmations count is never dropped.
     pub fn send(&self, hub: &Rc<Hub>, to: &Contact, message: Message) {
         let mut links = self.links.borrow_mut();
         let link = links
@@ -135,9 +135,9 @@
             link.address.clone_from(&to.address);
         }
         let kind = message.kind();
-        let is_cancellation = matches!(message, Message::Cancel(_));
+        let is_kept = matches!(message, Message::Cancel(_) | Message::Moved { .. });
         let encoded = match postcard::to_stdvec(&message) {
-            Ok(bytes) if is_cancellation || link.bytes + bytes.len() <= MAX_QUEUED_BYTES => {
+            Ok(bytes) if is_kept || link.bytes + bytes.len() <= MAX_QUEUED_BYTES => {
                 hub.metrics.count_queued(kind, bytes.len());
                 Some(bytes)
             }
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -787,6 +787,9 @@
     let token = Token::new(Epoch(2), 2);
     let mut out = Effects::default();
     receiver.take_over(handover.unwrap(), token, &[listing(10)], START, &mut out);
+    for serial in 1..=2 {
+        receiver.on_move_announced(&own.name, serial, 1);
+    }
     test.owner = receiver;
     // The first poll opens the endpoint.
     test.process_due(START);
