--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -207,14 +207,14 @@
     /// Returns the runs of a job on the owner's endpoints.
     fn first_runs(&self, job: u64) -> Vec<Execution> {
         let endpoints = self.fleet.endpoints.iter().skip(1).step_by(2);
-        let runs = endpoints.flat_map(|endpoint| endpoint.current_history());
+        let runs = endpoints.flat_map(|endpoint| endpoint.history());
         runs.filter(|run| is_of_job(run, job)).collect()
     }
 
     /// Returns the runs of a job on all endpoints.
     fn runs(&self, job: u64) -> Vec<Execution> {
         let endpoints = self.fleet.endpoints.iter();
-        let runs = endpoints.flat_map(|endpoint| endpoint.current_history());
+        let runs = endpoints.flat_map(|endpoint| endpoint.history());
         runs.filter(|run| is_of_job(run, job)).collect()
     }
 
--- a/tests/platform/endpoint.rs
+++ b/tests/platform/endpoint.rs
@@ -205,14 +205,6 @@
         state.history.clone()
     }
 
-    #[allow(dead_code)] // Not used by every test.
-    /// Returns the history as of now. [`Self::history`] lists an end only once a request has arrived after it.
-    pub(crate) fn current_history(&self) -> Vec<Execution> {
-        let mut state = self.state.lock().unwrap();
-        state.end_due_runs();
-        state.history.clone()
-    }
-
     #[allow(dead_code)] // Not used by every test.
     /// Makes the endpoint neither carry out nor answer stop orders for some time, as if they were lost on the way.
     pub(crate) fn lose_stops(&self, time: Duration) {
