--- a/src/dispatch/license.rs
+++ b/src/dispatch/license.rs
@@ -126,7 +126,7 @@
         self.confirmation
     }
 
-    /// Returns whether messages haven't arrived that the member had sent [`STALL_TIMEOUT`] ago, although its heartbeats do.
+    /// Returns whether messages haven't arrived that the member had sent `STALL_TIMEOUT` ago, although its heartbeats do.
     pub fn is_stalled(&self, now: Time) -> bool {
         let oldest = self.pending.front();
         oldest.is_some_and(|(_, confirmation)| now.since(confirmation.at) > STALL_TIMEOUT)
