--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -121,12 +121,14 @@
             return;
         }
         rack.next_review = now + REVIEW_INTERVAL;
-        for endpoint in rack.endpoints.clone() {
-            self.update_licenses(&endpoint);
+        let endpoints = std::mem::take(&mut rack.endpoints);
+        for endpoint in &endpoints {
+            self.update_licenses(endpoint);
         }
         let Some(rack) = self.racks.get_mut(&id) else {
             return;
         };
+        rack.endpoints = endpoints;
         rack.waits = Waits::default();
         let by_speed = rack.places_by_speed(now);
         rack.queue.update(now);
