--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -190,6 +190,11 @@
         self.missing
     }
 
+    /// Returns whether a known member isn't heard, or was removed for that: it may be alive behind a partition.
+    pub fn has_absent(&self) -> bool {
+        self.missing || self.members.values().any(|member| !member.live)
+    }
+
     /// Records that the store's list of members was read.
     pub fn clear_missing(&mut self) {
         self.missing = false;
@@ -330,6 +335,8 @@
             return;
         };
         match receipt {
+            // One that couldn't be read has no time.
+            Some(receipt) if receipt.settled == Time::default() => {}
             Some(receipt) => {
                 let settled = member.local_time(receipt.settled, now);
                 member.channel.on_receipt(receipt, settled);
