--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -316,11 +316,16 @@
 #[tokio::test]
 async fn peers_are_told_apart_and_their_messages_held_in_order() -> Result {
     const SHORT: Duration = Duration::from_millis(100);
-    let target = TcpListener::bind("127.0.0.1:0").await?;
-    let datagrams = UdpSocket::bind(target.local_addr()?).await?;
-    let free = UdpSocket::bind("127.0.0.1:0").await?.local_addr()?;
-    let proxy = PeerProxy::start(free, target.local_addr()?).await?;
-    let sender: SocketAddr = "127.0.0.2:0".parse()?;
+    // Addresses of this process: a port that is free for datagrams may be in use for connections at an address of others.
+    let process = std::process::id();
+    let address = |host: u8, port: u16| {
+        let (high, low) = (process >> 8 & 0x7f | 0x80, process & 0xff);
+        format!("127.{high}.{low}.{host}:{port}").parse::<SocketAddr>()
+    };
+    let (target, free, sender) = (address(1, 8_166)?, address(2, 8_166)?, address(3, 0)?);
+    let datagrams = UdpSocket::bind(target).await?;
+    let proxy = PeerProxy::start(free, target).await?;
+    let target = TcpListener::bind(target).await?;
     let connect = || async {
         let socket = TcpSocket::new_v4()?;
         socket.bind(sender)?;
