--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -15,6 +15,8 @@
 mod evacuation;
 #[path = "dispatch/headroom.rs"]
 mod headroom;
+#[path = "dispatch/licenses.rs"]
+mod licenses;
 #[path = "dispatch/orders_of_owners.rs"]
 mod orders_of_owners;
 #[path = "dispatch/overlap.rs"]
@@ -23,8 +25,6 @@
 mod overload;
 #[path = "dispatch/placement.rs"]
 mod placement;
-#[path = "dispatch/review.rs"]
-mod review;
 #[path = "dispatch/rows.rs"]
 mod rows;
 #[path = "dispatch/speed.rs"]
