A late envelope of a former session doesn't hide the present position

Suspected from the log, not traced to the end: a late envelope of the former session replaced the recorded position, so that the envelope with the batch, sent again for lack of an acknowledgement, was handled and counted twice. The count then covered the cancellation that hadn't arrived. The inbox keeps a position for each of the last sessions. The new test fails without the change.

--- a/src/instance/inbox.rs
+++ b/src/instance/inbox.rs
@@ -7,11 +7,13 @@
     prelude::*, //
 };
 
-/// The position of the last envelope that was received from a peer.
+/// The sessions of a peer whose positions are kept. Late envelopes of a former session must not hide the present position.
+const MAX_SESSIONS: u32 = 8;
+
+/// The position of the last envelope that was received from a peer in a session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Position {
     incarnation: u64,
-    session: u32,
     serial: u64,
 }
 
@@ -26,8 +28,8 @@
 pub struct Inbox {
     /// The incarnation of this instance.
     own_incarnation: u64,
-    /// By peer and by the receiver's incarnation that the peer named, which is zero if it knew none.
-    last_envelopes: HashMap<(Instance, u64), Position>,
+    /// By peer, by the receiver's incarnation that the peer named, which is zero if it knew none, and by session.
+    last_envelopes: HashMap<(Instance, u64, u32), Position>,
 }
 
 impl Inbox {
@@ -47,16 +49,21 @@
         }
         let position = Position {
             incarnation: sender.incarnation,
-            session: sender.session,
             serial,
         };
-        let key = (sender.contact.name.clone(), sender.receiver_incarnation);
-        if let Some(previous) = self.last_envelopes.get(&key) {
-            let same = (previous.incarnation, previous.session)
-                == (position.incarnation, position.session);
-            if same && serial <= previous.serial {
-                return true;
-            }
+        let (name, session) = (&sender.contact.name, sender.session);
+        let key = (name.clone(), sender.receiver_incarnation, session);
+        let previous = self.last_envelopes.get(&key);
+        let same = previous.filter(|previous| previous.incarnation == position.incarnation);
+        if same.is_some_and(|previous| serial <= previous.serial) {
+            return true;
+        }
+        if previous.is_some_and(|previous| previous.incarnation > position.incarnation) {
+            return false;
+        }
+        if previous.is_none() {
+            self.last_envelopes
+                .retain(|(other, _, old), _| other != name || old + MAX_SESSIONS > session);
         }
         self.last_envelopes.insert(key, position);
         false
--- a/tests/inbox.rs
+++ b/tests/inbox.rs
@@ -61,3 +61,14 @@
     assert!(inbox.check_duplicate(&sender(OWN, 0), 1));
     assert!(!inbox.check_duplicate(&sender(OWN, 1), 1));
 }
+
+/// A late envelope of a former session must not hide the position in the present one: an envelope that is sent again would be handled and
+/// counted twice, and a heartbeat would confirm batches whose cancellation hasn't arrived.
+#[test]
+fn late_envelope_of_a_former_session_hides_no_duplicate() {
+    let mut inbox = Inbox::new(OWN);
+    assert!(!inbox.check_duplicate(&sender(OWN, 0), 1));
+    assert!(!inbox.check_duplicate(&sender(OWN, 1), 1));
+    assert!(!inbox.check_duplicate(&sender(OWN, 0), 2));
+    assert!(inbox.check_duplicate(&sender(OWN, 1), 1));
+}
