--- a/src/dispatch/license.rs
+++ b/src/dispatch/license.rs
@@ -15,11 +15,11 @@
 
 use crate::prelude::*;
 
-/// The delay after which a caller whose connection broke, or who got no outcome, submits its job again (`retry_ms`).
+/// The delay after which a caller whose connection broke, or who got no outcome, submits its job again.
 pub const RETRY_DELAY: Span = Span::millis(1_300);
 
-/// The time from an entry's confirmation to the end of the leases of its runs: [`RETRY_DELAY`], less what a stop may take
-/// (`stop_ms`).
+/// The time from an entry's confirmation to the end of the leases of its runs: [`RETRY_DELAY`], less the time that an endpoint takes to
+/// stop a run.
 pub const LICENSE: Span = Span::millis(1_250);
 
 /// How long messages of a member may be missing while its heartbeats arrive. After that the session ends, so that the runs of its
