Tests of stalled sessions and of the time as of which entries confirm

No test failed when a stalled session wasn't ended, or when confirmations counted as of the moment at which they were made.

--- a/tests/dispatch/licenses.rs
+++ b/tests/dispatch/licenses.rs
@@ -336,3 +336,65 @@
         world.check_no_overlaps();
     }
 }
+
+/// The messages of an entry are stalled for long. Runs of another entry on the same endpoints share their leases, and would lapse with the
+/// license of the first one's if its session didn't end in time to stop these.
+#[test]
+fn stalled_entry_lets_no_run_of_another_lapse() {
+    for seed in 0..6 {
+        let (mut world, entry, owner, _) = four_instances(seed);
+        // Two runs on each endpoint, one of each job.
+        let job = |cpu| (4, cpu, Span::millis(4_000));
+        world.submit_at(Span(0), entry, job(2_500), PATIENT);
+        world.submit_at(Span::millis(50), owner, job(1_400), PATIENT);
+        world.run(Span::millis(100));
+        assert_eq!(world.runs(JobId(2)).len(), 4, "not all tasks have started");
+        world.stall_at(Span(0), entry, owner, Span::seconds(3));
+        // Gives the entry a message to send, which then waits.
+        world.submit_at(Span::millis(5), entry, (1, 100, Span::millis(300)), PATIENT);
+        world.run(Span::seconds(6));
+        let runs = world.runs(JobId(2)).len();
+        assert_eq!(runs, 4, "seed {seed}: runs have lapsed");
+        world.check_no_overlaps();
+    }
+}
+
+/// An instance that is the entry of a job and the owner of its rack is suspended for 440 ms when the job's caller breaks off, and the stops
+/// are lost. A poll that goes out before the break is read must not extend the runs beyond the license as of the suspension.
+#[test]
+fn suspended_entry_extends_no_run_on_its_own_rack() {
+    for seed in 0..6 {
+        let (mut world, _, owner, _) = four_instances(seed);
+        world.set_read_lag(Span::millis(5));
+        world.submit_at(Span(0), owner, (4, 900, Span::millis(2_500)), PATIENT);
+        world.run(Span::millis(100));
+        assert_eq!(world.runs(JOB).len(), 4, "not all tasks have started");
+        lose_stops(&mut world);
+        world.suspend_at(Span::millis(50), owner, Span::millis(440));
+        world.break_caller_at(Span::millis(51), JOB);
+        world.run(Span::seconds(4));
+        assert!(world.runs(JOB).len() > 4, "not started again");
+        world.finish_and_check();
+        world.check_no_overlaps();
+    }
+}
+
+/// An entry is suspended for 440 ms when the caller of a job breaks off, and its messages are stalled. The heartbeat that goes out before the
+/// break is read must not confirm the job's batch as of the resume.
+#[test]
+fn suspended_entry_confirms_nothing_as_of_its_resume() {
+    for seed in 0..6 {
+        let (mut world, entry, owner, _) = four_instances(seed);
+        world.set_read_lag(Span::millis(5));
+        world.submit_at(Span(0), entry, (4, 900, Span::millis(2_500)), PATIENT);
+        world.run(Span::millis(100));
+        assert_eq!(world.runs(JOB).len(), 4, "not all tasks have started");
+        world.stall_at(Span::millis(40), entry, owner, Span::seconds(4));
+        world.suspend_at(Span::millis(50), entry, Span::millis(440));
+        world.break_caller_at(Span::millis(51), JOB);
+        world.run(Span::seconds(4));
+        assert!(world.runs(JOB).len() > 4, "not started again");
+        world.finish_and_check();
+        world.check_no_overlaps();
+    }
+}
