Repeated envelopes are logged, and how long ago a lost entry had confirmed

New line messages_repeated; member_lost, session_stalled and batch_cancelled have confirmed_ms. A confirmation that is much more recent than the entry's last message that arrived tells a wrong count from a late stop. No decision changes.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -898,7 +898,8 @@
             let name = member.contact.name.clone();
             let record = LogRecord::new("member_lost").with("member", name.as_str());
             let heard = member.last_heard.unwrap_or(now);
-            out.log(record.with("silent_ms", now.since(heard)));
+            let record = record.with("silent_ms", now.since(heard));
+            self.log_confirmed(record, &name, now, out);
             let claims = member.status.as_ref();
             let claims = claims.map_or_else(Vec::new, |status| status.racks.clone());
             self.end_session(member, now, out);
@@ -906,12 +907,21 @@
             self.coordinator.require_lock_checks(now);
         }
         for member in self.members.reset_stalled(self.settled_at) {
-            let record = LogRecord::new("session_stalled");
-            out.log(record.with("member", member.contact.name.as_str()));
+            let name = &member.contact.name;
+            let record = LogRecord::new("session_stalled").with("member", name.as_str());
+            self.log_confirmed(record, name, now, out);
             self.end_session(member, now, out);
         }
     }
 
+    /// Logs a record about a member with the time since it last confirmed its batches, if it has in the session.
+    fn log_confirmed(&self, record: LogRecord, name: &Instance, now: Time, out: &mut Effects) {
+        out.log(match self.owner.confirmation_age(name, now) {
+            Some(age) => record.with("confirmed_ms", age),
+            None => record,
+        });
+    }
+
     /// Begins a new session with a member and drops what belongs to the last one.
     fn end_session(&mut self, member: Member, now: Time, out: &mut Effects) {
         let name = member.contact.name.clone();
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -603,7 +603,11 @@
         let started = self.drop_assignment(handle, out);
         let record = LogRecord::routine("batch_cancelled").job(job);
         let record = record.with("batch", serial);
-        out.log(record.with("entry", entry.name.as_str()));
+        let record = record.with("entry", entry.name.as_str());
+        out.log(match self.confirmation_age(&entry.name, now) {
+            Some(age) => record.with("confirmed_ms", age),
+            None => record,
+        });
         let message = Message::Report {
             serial,
             outcome: Outcome::Dropped,
--- a/src/dispatch/owner/licensing.rs
+++ b/src/dispatch/owner/licensing.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Returns the time since an entry last confirmed its batches, or `None` if it hasn't in this session.
+    pub fn confirmation_age(&self, entry: &Instance, now: Time) -> Option<Span> {
+        let confirmation = self.confirmations.get(entry)?;
+        Some(now.since(confirmation.at))
+    }
+
     /// Records that the message with this number tells an entry that a batch has moved here. Confirmations that the entry sent
     /// before it handled that message say nothing about the batch: its cancellation may be on its way to the former owner.
     pub fn on_move_announced(&mut self, entry: &Instance, serial: u64, message: u64) {
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -413,7 +413,12 @@
         let mut inbox = self.hub.peers.inbox.borrow_mut();
         let duplicate = inbox.check_duplicate(&envelope.sender, envelope.serial);
         drop(inbox);
-        if !duplicate {
+        if duplicate {
+            let record = LogRecord::new("messages_repeated");
+            let record = record.with("member", envelope.sender.contact.name.as_str());
+            let record = record.with("session", envelope.sender.session);
+            self.hub.log(&record.with("envelope", envelope.serial));
+        } else {
             self.hub.handle(Input::Received {
                 from: envelope.sender,
                 messages: envelope.messages,
