review: two cases found by reading the source

Case 1: one job whose record is larger than a row of the store stops its shard of stored jobs. Case 2: an outage of the store leaves workers with more ends than one list holds; their tasks run again and again, and jobs stand still for seconds afterwards.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,311 @@
+//! Plays a case against instances of poplarknot: stand-ins of the platform, of workers and of clients in one process, the instances
+//! as processes of their own.
+//!
+//! Usage: standin CASE FOLDER, in the root of the repository after its build. TROUBLE=0 leaves the disruption out. Writes
+//! FOLDER/record.txt. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod fleet;
+mod http;
+mod json;
+mod large_job;
+mod lost;
+mod outage;
+mod record;
+mod store;
+mod worker;
+
+use std::{
+    collections::HashMap,
+    env, fs,
+    path::{Path, PathBuf},
+    process,
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use self::{
+    fleet::{Fleet, ZONES},
+    json::{quote, Json},
+    record::Record,
+    store::Store,
+    worker::{Kind, Worker},
+};
+
+pub const HOST: &str = "nony24.example";
+pub const PREFIX: &str = "/lohu930/";
+const SERVICE: &str = "huvo11a";
+
+/// How long a client waits for an answer, in the configuration and in its requests.
+pub const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// The longest play.
+const LIMIT: Duration = Duration::from_secs(112);
+
+/// A step of a job, as its client sends it, and how long its tasks really take.
+#[derive(Clone, Default)]
+pub struct Step {
+    pub count: u32,
+    pub cpu: u64,
+    pub mem_mb: u64,
+    pub estimated_ms: u64,
+    pub work_ms: u64,
+    pub after: Vec<usize>,
+    pub affinity: String,
+}
+
+/// A job that a client sends.
+#[derive(Clone)]
+pub struct Job {
+    pub id: String,
+    pub spec: String,
+    pub steps: Vec<Step>,
+}
+
+impl Job {
+    pub fn body(&self) -> String {
+        let step = |step: &Step| {
+            let Step {
+                count,
+                cpu,
+                mem_mb,
+                estimated_ms,
+                ..
+            } = step;
+            let mut text =
+                format!("{{\"count\":{count},\"cpu\":{cpu},\"mem_mb\":{mem_mb},\"estimated_ms\":{estimated_ms}");
+            if !step.affinity.is_empty() {
+                text += &format!(",\"affinity\":{}", quote(&step.affinity));
+            }
+            if !step.after.is_empty() {
+                let after: Vec<String> = step.after.iter().map(usize::to_string).collect();
+                text += &format!(",\"after\":[{}]", after.join(","));
+            }
+            text + "}"
+        };
+        let steps: Vec<String> = self.steps.iter().map(step).collect();
+        format!(
+            "{{\"spec\":{},\"steps\":[{}]}}",
+            quote(&self.spec),
+            steps.join(",")
+        )
+    }
+}
+
+/// A small deployment that runs.
+pub struct Play {
+    pub record: Record,
+    pub trouble: bool,
+    pub store: Arc<Store>,
+    pub workers: Vec<Arc<Worker>>,
+    pub fleet: Fleet,
+    /// The jobs that clients have sent, by their ids.
+    jobs: Arc<Mutex<HashMap<String, Job>>>,
+    plan: worker::Plan,
+}
+
+impl Play {
+    /// Starts the store, the workers and the instances. `workers` are the processors of each worker, in thousandths of a core.
+    fn start(
+        record: &Record,
+        folder: &Path,
+        target_ms: u64,
+        workers: &[u64],
+    ) -> Result<Self, String> {
+        let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+        let ips = fleet::addresses(4);
+        let store = Store::start(&ips[0], record);
+        let (host, prefix) = (quote(HOST), quote(PREFIX));
+        let timeout = PATIENCE.as_millis();
+        store.put(
+            "op",
+            "config",
+            &format!(
+                "{{\"version\":7,\"routes\":[{{\"name\":\"r-3hwrr6x\",\"hostname\":{host},\"prefix\":{prefix},\
+                 \"type\":\"non_idempotent\",\"timeout_ms\":{timeout},\"target_duration_ms\":{target_ms},\"priority\":0,\
+                 \"service\":\"{SERVICE}\",\"max_attempts\":4,\"stretch\":1.6}}],\
+                 \"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/health\",\"max_connections\":64,\
+                 \"protocol\":\"h1\",\"tls\":false,\"admission_check\":true,\"spare\":false}}],\
+                 \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\
+                 \"idle_timeout_ms\":15000}}}}"
+            ),
+        );
+        let jobs: Arc<Mutex<HashMap<String, Job>>> = Arc::default();
+        let sent = jobs.clone();
+        let plan = move |task: &str| {
+            let mut parts = task.split('.');
+            let (job, occurrence, step, index) =
+                (parts.next()?, parts.next()?, parts.next()?, parts.next()?);
+            let jobs = sent.lock().unwrap();
+            let step = jobs.get(job)?.steps.get(step.parse::<usize>().ok()?)?;
+            let known = occurrence == "0" && index.parse::<u32>().ok()? < step.count;
+            known.then_some((step.cpu, step.mem_mb, step.work_ms))
+        };
+        let plan: worker::Plan = Arc::new(plan);
+        let workers = workers.iter().enumerate().map(|(n, cpu)| {
+            let kind = Kind {
+                service: SERVICE,
+                zone: ZONES[n % ZONES.len()].to_owned(),
+                rack: format!("r{}-1", n % ZONES.len() + 1),
+                cpu: *cpu,
+                mem_mb: 131_072,
+            };
+            Worker::start(
+                &ips[0],
+                &format!("i-7f3a91c{n}"),
+                kind,
+                plan.clone(),
+                &store,
+                record,
+            )
+        });
+        let workers = workers.collect();
+        let fleet = Fleet::start(&ips[1..], store.address, folder, record)?;
+        Ok(Self {
+            record: record.clone(),
+            trouble,
+            store,
+            workers,
+            fleet,
+            jobs,
+            plan,
+        })
+    }
+
+    /// Sends a job to an instance; returns the status of the answer.
+    pub fn submit(&self, job: &Job, instance: usize) -> Option<u16> {
+        self.jobs
+            .lock()
+            .unwrap()
+            .insert(job.id.clone(), job.clone());
+        let instance = &self.fleet.instances[instance % self.fleet.instances.len()];
+        let path = format!("{PREFIX}{}", job.id);
+        let answer = http::call(instance.front, "POST", HOST, &path, &job.body(), PATIENCE);
+        let status = answer.map(|(status, _)| status);
+        self.record.add(format!(
+            "POST {} at {}: {}",
+            job.id,
+            instance.name,
+            show(status)
+        ));
+        status
+    }
+
+    /// Asks an instance for a job's state; returns the status, and the state or nothing.
+    pub fn state(&self, id: &str, instance: usize) -> Option<(u16, String)> {
+        let instance = &self.fleet.instances[instance % self.fleet.instances.len()];
+        let answer = http::call(
+            instance.front,
+            "GET",
+            HOST,
+            &format!("{PREFIX}{id}"),
+            "",
+            PATIENCE,
+        );
+        let state = answer.map(|(status, body)| {
+            let state = Json::parse(&body)
+                .map_or(String::new(), |body| body.get("state").text().to_owned());
+            (status, state)
+        });
+        let status = state.as_ref().map(|(status, _)| *status);
+        let text = state.as_ref().map_or("", |(_, state)| state.as_str());
+        self.record.add(format!(
+            "GET {id} at {}: {} {text}",
+            instance.name,
+            show(status)
+        ));
+        state
+    }
+
+    /// Returns the thousandths of a core that a task takes.
+    pub fn room(&self, task: &str) -> u64 {
+        (self.plan)(task).map_or(0, |(cpu, ..)| cpu)
+    }
+
+    /// Returns all runs so far, the earliest first.
+    pub fn runs(&self) -> Vec<worker::Run> {
+        let mut runs: Vec<worker::Run> = self
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runs())
+            .collect();
+        runs.sort_by_key(|run| run.began);
+        runs
+    }
+
+    /// Adds all runs to the record, and the instances that have ended by themselves.
+    fn record_end(&self) {
+        for run in self.runs() {
+            let end = run.end.map_or("still runs".to_owned(), |(at, how)| {
+                format!("{how} at {at}")
+            });
+            let noted = run.noted.map_or("not taken note of".to_owned(), |at| {
+                format!("taken note of at {at}")
+            });
+            self.record.add(format!(
+                "run {} of {} on {}: began at {}, {end}, {noted}",
+                run.run, run.task, run.worker, run.began
+            ));
+        }
+        for instance in &self.fleet.instances {
+            if let Some(how) = instance.ended() {
+                self.record
+                    .say(format!("{} has ended by itself: {how}", instance.name));
+            }
+        }
+    }
+}
+
+fn show(status: Option<u16>) -> String {
+    status.map_or("no answer".to_owned(), |status| status.to_string())
+}
+
+fn main() {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE FOLDER");
+        process::exit(2);
+    };
+    let record = Record::new();
+    let temporary = env::temp_dir().join(format!("poplarknot-review-{}", process::id()));
+    let result = run(case, &temporary, &record);
+    let code = match &result {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(_) => 2,
+    };
+    record.say(match &result {
+        Ok(true) => "the rule held".to_owned(),
+        Ok(false) => "the rule was broken".to_owned(),
+        Err(error) => format!("the case couldn't run: {error}"),
+    });
+    if let Err(error) = record.write(&PathBuf::from(folder).join("record.txt")) {
+        eprintln!("record.txt: {error}");
+    }
+    match env::var_os("KEEP_LOGS") {
+        Some(_) => println!("logs: {}", temporary.display()),
+        None => drop(fs::remove_dir_all(&temporary)),
+    }
+    process::exit(code);
+}
+
+/// Runs a case in a temporary folder. Returns whether the rule held.
+fn run(case: &str, temporary: &Path, record: &Record) -> Result<bool, String> {
+    type Case = fn(&Play) -> Result<bool, String>;
+    let (target_ms, workers, case): (u64, Vec<u64>, Case) = match case {
+        "outage" => (5_000, vec![64_000; 3], outage::play),
+        "large-job" => (60, vec![64_000; 6], large_job::play),
+        other => return Err(format!("no case {other}")),
+    };
+    fs::create_dir_all(temporary).map_err(|error| error.to_string())?;
+    let play = Arc::new(Play::start(record, temporary, target_ms, &workers)?);
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let played = play.clone();
+    thread::spawn(move || sender.send(case(&played)).ok());
+    let result = receiver
+        .recv_timeout(LIMIT)
+        .unwrap_or_else(|_| Err("it took too long".to_owned()));
+    play.record_end();
+    play.fleet.kill();
+    result
+}
--- /dev/null
+++ b/review/standin/worker.rs
@@ -0,0 +1,383 @@
+//! Workers: they run tasks that sleep, under leases and fencing numbers, and note what a check needs.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Condvar, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http::{self, Reply, Request},
+    json::{quote, Json},
+    record::Record,
+    store::Store,
+};
+
+/// The longest lease, and the time that a stop takes.
+const MAX_HOLD_MS: u64 = 1_000;
+const STOP_MS: u64 = 20;
+/// The most ends in one answer.
+const MAX_ENDS: usize = 500;
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// A run that a worker began.
+#[derive(Clone)]
+pub struct Run {
+    pub worker: String,
+    pub task: String,
+    pub run: u64,
+    pub began: u64,
+    /// How and when it ended.
+    pub end: Option<(u64, &'static str)>,
+    /// When its end was taken note of, if no lease lapsed in between.
+    pub noted: Option<u64>,
+}
+
+/// A kind of worker.
+#[derive(Clone)]
+pub struct Kind {
+    pub service: &'static str,
+    pub zone: String,
+    pub rack: String,
+    pub cpu: u64,
+    pub mem_mb: u64,
+}
+
+struct Active {
+    index: usize,
+    run: u64,
+    cpu: u64,
+    mem_mb: u64,
+    ends: u64,
+    work: u64,
+    stopping: bool,
+}
+
+#[derive(Default)]
+struct State {
+    fence: u64,
+    lease: u64,
+    /// The number of times that a lease has lapsed.
+    lapses: u64,
+    lapsed: bool,
+    active: BTreeMap<String, Active>,
+    /// The highest run of each task that was stopped or has ended here.
+    barred: HashMap<String, u64>,
+    /// Ends that are still listed: number, run, and the lapses before it.
+    ends: BTreeMap<u64, (usize, u64)>,
+    last_end: u64,
+    runs: Vec<Run>,
+}
+
+pub struct Worker {
+    pub id: String,
+    pub address: SocketAddr,
+    kind: Kind,
+    state: Mutex<State>,
+    changed: Condvar,
+    record: Record,
+    /// Gives the room and the work in milliseconds of a task, by the job's id, the step and the index.
+    plan: Plan,
+}
+
+/// What a task needs: thousandths of a core, megabytes and milliseconds.
+pub type Plan = Arc<dyn Fn(&str) -> Option<(u64, u64, u64)> + Send + Sync>;
+
+impl Worker {
+    /// Starts a worker on a free port and registers it in the store.
+    pub fn start(
+        ip: &str,
+        id: &str,
+        kind: Kind,
+        plan: Plan,
+        store: &Arc<Store>,
+        record: &Record,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind((ip, 0)).expect("an address for a worker");
+        let worker = Arc::new(Self {
+            id: id.to_owned(),
+            address: listener
+                .local_addr()
+                .expect("a bound socket has an address"),
+            kind,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            record: record.clone(),
+            plan,
+        });
+        let served = worker.clone();
+        http::serve(listener, move |request| served.handle(&request));
+        let timed = worker.clone();
+        thread::spawn(move || loop {
+            thread::sleep(Duration::from_millis(1));
+            timed.pass_time();
+        });
+        let (registered, store) = (worker.clone(), store.clone());
+        thread::spawn(move || {
+            for sequence in 1.. {
+                let row = registered.row(sequence);
+                store.put("servers", &registered.id, &row);
+                thread::sleep(HEARTBEAT);
+            }
+        });
+        worker
+    }
+
+    /// Returns the runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Returns the number of ends that are listed now.
+    pub fn listed_ends(&self) -> usize {
+        self.lock().ends.len()
+    }
+
+    /// Returns its thousandths of a core.
+    pub fn capacity(&self) -> u64 {
+        self.kind.cpu
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    fn row(&self, sequence: u64) -> String {
+        let Kind {
+            service,
+            zone,
+            rack,
+            cpu,
+            mem_mb,
+        } = &self.kind;
+        format!(
+            "{{\"service\":{},\"address\":{},\"zone\":{},\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\
+             \"cold_remaining_ms\":0,\"sequence\":{sequence},\"capacity\":{{\"cpu\":{cpu},\"mem_mb\":{mem_mb},\"gpu\":0}},\
+             \"labels\":[\"a\",{}]}}",
+            quote(service),
+            quote(&self.address.to_string()),
+            quote(zone),
+            quote(rack)
+        )
+    }
+
+    /// Ends the runs that are due, and all of them once the lease has expired.
+    fn pass_time(&self) {
+        let now = self.record.now();
+        let mut state = self.lock();
+        let lapsed = state.lease > 0 && now > state.lease;
+        if lapsed && !state.lapsed {
+            state.lapses += 1;
+        }
+        state.lapsed = lapsed;
+        let is_due = |run: &Active| lapsed || run.ends <= now;
+        let due = state.active.iter().filter(|(_, run)| is_due(run));
+        let due: Vec<String> = due.map(|(task, _)| task.clone()).collect();
+        for task in due {
+            let Some(run) = state.active.remove(&task) else {
+                continue;
+            };
+            let how = match (run.ends <= now, run.stopping) {
+                (true, true) => "stopped",
+                (true, false) => "done",
+                _ => "lapsed",
+            };
+            state.last_end += 1;
+            let (number, lapses) = (state.last_end, state.lapses);
+            state.ends.insert(number, (run.index, lapses));
+            state.runs[run.index].end = Some((now, how));
+            let barred = state.barred.entry(task).or_insert(0);
+            *barred = run.run.max(*barred);
+            self.changed.notify_all();
+        }
+    }
+
+    fn handle(&self, request: &Request) -> Reply {
+        if request.expected.as_ref().is_some_and(|id| *id != self.id) {
+            return (421, "{}".to_owned());
+        }
+        let Some(body) = Json::parse(&request.body) else {
+            return (400, "{}".to_owned());
+        };
+        match request.path.as_str() {
+            "/api/run-start" => self.on_start(&body),
+            "/api/run-stop" => self.on_stop(&body),
+            "/api/hold" => self.on_hold(&body),
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn refuse(&self, reason: &str) -> Reply {
+        let clock = self.record.now();
+        (
+            409,
+            format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"),
+        )
+    }
+
+    fn agree(&self) -> Reply {
+        (200, format!("{{\"clock_ms\":{}}}", self.record.now()))
+    }
+
+    fn on_start(&self, body: &Json) -> Reply {
+        self.pass_time();
+        let (task, run) = (body.get("task").text(), body.get("run").number());
+        let Some((cpu, mem_mb, work)) = (self.plan)(task) else {
+            self.record.add(format!(
+                "{} is told to start {task}, which nobody sent",
+                self.id
+            ));
+            return (400, "{}".to_owned());
+        };
+        let now = self.record.now();
+        let mut state = self.lock();
+        if !state.accept_fence(body) {
+            return self.refuse("fence");
+        }
+        let deadline = body.get("deadline_ms").number();
+        if deadline <= now {
+            return self.refuse("late");
+        }
+        state.extend_lease(deadline, now);
+        if state
+            .active
+            .get(task)
+            .is_some_and(|active| active.run == run)
+        {
+            return self.agree();
+        }
+        let barred = state.barred.get(task).copied().unwrap_or(0);
+        if run <= barred || state.active.contains_key(task) {
+            return self.refuse("old");
+        }
+        let used = |need: fn(&Active) -> u64| state.active.values().map(need).sum::<u64>();
+        if used(|run| run.cpu) + cpu > self.kind.cpu
+            || used(|run| run.mem_mb) + mem_mb > self.kind.mem_mb
+        {
+            return self.refuse("room");
+        }
+        let index = state.runs.len();
+        state.runs.push(Run {
+            worker: self.id.clone(),
+            task: task.to_owned(),
+            run,
+            began: now,
+            end: None,
+            noted: None,
+        });
+        let (ends, stopping) = (now + work, false);
+        state.active.insert(
+            task.to_owned(),
+            Active {
+                index,
+                run,
+                cpu,
+                mem_mb,
+                ends,
+                work,
+                stopping,
+            },
+        );
+        self.agree()
+    }
+
+    fn on_stop(&self, body: &Json) -> Reply {
+        self.pass_time();
+        let (task, run) = (body.get("task").text(), body.get("run").number());
+        let now = self.record.now();
+        let mut state = self.lock();
+        if !state.accept_fence(body) {
+            return self.refuse("fence");
+        }
+        if let Some(active) = state
+            .active
+            .get_mut(task)
+            .filter(|active| active.run == run)
+        {
+            if !active.stopping {
+                active.stopping = true;
+                active.ends = active.ends.min(now + STOP_MS);
+            }
+        }
+        let barred = state.barred.entry(task.to_owned()).or_insert(0);
+        *barred = run.max(*barred);
+        self.agree()
+    }
+
+    fn on_hold(&self, body: &Json) -> Reply {
+        self.pass_time();
+        let now = self.record.now();
+        let mut state = self.lock();
+        if !state.accept_fence(body) {
+            return self.refuse("fence");
+        }
+        // Nobody's end is forgotten by a number that was never given.
+        let seen = body.get("last_seen").number().min(state.last_end);
+        let kept = state.ends.split_off(&(seen + 1));
+        for (_, (index, lapses)) in std::mem::replace(&mut state.ends, kept) {
+            if lapses == state.lapses {
+                state.runs[index].noted = Some(now);
+            }
+        }
+        state.extend_lease(body.get("deadline_ms").number(), now);
+        let until = Instant::now() + Duration::from_millis(body.get("wait_ms").number().min(2_000));
+        while state.ends.is_empty() {
+            let remaining = until.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                break;
+            }
+            state = self.changed.wait_timeout(state, remaining).unwrap().0;
+        }
+        let now = self.record.now();
+        let percent = |run: &Active| match run.stopping {
+            true => 100,
+            false => 100 - (run.ends.saturating_sub(now) * 100 / run.work.max(1)).min(100),
+        };
+        let running = state.active.iter().map(|(task, run)| {
+            format!(
+                "[{},{},\"\",{},{}]",
+                quote(task),
+                run.run,
+                percent(run),
+                run.cpu
+            )
+        });
+        let running: Vec<String> = running.collect();
+        let finished = state
+            .ends
+            .iter()
+            .take(MAX_ENDS)
+            .map(|(number, (index, _))| {
+                let run = &state.runs[*index];
+                let how = run.end.map_or("", |(_, how)| how);
+                format!("[{number},{},{},\"{how}\",\"\"]", quote(&run.task), run.run)
+            });
+        let finished: Vec<String> = finished.collect();
+        (
+            200,
+            format!(
+                "{{\"clock_ms\":{now},\"running\":[{}],\"finished\":[{}]}}",
+                running.join(","),
+                finished.join(",")
+            ),
+        )
+    }
+}
+
+impl State {
+    /// Returns whether a call's fencing number isn't lower than the highest so far.
+    fn accept_fence(&mut self, body: &Json) -> bool {
+        let fence = body.get("fencing_token").number();
+        if fence < self.fence {
+            return false;
+        }
+        self.fence = fence;
+        true
+    }
+
+    fn extend_lease(&mut self, deadline: u64, now: u64) {
+        self.lease = self.lease.max(deadline.min(now + MAX_HOLD_MS));
+    }
+}
