--- a/review/standin/large_job.rs
+++ b/review/standin/large_job.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{lost, Job, Play, Step};
+use crate::{lost, rack, Job, Play, Step};
 
 /// The small jobs: a few clients that send one each `PAUSE`.
 const CLIENTS: u64 = 8;
@@ -113,7 +113,7 @@
         mem_mb: 256,
         estimated_ms: 300,
         work_ms: 300,
-        affinity: format!("r{}-1", n % 3 + 1),
+        affinity: rack(n % 6),
         after: match n / WIDTH {
             0 => Vec::new(),
             stage => ((stage - 1) * WIDTH..stage * WIDTH).collect(),
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod large_job;
 mod lost;
 mod outage;
+mod pending;
 mod record;
 mod store;
 mod worker;
@@ -92,6 +93,20 @@
     }
 }
 
+/// What is started.
+struct Deployment {
+    instances: usize,
+    /// Workers of 64 cores and 128 GB, each on a rack of its own.
+    workers: usize,
+    /// `target_duration_ms` of the queue.
+    target_ms: u64,
+}
+
+/// Returns the rack of a worker.
+pub fn rack(worker: usize) -> String {
+    format!("r{}-{}", worker % ZONES.len() + 1, worker / ZONES.len() + 1)
+}
+
 /// A small deployment that runs.
 pub struct Play {
     pub record: Record,
@@ -105,15 +120,15 @@
 }
 
 impl Play {
-    /// Starts the store, the workers and the instances. `workers` are the processors of each worker, in thousandths of a core.
-    fn start(
-        record: &Record,
-        folder: &Path,
-        target_ms: u64,
-        workers: &[u64],
-    ) -> Result<Self, String> {
+    /// Starts the store, the workers and the instances.
+    fn start(record: &Record, folder: &Path, deployment: &Deployment) -> Result<Self, String> {
+        let Deployment {
+            instances,
+            workers,
+            target_ms,
+        } = deployment;
         let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-        let ips = fleet::addresses(4);
+        let ips = fleet::addresses(1 + instances);
         let store = Store::start(&ips[0], record);
         let (host, prefix) = (quote(HOST), quote(PREFIX));
         let timeout = PATIENCE.as_millis();
@@ -142,12 +157,12 @@
             known.then_some((step.cpu, step.mem_mb, step.work_ms))
         };
         let plan: worker::Plan = Arc::new(plan);
-        let workers = workers.iter().enumerate().map(|(n, cpu)| {
+        let workers = (0..*workers).map(|n| {
             let kind = Kind {
                 service: SERVICE,
                 zone: ZONES[n % ZONES.len()].to_owned(),
-                rack: format!("r{}-1", n % ZONES.len() + 1),
-                cpu: *cpu,
+                rack: rack(n),
+                cpu: 64_000,
                 mem_mb: 131_072,
             };
             Worker::start(
@@ -217,6 +232,14 @@
         state
     }
 
+    /// Asks an instance for the number of the queue's jobs of which no task has started.
+    pub fn pending(&self, instance: usize) -> Option<u64> {
+        let instance = &self.fleet.instances[instance % self.fleet.instances.len()];
+        let answer = http::call(instance.front, "GET", HOST, PREFIX, "", PATIENCE);
+        let body = answer.filter(|(status, _)| *status == 200)?.1;
+        Some(Json::parse(&body)?.get("pending").number())
+    }
+
     /// Returns the thousandths of a core that a task takes.
     pub fn room(&self, task: &str) -> u64 {
         (self.plan)(task).map_or(0, |(cpu, ..)| cpu)
@@ -292,13 +315,19 @@
 /// Runs a case in a temporary folder. Returns whether the rule held.
 fn run(case: &str, temporary: &Path, record: &Record) -> Result<bool, String> {
     type Case = fn(&Play) -> Result<bool, String>;
-    let (target_ms, workers, case): (u64, Vec<u64>, Case) = match case {
-        "outage" => (5_000, vec![64_000; 3], outage::play),
-        "large-job" => (60, vec![64_000; 6], large_job::play),
+    let deployment = |instances, workers, target_ms| Deployment {
+        instances,
+        workers,
+        target_ms,
+    };
+    let (deployment, case): (Deployment, Case) = match case {
+        "large-job" => (deployment(3, 6, 60), large_job::play),
+        "outage" => (deployment(3, 3, 5_000), outage::play),
+        "pending" => (deployment(6, 6, 15_000), pending::play),
         other => return Err(format!("no case {other}")),
     };
     fs::create_dir_all(temporary).map_err(|error| error.to_string())?;
-    let play = Arc::new(Play::start(record, temporary, target_ms, &workers)?);
+    let play = Arc::new(Play::start(record, temporary, &deployment)?);
     let (sender, receiver) = std::sync::mpsc::channel();
     let played = play.clone();
     thread::spawn(move || sender.send(case(&played)).ok());
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use crate::{
@@ -75,6 +75,8 @@
     pub id: String,
     pub address: SocketAddr,
     kind: Kind,
+    /// The Unix millisecond of its start.
+    born: u128,
     state: Mutex<State>,
     changed: Condvar,
     record: Record,
@@ -102,6 +104,9 @@
                 .local_addr()
                 .expect("a bound socket has an address"),
             kind,
+            born: SystemTime::UNIX_EPOCH
+                .elapsed()
+                .map_or(0, |since| since.as_millis()),
             state: Mutex::default(),
             changed: Condvar::new(),
             record: record.clone(),
@@ -154,11 +159,12 @@
         } = &self.kind;
         format!(
             "{{\"service\":{},\"address\":{},\"zone\":{},\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\
-             \"cold_remaining_ms\":0,\"sequence\":{sequence},\"capacity\":{{\"cpu\":{cpu},\"mem_mb\":{mem_mb},\"gpu\":0}},\
+             \"cold_remaining_ms\":0,\"born\":{},\"sequence\":{sequence},\"capacity\":{{\"cpu\":{cpu},\"mem_mb\":{mem_mb},\"gpu\":0}},\
              \"labels\":[\"a\",{}]}}",
             quote(service),
             quote(&self.address.to_string()),
             quote(zone),
+            self.born,
             quote(rack)
         )
     }
@@ -358,7 +364,8 @@
         (
             200,
             format!(
-                "{{\"clock_ms\":{now},\"running\":[{}],\"finished\":[{}]}}",
+                "{{\"clock_ms\":{now},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
+                self.born,
                 running.join(","),
                 finished.join(",")
             ),
