review: tasks that are done start again during an outage of the store

The clients cancel the stored jobs, so that the workers' ends are taken note of while their leases last.

--- a/review/standin/large_job.rs
+++ b/review/standin/large_job.rs
@@ -103,6 +103,7 @@
         id,
         spec: "(text)".to_owned(),
         steps: steps.collect(),
+        best_effort: false,
     }
 }
 
@@ -124,5 +125,6 @@
         id: "5c0e7a21d94b36f8".to_owned(),
         spec: "x".repeat(4_000),
         steps,
+        best_effort: false,
     }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -61,6 +61,7 @@
     pub id: String,
     pub spec: String,
     pub steps: Vec<Step>,
+    pub best_effort: bool,
 }
 
 impl Job {
@@ -85,8 +86,12 @@
             text + "}"
         };
         let steps: Vec<String> = self.steps.iter().map(step).collect();
+        let best_effort = match self.best_effort {
+            true => ",\"best_effort\":true",
+            false => "",
+        };
         format!(
-            "{{\"spec\":{},\"steps\":[{}]}}",
+            "{{\"spec\":{},\"steps\":[{}]{best_effort}}}",
             quote(&self.spec),
             steps.join(",")
         )
@@ -232,6 +237,20 @@
         state
     }
 
+    /// Cancels a job; returns whether that was acknowledged.
+    pub fn cancel(&self, id: &str, instance: usize) -> bool {
+        let instance = &self.fleet.instances[instance % self.fleet.instances.len()];
+        let path = format!("{PREFIX}{id}");
+        let answer = http::call(instance.front, "DELETE", HOST, &path, "", PATIENCE);
+        let status = answer.map(|(status, _)| status);
+        self.record.add(format!(
+            "DELETE {id} at {}: {}",
+            instance.name,
+            show(status)
+        ));
+        status.is_some_and(|status| status / 100 == 2 || status == 410)
+    }
+
     /// Asks an instance for the number of the queue's jobs of which no task has started.
     pub fn pending(&self, instance: usize) -> Option<u64> {
         let instance = &self.fleet.instances[instance % self.fleet.instances.len()];
@@ -240,6 +259,18 @@
         Some(Json::parse(&body)?.get("pending").number())
     }
 
+    /// Returns the number of jobs that clients have sent.
+    pub fn count_jobs(&self) -> usize {
+        self.jobs.lock().unwrap().len()
+    }
+
+    /// Returns whether a task belongs to a job that is to be stored.
+    pub fn is_stored(&self, task: &str) -> bool {
+        let jobs = self.jobs.lock().unwrap();
+        let job = task.split('.').next().and_then(|id| jobs.get(id));
+        job.is_some_and(|job| !job.best_effort)
+    }
+
     /// Returns the thousandths of a core that a task takes.
     pub fn room(&self, task: &str) -> u64 {
         (self.plan)(task).map_or(0, |(cpu, ..)| cpu)
--- a/review/standin/pending.rs
+++ b/review/standin/pending.rs
@@ -108,5 +108,6 @@
         id,
         spec: "(text)".to_owned(),
         steps: vec![step],
+        best_effort: false,
     }
 }
