--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -119,7 +119,7 @@
 
 impl Instance {
     /// Starts the process.
-    pub fn start(&self) -> Result<(), String> {
+    fn start(&self) -> Result<(), String> {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
@@ -138,7 +138,7 @@
     }
 
     /// Kills the process, if it runs.
-    pub fn kill(&self) {
+    fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
             child.kill().ok();
             child.wait().ok();
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 servers with a thread for each connection, and a client that opens a connection for each request.
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
@@ -25,8 +25,8 @@
     }
 }
 
-/// The status and the body of a response.
-pub type Reply = (u16, String);
+/// The status and the body of a response; `None` if there is no response.
+pub type Reply = Option<(u16, String)>;
 
 /// Serves a listener; the handler is called in the thread of the connection.
 pub fn serve(listener: TcpListener, handle: impl Fn(Request) -> Reply + Send + Sync + 'static) {
@@ -65,7 +65,11 @@
             expected: header(&headers, "x-poplarknot-expected-instance"),
             body,
         };
-        let (status, body) = handle(request);
+        let Some((status, body)) = handle(request) else {
+            // Nothing more comes on this connection. It ends when its client closes it.
+            reader.read_to_end(&mut Vec::new()).ok();
+            break;
+        };
         let head = format!(
             "HTTP/1.1 {status} -\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
             body.len()
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -106,7 +106,7 @@
         {
             let mut state = self.lock();
             if state.down {
-                return (503, "{}".to_owned());
+                return Some((503, "{}".to_owned()));
             }
             let second = self.record.now() / 1_000;
             if state.second != second {
@@ -118,20 +118,20 @@
             };
             *count += 1;
             if *count > most {
-                return (429, "{}".to_owned());
+                return Some((429, "{}".to_owned()));
             }
         }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/api/rows-tx") => self.transact(&request.body),
             ("GET", "/api/rows-get") => self.read(request),
             ("GET", "/api/rows-feed") => self.feed(request),
-            _ => (404, "{}".to_owned()),
+            _ => Some((404, "{}".to_owned())),
         }
     }
 
     fn transact(&self, body: &str) -> Reply {
         let Some(call) = Json::parse(body) else {
-            return (400, "{}".to_owned());
+            return Some((400, "{}".to_owned()));
         };
         let key = |row: &Json| -> Key {
             let field = |name| row.get(name).text().to_owned();
@@ -152,11 +152,11 @@
                 "store refuses a transaction with 400: {entries} entries, {} bytes, longest value {longest} bytes",
                 body.len()
             ));
-            return (400, "{\"error\":\"too large\"}".to_owned());
+            return Some((400, "{\"error\":\"too large\"}".to_owned()));
         }
         let own = |row: &Json| matches!(row.get("table").text(), "op" | "servers");
         if sets.iter().chain(removals).any(own) {
-            return (403, "{}".to_owned());
+            return Some((403, "{}".to_owned()));
         }
         let part = expected.iter().chain(sets).chain(removals).next();
         let part = part.map_or(String::new(), |row| row.get("part").text().to_owned());
@@ -165,7 +165,7 @@
             let mut state = self.lock();
             let busy = state.busy.entry(part).or_insert(now);
             if *busy > now + Duration::from_secs(1) {
-                return (429, "{}".to_owned());
+                return Some((429, "{}".to_owned()));
             }
             let begin = (*busy).max(now);
             *busy = begin + Duration::from_micros(1_000_000 / PART_WRITES_PER_S);
@@ -174,7 +174,7 @@
         thread::sleep(done_at.saturating_duration_since(Instant::now()));
         let mut state = self.lock();
         if state.down {
-            return (503, "{}".to_owned());
+            return Some((503, "{}".to_owned()));
         }
         let version = |row: &Json| state.rows.get(&key(row)).map_or(0, |(_, version)| *version);
         if expected
@@ -192,7 +192,7 @@
                 state.version,
                 rows.join(",")
             );
-            return (412, body);
+            return Some((412, body));
         }
         state.version += 1;
         let at = state.version;
@@ -203,10 +203,8 @@
             state.set_at(key(row), None, at);
         }
         self.changed.notify_all();
-        (
-            200,
-            format!("{{\"ver\":{at},\"now_ms\":{}}}", self.record.now()),
-        )
+        let now = self.record.now();
+        Some((200, format!("{{\"ver\":{at},\"now_ms\":{now}}}")))
     }
 
     fn read(&self, request: &Request) -> Reply {
@@ -228,7 +226,7 @@
             }
             rows.push(format_row(key, Some(value), *version));
         }
-        (200, self.format_page(&state, &rows, more))
+        Some((200, self.format_page(&state, &rows, more)))
     }
 
     fn feed(&self, request: &Request) -> Reply {
@@ -238,7 +236,7 @@
         let mut state = self.lock();
         loop {
             if state.down {
-                return (503, "{}".to_owned());
+                return Some((503, "{}".to_owned()));
             }
             let changes = state
                 .history
@@ -253,7 +251,7 @@
                     .iter()
                     .map(|(version, key, value)| format_row(key, value.as_ref(), *version));
                 let rows: Vec<String> = rows.collect();
-                return (200, self.format_page(&state, &rows, false));
+                return Some((200, self.format_page(&state, &rows, false)));
             }
             state = self.changed.wait_timeout(state, remaining).unwrap().0;
         }
