--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,7 +8,7 @@
 }
 # The stand-in and its instances are a process group of their own, which ends with this script.
 set -m
-"$standin" outage review/2 &
+"$standin" cut review/2 &
 pid=$!
 trap 'kill -KILL -- -$pid 2>/dev/null' EXIT
 trap 'exit 2' INT TERM
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,12 +4,12 @@
 //! Usage: standin CASE FOLDER, in the root of the repository after its build. TROUBLE=0 leaves the disruption out. Writes
 //! FOLDER/record.txt. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod cut;
 mod fleet;
 mod http;
 mod json;
 mod large_job;
 mod lost;
-mod outage;
 mod record;
 mod restart;
 mod store;
@@ -346,7 +346,7 @@
     };
     let (deployment, case): (Deployment, Case) = match case {
         "large-job" => (deployment(3, 6, 60), large_job::play),
-        "outage" => (deployment(3, 3, 5_000), outage::play),
+        "cut" => (deployment(3, 6, 15_000), cut::play),
         "restart" => (deployment(3, 8, 1_000), restart::play),
         other => return Err(format!("no case {other}")),
     };
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -77,6 +77,8 @@
 struct State {
     /// The present life; `None` while the worker is down.
     life: Option<Life>,
+    /// Whether it is cut off: it runs on, but nothing reaches it.
+    cut: bool,
     fence: u64,
     lease: u64,
     /// The number of times that a lease has lapsed.
@@ -96,6 +98,7 @@
     fn new(life: Option<Life>, runs: Vec<Run>) -> Self {
         Self {
             life,
+            cut: false,
             fence: 0,
             lease: 0,
             lapses: 0,
@@ -164,6 +167,16 @@
         worker
     }
 
+    /// Cuts the worker off from all instances, or ends that. It runs on meanwhile.
+    pub fn set_cut(&self, cut: bool) {
+        self.lock().cut = cut;
+        self.changed.notify_all();
+        self.record.say(match cut {
+            true => format!("{} is cut off", self.id),
+            false => format!("{} is reached again", self.id),
+        });
+    }
+
     /// Lets the worker be down for a while, and start again under its id. It answers nothing that arrives meanwhile, and carries it
     /// out neither then nor later.
     pub fn restart(&self, down: Duration) {
@@ -256,6 +269,9 @@
     }
 
     fn handle(&self, request: &Request) -> Reply {
+        if self.lock().cut {
+            return None;
+        }
         self.lock().life?;
         if request.expected.as_ref().is_some_and(|id| *id != self.id) {
             return Some((421, "{}".to_owned()));
@@ -402,7 +418,7 @@
                 break;
             }
             state = self.changed.wait_timeout(state, remaining).unwrap().0;
-            if state.life != Some(life) {
+            if state.life != Some(life) || state.cut {
                 return None;
             }
         }
