review: connections of a worker end with its process

In the stand-in, connections that were open before a restart of a worker served its next life, which no sound worker does. They are closed now. The record has a line for each job and step, without dots in the names of tasks, and at most three runs of a task; it was over 1 MiB.

--- a/review/standin/cut.rs
+++ b/review/standin/cut.rs
@@ -2,7 +2,7 @@
 
 use std::{thread, time::Duration};
 
-use crate::{rack, Job, Play, Step};
+use crate::{rack, record::show_task, Job, Play, Step};
 
 /// Jobs whose tasks run when the worker is cut off, and jobs that wait for it. All have their data on its rack.
 const VICTIMS: u64 = 4;
@@ -64,7 +64,7 @@
                 starts += 1;
                 play.record.say(format!(
                     "TWICE: run {} of {} began at {}, and its job was shown as completed at {completed}",
-                    run.run, run.task, run.began
+                    run.run, show_task(&run.task), run.began
                 ));
             }
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 pub struct Request {
@@ -16,6 +16,8 @@
     /// The value of `X-Poplarknot-Expected-Instance`.
     pub expected: Option<String>,
     pub body: String,
+    /// When its connection was opened.
+    pub opened: Instant,
 }
 
 impl Request {
@@ -25,8 +27,16 @@
     }
 }
 
-/// The status and the body of a response; `None` if there is no response.
-pub type Reply = Option<(u16, String)>;
+/// The status and the body of a response, or why there is none.
+pub type Reply = Result<(u16, String), Lost>;
+
+/// Why a request gets no response.
+pub enum Lost {
+    /// Nothing comes any more, and the connection stays open.
+    Silent,
+    /// The connection belongs to a process that has ended, and is closed.
+    Closed,
+}
 
 /// Serves a listener; the handler is called in the thread of the connection.
 pub fn serve(listener: TcpListener, handle: impl Fn(Request) -> Reply + Send + Sync + 'static) {
@@ -47,6 +57,7 @@
     let Ok(reading) = stream.try_clone() else {
         return;
     };
+    let opened = Instant::now();
     let mut reader = BufReader::new(reading);
     while let Some((first, headers, body)) = read_message(&mut reader) {
         let mut words = first.split(' ');
@@ -64,11 +75,15 @@
             query: query.split('&').map(pair).collect(),
             expected: header(&headers, "x-poplarknot-expected-instance"),
             body,
+            opened,
         };
-        let Some((status, body)) = handle(request) else {
-            // Nothing more comes on this connection. It ends when its client closes it.
-            reader.read_to_end(&mut Vec::new()).ok();
-            break;
+        let (status, body) = match handle(request) {
+            Ok(response) => response,
+            Err(Lost::Closed) => break,
+            Err(Lost::Silent) => {
+                reader.read_to_end(&mut Vec::new()).ok();
+                break;
+            }
         };
         let head = format!(
             "HTTP/1.1 {status} -\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -17,7 +17,7 @@
 mod worker;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     env, fs,
     path::{Path, PathBuf},
     process,
@@ -29,7 +29,7 @@
 use self::{
     fleet::{Fleet, ZONES},
     json::{quote, Json},
-    record::Record,
+    record::{show_task, Record},
     store::Store,
     worker::{Kind, Worker},
 };
@@ -238,25 +238,6 @@
         state
     }
 
-    /// Cancels a job; returns whether that was acknowledged.
-    pub fn cancel(&self, id: &str, instance: usize) -> bool {
-        let instance = &self.fleet.instances[instance % self.fleet.instances.len()];
-        let path = format!("{PREFIX}{id}");
-        let answer = http::call(instance.front, "DELETE", HOST, &path, "", PATIENCE);
-        let status = answer.map(|(status, _)| status);
-        self.record.add(format!(
-            "DELETE {id} at {}: {}",
-            instance.name,
-            show(status)
-        ));
-        status.is_some_and(|status| status / 100 == 2 || status == 410)
-    }
-
-    /// Returns the number of jobs that clients have sent.
-    pub fn count_jobs(&self) -> usize {
-        self.jobs.lock().unwrap().len()
-    }
-
     /// Returns whether a task belongs to a job that is to be stored.
     pub fn is_stored(&self, task: &str) -> bool {
         let jobs = self.jobs.lock().unwrap();
@@ -280,19 +261,29 @@
         runs
     }
 
-    /// Adds all runs to the record, and the instances that have ended by themselves.
+    /// Adds all runs to the record, a line for each job and step, and the instances that have ended by themselves.
     fn record_end(&self) {
+        let mut steps: BTreeMap<String, BTreeMap<String, Vec<worker::Run>>> = BTreeMap::new();
         for run in self.runs() {
-            let end = run.end.map_or("still runs".to_owned(), |(at, how)| {
-                format!("{how} at {at}")
-            });
-            let noted = run.noted.map_or("not taken note of".to_owned(), |at| {
-                format!("taken note of at {at}")
+            let task = show_task(&run.task);
+            let (step, index) = task.rsplit_once('/').unwrap_or((&task, ""));
+            let tasks = steps.entry(step.to_owned()).or_default();
+            tasks.entry(index.to_owned()).or_default().push(run);
+        }
+        self.record
+            .add("runs by JOB/STEP: INDEX #RUN@WORKER BEGAN-ENDED HOW, and when the end was taken note of");
+        for (step, tasks) in &steps {
+            let tasks = tasks.iter().map(|(index, runs)| {
+                let shown = runs.iter().take(SHOWN_RUNS).map(show_run);
+                let shown: Vec<String> = shown.collect();
+                let more = match runs.len().saturating_sub(SHOWN_RUNS) {
+                    0 => String::new(),
+                    more => format!(" and {more} more"),
+                };
+                format!("{index} {}{more}", shown.join(" "))
             });
-            self.record.add(format!(
-                "run {} of {} on {}: began at {}, {end}, {noted}",
-                run.run, run.task, run.worker, run.began
-            ));
+            let tasks: Vec<String> = tasks.collect();
+            self.record.add(format!("{step}: {}", tasks.join("; ")));
         }
         for instance in &self.fleet.instances {
             if let Some(how) = instance.ended() {
@@ -303,6 +294,18 @@
     }
 }
 
+/// The most runs of a task in the record.
+const SHOWN_RUNS: usize = 3;
+
+fn show_run(run: &worker::Run) -> String {
+    let worker = run.worker.rsplit('c').next().unwrap_or_default();
+    let end = run
+        .end
+        .map_or("".to_owned(), |(at, how)| format!("{at} {how}"));
+    let noted = run.noted.map_or("".to_owned(), |at| format!(" {at}"));
+    format!("#{}@{worker} {}-{end}{noted}", run.run, run.began)
+}
+
 fn show(status: Option<u16>) -> String {
     status.map_or("no answer".to_owned(), |status| status.to_string())
 }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -43,3 +43,11 @@
         fs::write(path, self.lines.lock().unwrap().as_bytes())
     }
 }
+
+/// Returns a task's name as the record has it, without dots: the job, the step and the index.
+pub fn show_task(task: &str) -> String {
+    let mut parts = task.split('.');
+    let mut next = || parts.next().unwrap_or_default();
+    let (job, _, step, index) = (next(), next(), next(), next());
+    format!("{job}/{step}/{index}")
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -106,7 +106,7 @@
         {
             let mut state = self.lock();
             if state.down {
-                return Some((503, "{}".to_owned()));
+                return Ok((503, "{}".to_owned()));
             }
             let second = self.record.now() / 1_000;
             if state.second != second {
@@ -118,20 +118,20 @@
             };
             *count += 1;
             if *count > most {
-                return Some((429, "{}".to_owned()));
+                return Ok((429, "{}".to_owned()));
             }
         }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/api/rows-tx") => self.transact(&request.body),
             ("GET", "/api/rows-get") => self.read(request),
             ("GET", "/api/rows-feed") => self.feed(request),
-            _ => Some((404, "{}".to_owned())),
+            _ => Ok((404, "{}".to_owned())),
         }
     }
 
     fn transact(&self, body: &str) -> Reply {
         let Some(call) = Json::parse(body) else {
-            return Some((400, "{}".to_owned()));
+            return Ok((400, "{}".to_owned()));
         };
         let key = |row: &Json| -> Key {
             let field = |name| row.get(name).text().to_owned();
@@ -152,11 +152,11 @@
                 "store refuses a transaction with 400: {entries} entries, {} bytes, longest value {longest} bytes",
                 body.len()
             ));
-            return Some((400, "{\"error\":\"too large\"}".to_owned()));
+            return Ok((400, "{\"error\":\"too large\"}".to_owned()));
         }
         let own = |row: &Json| matches!(row.get("table").text(), "op" | "servers");
         if sets.iter().chain(removals).any(own) {
-            return Some((403, "{}".to_owned()));
+            return Ok((403, "{}".to_owned()));
         }
         let part = expected.iter().chain(sets).chain(removals).next();
         let part = part.map_or(String::new(), |row| row.get("part").text().to_owned());
@@ -165,7 +165,7 @@
             let mut state = self.lock();
             let busy = state.busy.entry(part).or_insert(now);
             if *busy > now + Duration::from_secs(1) {
-                return Some((429, "{}".to_owned()));
+                return Ok((429, "{}".to_owned()));
             }
             let begin = (*busy).max(now);
             *busy = begin + Duration::from_micros(1_000_000 / PART_WRITES_PER_S);
@@ -174,7 +174,7 @@
         thread::sleep(done_at.saturating_duration_since(Instant::now()));
         let mut state = self.lock();
         if state.down {
-            return Some((503, "{}".to_owned()));
+            return Ok((503, "{}".to_owned()));
         }
         let version = |row: &Json| state.rows.get(&key(row)).map_or(0, |(_, version)| *version);
         if expected
@@ -192,7 +192,7 @@
                 state.version,
                 rows.join(",")
             );
-            return Some((412, body));
+            return Ok((412, body));
         }
         state.version += 1;
         let at = state.version;
@@ -204,7 +204,7 @@
         }
         self.changed.notify_all();
         let now = self.record.now();
-        Some((200, format!("{{\"ver\":{at},\"now_ms\":{now}}}")))
+        Ok((200, format!("{{\"ver\":{at},\"now_ms\":{now}}}")))
     }
 
     fn read(&self, request: &Request) -> Reply {
@@ -226,7 +226,7 @@
             }
             rows.push(format_row(key, Some(value), *version));
         }
-        Some((200, self.format_page(&state, &rows, more)))
+        Ok((200, self.format_page(&state, &rows, more)))
     }
 
     fn feed(&self, request: &Request) -> Reply {
@@ -236,7 +236,7 @@
         let mut state = self.lock();
         loop {
             if state.down {
-                return Some((503, "{}".to_owned()));
+                return Ok((503, "{}".to_owned()));
             }
             let changes = state
                 .history
@@ -251,7 +251,7 @@
                     .iter()
                     .map(|(version, key, value)| format_row(key, value.as_ref(), *version));
                 let rows: Vec<String> = rows.collect();
-                return Some((200, self.format_page(&state, &rows, false)));
+                return Ok((200, self.format_page(&state, &rows, false)));
             }
             state = self.changed.wait_timeout(state, remaining).unwrap().0;
         }
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::{worker::Run, Play};
+use crate::{record::show_task, worker::Run, Play};
 
 /// Looks for starts of tasks of stored jobs after a run of the same task had ended done, if that end was taken note of, and no lease
 /// of the worker lapsed in between. Returns whether the rule held.
@@ -32,7 +32,7 @@
             starts += 1;
             play.record.add(format!(
                 "TWICE: run {} of {} ended done on {} at {ended}, taken note of at {noted}; run {} began on {} at {}",
-                first.run, run.task, first.worker, run.run, run.worker, run.began
+                first.run, show_task(&run.task), first.worker, run.run, run.worker, run.began
             ));
         }
     }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -9,9 +9,9 @@
 };
 
 use crate::{
-    http::{self, Reply, Request},
+    http::{self, Lost, Reply, Request},
     json::{quote, Json},
-    record::Record,
+    record::{show_task, Record},
     store::Store,
 };
 
@@ -62,6 +62,8 @@
     born: u128,
     /// The time of the record at which its clock is zero.
     began: u64,
+    /// When it started. Connections that were opened before belong to a former life.
+    started: Instant,
 }
 
 impl Life {
@@ -70,6 +72,7 @@
         Self {
             born: since.map_or(0, |since| since.as_millis()),
             began: record.now(),
+            started: Instant::now(),
         }
     }
 }
@@ -269,27 +272,32 @@
     }
 
     fn handle(&self, request: &Request) -> Reply {
-        if self.lock().cut {
-            return None;
+        let (life, cut) = {
+            let state = self.lock();
+            (state.life, state.cut)
+        };
+        match life {
+            Some(life) if !cut && request.opened < life.started => return Err(Lost::Closed),
+            Some(_) if !cut => {}
+            _ => return Err(Lost::Silent),
         }
-        self.lock().life?;
         if request.expected.as_ref().is_some_and(|id| *id != self.id) {
-            return Some((421, "{}".to_owned()));
+            return Ok((421, "{}".to_owned()));
         }
         let Some(body) = Json::parse(&request.body) else {
-            return Some((400, "{}".to_owned()));
+            return Ok((400, "{}".to_owned()));
         };
         match request.path.as_str() {
             "/api/run-start" => self.on_start(&body),
             "/api/run-stop" => self.on_stop(&body),
             "/api/hold" => self.on_hold(&body),
-            _ => Some((404, "{}".to_owned())),
+            _ => Ok((404, "{}".to_owned())),
         }
     }
 
     fn refuse(&self, life: Life, reason: &str) -> Reply {
         let clock = self.record.now() - life.began;
-        Some((
+        Ok((
             409,
             format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"),
         ))
@@ -297,7 +305,7 @@
 
     fn agree(&self, life: Life) -> Reply {
         let clock = self.record.now() - life.began;
-        Some((200, format!("{{\"clock_ms\":{clock}}}")))
+        Ok((200, format!("{{\"clock_ms\":{clock}}}")))
     }
 
     fn on_start(&self, body: &Json) -> Reply {
@@ -305,14 +313,15 @@
         let (task, run) = (body.get("task").text(), body.get("run").number());
         let Some((cpu, mem_mb, work)) = (self.plan)(task) else {
             self.record.add(format!(
-                "{} is told to start {task}, which nobody sent",
-                self.id
+                "{} is told to start {}, which nobody sent",
+                self.id,
+                show_task(task)
             ));
-            return Some((400, "{}".to_owned()));
+            return Ok((400, "{}".to_owned()));
         };
         let now = self.record.now();
         let mut state = self.lock();
-        let life = state.life?;
+        let life = state.life.ok_or(Lost::Silent)?;
         if !state.accept_fence(body) {
             return self.refuse(life, "fence");
         }
@@ -368,7 +377,7 @@
         let (task, run) = (body.get("task").text(), body.get("run").number());
         let now = self.record.now();
         let mut state = self.lock();
-        let life = state.life?;
+        let life = state.life.ok_or(Lost::Silent)?;
         if !state.accept_fence(body) {
             return self.refuse(life, "fence");
         }
@@ -391,7 +400,7 @@
         self.pass_time();
         let now = self.record.now();
         let mut state = self.lock();
-        let life = state.life?;
+        let life = state.life.ok_or(Lost::Silent)?;
         if !state.accept_fence(body) {
             return self.refuse(life, "fence");
         }
@@ -419,7 +428,7 @@
             }
             state = self.changed.wait_timeout(state, remaining).unwrap().0;
             if state.life != Some(life) || state.cut {
-                return None;
+                return Err(Lost::Silent);
             }
         }
         let now = self.record.now();
@@ -449,7 +458,7 @@
         let finished: Vec<String> = finished.collect();
         let (running, finished) = (running.join(","), finished.join(","));
         let (clock, born) = (now - life.began, life.born);
-        Some((
+        Ok((
             200,
             format!(
                 "{{\"clock_ms\":{clock},\"born\":{born},\"running\":[{running}],\"finished\":[{finished}]}}"
