Ends of runs that their owner had taken for lost are logged

Four hypotheses:

The owner has the task in its queue, hears from the endpoint that the task is done, and leaves it there. 2. The entry learns that the task is done, takes it out of the batch, and doesn't tell the owner that has it queued. 3. The entry places the task again after its end was stored. 4. The start is an old order that is carried out late.

The logs couldn't part the first two: nothing said when an owner or a coordinator heard of an end of a stored job's run. New lines: `late_end` at the owner, with where the task is by then, `end_recorded` at the coordinator, and `task_done` for stored runs too.

What they show of one of the four tasks, in ms from its first start:

2,078 run_gone the endpoint is cut off, and its leases are over 7,005 late_end batch=…265 run=1 result=done task_in=queue 7,006 end_recorded run=1 result=done counted=yes, without a batch 7,010 job_ended state=Completed 17,905 task_started batch=…265 run=2, at the same owner

The third is ruled out: the second start belongs to the batch of the first. So is the fourth: it's ordered 10.9 s after the end was heard. The first and the second both hold: the owner knows the end 10.9 s before the start, and so does the entry.

--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -378,6 +378,18 @@
         // batches aren't stored. The endpoint then keeps the end until its lease has expired.
         let late = previous_late.unwrap_or(batch.is_none() || duplicate);
         job.reported_ends.insert(key, late);
+        if first_report {
+            let entry = LogRecord::routine("end_recorded").job(end.task.job);
+            let entry = entry.with("task", end.task.to_string());
+            let entry = entry.with("run", end.run.0);
+            let entry = entry.with("endpoint", end.endpoint.as_str());
+            let entry = entry.with("result", if end.done { "done" } else { "failed" });
+            let entry = entry.with("counted", if recorded { "yes" } else { "no" });
+            out.outputs.push(Output::Log(match batch {
+                Some(serial) => entry.with("batch", serial),
+                None => entry,
+            }));
+        }
         let change = self.changes.entry(end.task.job).or_default();
         change.end_replies.push((from.clone(), noted_reply(late)));
         match (recorded, job.progress.state, end.done) {
--- a/src/dispatch/owner/ends.rs
+++ b/src/dispatch/owner/ends.rs
@@ -2,13 +2,17 @@
 
 use super::{
     super::{
-        id::Life,
+        id::{
+            Life,
+            TaskId, //
+        },
         message::{
             LogRecord,
             RunEnd, //
         },
         queue::Handle, //
     },
+    Assignment,
     Effects,
     Owner, //
 };
@@ -32,6 +36,7 @@
         if batch.is_some() {
             self.run_locations.remove(&task);
         }
+        self.log_end(&end, batch, out);
         if !end.done {
             let record = LogRecord::new("task_failed").job(task.job);
             let record = record.with("task", task.to_string());
@@ -49,6 +54,47 @@
         }
     }
 
+    /// Logs an end that is reported to the coordinator of its job. That of a run which this owner doesn't know, or has taken for lost,
+    /// is logged with where its task is now.
+    fn log_end(&self, end: &RunEnd, batch: Option<Handle>, out: &mut Effects) {
+        let fields = |record: LogRecord| {
+            let record = record.job(end.task.job).with("task", end.task.to_string());
+            let record = record.with("run", end.run.0);
+            let record = record.with("endpoint", end.endpoint.as_str());
+            record.with("end", end.serial)
+        };
+        if batch.is_some() {
+            if end.done {
+                out.log(fields(LogRecord::routine("task_done")));
+            }
+            return;
+        }
+        let result = if end.done { "done" } else { "failed" };
+        let record = match self.find_task(end.task) {
+            Some(assignment) => {
+                let place = match self.run_locations.get(&end.task) {
+                    Some(endpoint) => endpoint.as_str(),
+                    None => "queue",
+                };
+                let record = fields(LogRecord::new("late_end")).with("task_in", place);
+                let record = record.with("batch", assignment.batch.serial);
+                record.with("entry", assignment.entry.name.as_str())
+            }
+            None => fields(LogRecord::routine("late_end")),
+        };
+        out.log(record.with("result", result));
+    }
+
+    /// Returns the batch here that holds a task.
+    fn find_task(&self, task: TaskId) -> Option<&Assignment> {
+        let holds = |assignment: &&Assignment| {
+            let batch = &assignment.batch;
+            (batch.job, batch.step) == (task.job, task.step)
+                && assignment.tasks.contains_key(&task.index)
+        };
+        self.assignments.values().find(holds)
+    }
+
     /// Returns the ends that are due to be reported, and marks them as reported now: new ones, and those whose
     /// last report is too old.
     pub fn take_ends_to_report(&mut self, now: Time) -> Vec<RunEnd> {
