Tasks that are done elsewhere are withdrawn from whoever holds them

Cause: a run that its owner took for lost may have ended as done. When that was heard, nobody told the place that held the task by then. From then on the two sides of a batch differed for good, since audits ask only for batches that an owner doesn't hold.

Now whoever hears of it acts on it:

- An owner that hears the end of a run takes the task out of all stored batches that it holds, and stops another run of it.
It keeps tasks out of batches that arrive, or come with a rack, while it has such an end that isn't stored.
- An entry sends `Withdraw`, or `Cancel` for the last task of a batch, unless the end comes from the batch's own owner.
It repeats that when a move of the batch is announced: the new owner's own announcement follows the arrival of the rack, and nothing starts there before the entry has handled it and its next heartbeat has come.
- The message is in the session's order: heartbeats that were sent after it confirm nothing before it has arrived, so that a stalled connection doesn't let the task start either.
It's never dropped from a full queue.
When the session ends, so does the batch.

Builds before this one can't read the new message, and would refuse the envelope around it. Heartbeats now state the protocol that their sender can read, behind what earlier builds read, and members without it aren't sent withdrawals; they go on as before.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -61,6 +61,7 @@
             Order,
             Outcome,
             Output,
+            Protocol,
             Reply,
             Running,
             Sender,
@@ -427,6 +428,7 @@
         rooms: Vec::new(),
         loads: Vec::new(),
         receipt: None,
+        protocol: Protocol::CURRENT,
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -424,6 +424,10 @@
                 if to.name == self.identity.contact.name {
                     let own = self.identity.contact.clone();
                     self.on_message(&own, message, now, out);
+                } else if !self.members.can_read(&to.name, &message) {
+                    let record = LogRecord::routine("message_unsupported");
+                    let record = record.with("member", to.name.as_str());
+                    out.log(record.with("kind", message.kind()));
                 } else if let Some(count) = self.members.count_sent(&to.name) {
                     if let Message::Moved { serial, .. } = &message {
                         self.owner.on_move_announced(&to.name, *serial, count);
@@ -685,6 +689,7 @@
         }
         self.members
             .on_heartbeat(name, heartbeat.status, from.sent, now);
+        self.members.set_protocol(name, heartbeat.protocol);
         let receipt = heartbeat.receipt.as_ref();
         // Counts in a heartbeat for another life of this instance, or for an unknown one, are of no use.
         if receipt.is_none() || from.receiver_incarnation == self.identity.incarnation {
@@ -854,6 +859,9 @@
                 serial,
                 late,
             } => self.owner.on_end_stored(&endpoint, life, serial, late, now),
+            Message::Withdraw { serial, tasks } => {
+                self.owner.withdraw(&from.name, serial, &tasks, out);
+            }
         }
     }
 
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -17,6 +17,7 @@
         LogRecord,
         Message,
         Output,
+        Protocol,
         Status,
         Vacancy, //
     },
@@ -108,6 +109,7 @@
                 loads: self.owner.loads(&rooms, now),
                 rooms,
                 receipt: None,
+                protocol: Protocol::CURRENT,
             };
             out.outputs.push(Output::Heartbeat(to.to_vec(), heartbeat));
         }
--- a/src/dispatch/coordination.rs
+++ b/src/dispatch/coordination.rs
@@ -35,7 +35,12 @@
                         self.entry.run_stored(job, record, progress, at, now);
                     }
                 }
-                Action::TaskDone(task) => self.entry.on_task_done(task, now, out),
+                Action::TaskDone(task, batch) => {
+                    if let Some(serial) = batch {
+                        self.entry.on_run_done(serial, task);
+                    }
+                    self.entry.on_task_done(task, now, out);
+                }
                 Action::TaskFailed(task, batch) => self.entry.on_task_failed(task, batch, now),
                 Action::Release(job) => self.entry.release_stored(job, out),
             }
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -62,8 +62,8 @@
 pub enum Action {
     /// Run the tasks that aren't done, from the given time on.
     Run(JobId, Time),
-    /// A task is done.
-    TaskDone(TaskId),
+    /// A task is done. Carries the batch of the run, if it's outstanding here.
+    TaskDone(TaskId, Option<u64>),
     /// A run of a task failed, and the task may be retried. Carries the batch of the run, if it's outstanding here.
     TaskFailed(TaskId, Option<u64>),
     /// Stop all runs of a job and drop it.
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -395,7 +395,7 @@
         match (recorded, job.progress.state, end.done) {
             (false, ..) => None,
             (_, State::Failed | State::Cancelled, _) => Some(Action::Release(end.task.job)),
-            (_, _, true) => Some(Action::TaskDone(end.task)),
+            (_, _, true) => Some(Action::TaskDone(end.task, batch)),
             (_, _, false) => Some(Action::TaskFailed(end.task, batch)),
         }
     }
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -174,6 +174,8 @@
     sent_at: Time,
     /// How often it moved to another owner, as far as this entry has heard.
     moves: u32,
+    /// Tasks that were taken out of it without its owner.
+    withdrawn: Vec<u32>,
 }
 
 /// The jobs in progress that an instance has accepted, and its view of all racks.
@@ -728,6 +730,7 @@
             tasks,
             sent_at: now,
             moves: 0,
+            withdrawn: Vec::new(),
         };
         job.batches.insert(serial, sent);
         self.by_serial.insert(serial, id);
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -13,7 +13,10 @@
         },
         owner::Effects, //
     },
-    ending::send_cancel,
+    ending::{
+        send_cancel,
+        send_withdrawal, //
+    },
     Entry,
     SentBatch,
     UnplacedTasks,
@@ -155,10 +158,11 @@
         });
     }
 
-    /// Records the new owner of a batch. Cancels the batch there if its job was given up or has ended, since the
-    /// new owner may not have heard the cancellation.
+    /// Records the new owner of a batch. Cancels the batch there if its job was given up or has ended, and withdraws its tasks that are
+    /// done, since the new owner may not have heard that.
     ///
-    /// Messages of former owners may arrive out of order: the move with the highest count wins.
+    /// Messages of former owners may arrive out of order: the move with the highest count wins. Each move is announced by both owners.
+    /// What is withdrawn when the former one announces it may overtake the rack, but not when the new one does, which has it by then.
     pub fn on_batch_moved(
         &mut self,
         serial: u64,
@@ -176,7 +180,13 @@
         let (Some(id), Some((sent, given_up))) = (id, batch) else {
             return send_cancel(to, serial, out);
         };
-        if moves <= sent.moves {
+        if moves < sent.moves {
+            return;
+        }
+        if !sent.withdrawn.is_empty() {
+            send_withdrawal(to.clone(), serial, sent.withdrawn.clone(), out);
+        }
+        if moves == sent.moves {
             return;
         }
         let record = LogRecord::routine("batch_moved").job(id);
--- a/src/dispatch/entry/ending.rs
+++ b/src/dispatch/entry/ending.rs
@@ -140,9 +140,18 @@
 
 /// Asks an owner to drop a batch.
 pub(super) fn send_cancel(owner: Instance, serial: u64, out: &mut Effects) {
+    send(owner, Message::Cancel(serial), out);
+}
+
+/// Asks an owner to drop tasks of a batch.
+pub(super) fn send_withdrawal(owner: Instance, serial: u64, tasks: Vec<u32>, out: &mut Effects) {
+    send(owner, Message::Withdraw { serial, tasks }, out);
+}
+
+fn send(owner: Instance, message: Message, out: &mut Effects) {
     let contact = Contact {
         name: owner,
         address: String::new(),
     };
-    out.messages.push((contact, Message::Cancel(serial)));
+    out.messages.push((contact, message));
 }
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -16,9 +16,14 @@
             JobId,
             TaskId, //
         },
+        message::LogRecord,
         owner::Effects,
         task::AcceptedJob, //
     },
+    ending::{
+        send_cancel,
+        send_withdrawal, //
+    },
     Entry,
     Job,
     SentBatch,
@@ -83,10 +88,18 @@
         }
     }
 
-    /// Handles the stored end of a task that is done: removes it from its batch and advances the job.
+    /// Handles the end of a run that is done, as reported by the owner of its batch: that owner has removed the task.
+    pub fn on_run_done(&mut self, serial: u64, task: TaskId) {
+        self.remove_from_batch(serial, task);
+    }
+
+    /// Handles a task that is done: advances the job, after [`Entry::on_run_done`] if its batch is known.
+    ///
+    /// A task that is still in a batch was done by an earlier run, which was taken for lost. The owner of the batch may have the task
+    /// queued, so it's told.
     pub fn on_task_done(&mut self, task: TaskId, now: Time, out: &mut Effects) {
         if let Some(serial) = self.find_batch(task) {
-            self.remove_from_batch(serial, task);
+            self.withdraw(serial, task, out);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -128,6 +141,25 @@
         }
     }
 
+    /// Takes a task out of its batch, and tells the batch's owner.
+    fn withdraw(&mut self, serial: u64, task: TaskId, out: &mut Effects) {
+        let job = self.jobs.get_mut(&task.job);
+        let Some(sent) = job.and_then(|job| job.batches.get_mut(&serial)) else {
+            return;
+        };
+        let owner = sent.owner.clone();
+        sent.withdrawn.push(task.index);
+        self.remove_from_batch(serial, task);
+        let record = LogRecord::new("task_done_elsewhere").job(task.job);
+        let record = record.with("task", task.to_string());
+        let record = record.with("batch", serial);
+        out.log(record.with("owner", owner.as_str()));
+        match self.has_batch(serial) {
+            true => send_withdrawal(owner, serial, vec![task.index], out),
+            false => send_cancel(owner, serial, out),
+        }
+    }
+
     /// Returns the serial number of the batch that holds a task.
     fn find_batch(&self, task: TaskId) -> Option<u64> {
         let job = self.jobs.get(&task.job)?;
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -20,6 +20,8 @@
     message::{
         Absence,
         Contact,
+        Message,
+        Protocol,
         Sender,
         Status, //
     },
@@ -86,6 +88,8 @@
     pub state_since: Time,
     /// The status in its latest heartbeat.
     pub status: Option<Status>,
+    /// The protocol of the messages that it can read.
+    protocol: Protocol,
     /// The version of the list of endpoints that this instance has sent it in changes, or zero.
     pub roster_sent: u64,
     /// When it announced another version of its list of endpoints than before.
@@ -226,6 +230,7 @@
             live: false,
             state_since: now,
             status: None,
+            protocol: Protocol::FIRST,
             roster_sent: 0,
             roster_advanced_at: now,
             watch: Watch::default(),
@@ -278,6 +283,7 @@
         member.centre.clone_from(&from.centre);
         if restarted {
             member.status = None;
+            member.protocol = Protocol::FIRST;
             member.roster_sent = 0;
             member.clock_offset = None;
             member.last_heard = None;
@@ -348,6 +354,19 @@
         }
     }
 
+    /// Records the protocol of the messages that a member can read.
+    pub fn set_protocol(&mut self, name: &Instance, protocol: Protocol) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.protocol = protocol;
+        }
+    }
+
+    /// Returns whether a message can be sent to a member: one of an earlier build may not know its kind.
+    pub fn can_read(&self, name: &Instance, message: &Message) -> bool {
+        let member = self.members.get(name);
+        member.is_none_or(|member| member.protocol >= message.protocol())
+    }
+
     /// Returns a member's latest confirmation of its batches.
     pub fn confirmation(&self, name: &Instance) -> Option<Confirmation> {
         self.members.get(name)?.channel.confirmation()
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -5,6 +5,7 @@
 mod heartbeat;
 mod kind;
 mod line;
+mod protocol;
 mod store;
 mod suspicion;
 
@@ -46,6 +47,7 @@
         LogRecord,
         Value, //
     },
+    protocol::Protocol,
     store::{
         StoreCallId,
         StoreReply,
@@ -423,6 +425,13 @@
         /// once its lease has expired, when the end no longer matters.
         late: bool,
     },
+    /// Takes tasks out of a batch, as they are done by runs that its owner doesn't know. They must not start any more.
+    Withdraw {
+        /// The batch.
+        serial: u64,
+        /// The tasks.
+        tasks: Vec<u32>,
+    },
 }
 
 /// Why an owner returns tasks.
--- a/src/dispatch/message/heartbeat.rs
+++ b/src/dispatch/message/heartbeat.rs
@@ -5,17 +5,20 @@
     Serialize, //
 };
 
-use super::super::{
-    evacuation::Evacuation,
-    id::{
-        Epoch,
-        RackId,
-        ShardId,
-        Token, //
+use super::{
+    super::{
+        evacuation::Evacuation,
+        id::{
+            Epoch,
+            RackId,
+            ShardId,
+            Token, //
+        },
+        license::Receipt,
+        queue::Class,
+        task::Resources, //
     },
-    license::Receipt,
-    queue::Class,
-    task::Resources, //
+    Protocol, //
 };
 use crate::prelude::*;
 
@@ -39,6 +42,9 @@
     /// of earlier builds.
     #[serde(skip)]
     pub receipt: Option<Receipt>,
+    /// The protocol of the messages that the sender can read. It follows the receipt in its datagram.
+    #[serde(skip)]
+    pub protocol: Protocol,
 }
 
 /// The status of a member.
--- a/src/dispatch/message/kind.rs
+++ b/src/dispatch/message/kind.rs
@@ -25,6 +25,7 @@
             Self::Begun(_) => "begun",
             Self::Ended(_) => "ended",
             Self::Noted { .. } => "noted",
+            Self::Withdraw { .. } => "withdraw",
         }
     }
 }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -13,6 +13,7 @@
 mod room;
 mod speeds;
 mod suspects;
+mod withdrawal;
 
 use std::collections::{
     BTreeMap,
@@ -40,6 +41,7 @@
         Headroom, //
     },
     id::{
+        JobId,
         Life,
         RackId,
         Run,
@@ -201,6 +203,7 @@
     endpoints: BTreeMap<Endpoint, State>,
     assignments: BTreeMap<Handle, Assignment>,
     by_entry: HashMap<(Instance, u64), Handle>,
+    by_job: HashMap<JobId, BTreeSet<Handle>>,
     /// The endpoint of each task's current run, including runs that are being stopped. A task isn't started while
     /// it is listed here, so that it never runs twice at a time.
     run_locations: HashMap<TaskId, Endpoint>,
@@ -369,6 +372,12 @@
         if self.by_entry.get(&key) == Some(&handle) {
             self.by_entry.remove(&key);
         }
+        if let Some(handles) = self.by_job.get_mut(&assignment.batch.job) {
+            handles.remove(&handle);
+            if handles.is_empty() {
+                self.by_job.remove(&assignment.batch.job);
+            }
+        }
         self.dequeue(handle, &assignment);
         Some(assignment)
     }
@@ -498,7 +507,8 @@
         }
         let unstarted = |index: &u32| (*index, TaskState::default());
         let tasks = batch.tasks.iter().map(unstarted).collect();
-        self.add_assignment(entry, batch, tasks, false, now);
+        let handle = self.add_assignment(entry, batch, tasks, false, now);
+        self.withdraw_unstored(handle, out);
     }
 
     /// Adds a batch and queues its tasks.
@@ -514,6 +524,7 @@
         let handle = Handle(self.last_handle);
         let key = (entry.name.clone(), batch.serial);
         self.by_entry.insert(key, handle);
+        self.by_job.entry(batch.job).or_default().insert(handle);
         let assignment = Assignment {
             entry: entry.clone(),
             accepted_at: now,
--- a/src/dispatch/owner/ends.rs
+++ b/src/dispatch/owner/ends.rs
@@ -2,17 +2,13 @@
 
 use super::{
     super::{
-        id::{
-            Life,
-            TaskId, //
-        },
+        id::Life,
         message::{
             LogRecord,
             RunEnd, //
         },
         queue::Handle, //
     },
-    Assignment,
     Effects,
     Owner, //
 };
@@ -22,14 +18,15 @@
 const REPORT_INTERVAL: Span = Span::millis(500);
 
 impl Owner {
-    /// Records an end that must be stored if its job is stored, and removes the task from its batch.
+    /// Records an end that must be stored if its job is stored, and removes the task from its batch. A task that is done leaves all
+    /// other batches here as well.
     pub(super) fn on_run_ended(
         &mut self,
         mut end: RunEnd,
         batch: Option<Handle>,
         out: &mut Effects,
     ) {
-        let task = end.task;
+        let (task, is_done) = (end.task, end.done);
         let assignment = batch.and_then(|handle| self.assignments.get(&handle));
         end.batch =
             assignment.map(|assignment| (assignment.entry.name.clone(), assignment.batch.serial));
@@ -52,6 +49,9 @@
                 self.remove_assignment(handle);
             }
         }
+        if is_done {
+            self.withdraw_done(task, out);
+        }
     }
 
     /// Logs an end that is reported to the coordinator of its job. That of a run which this owner doesn't know, or has taken for lost,
@@ -70,13 +70,11 @@
             return;
         }
         let result = if end.done { "done" } else { "failed" };
-        let record = match self.find_task(end.task) {
+        let holder = self.batches_with(end.task).first().copied();
+        let record = match holder.and_then(|handle| self.assignments.get(&handle)) {
             Some(assignment) => {
-                let place = match self.run_locations.get(&end.task) {
-                    Some(endpoint) => endpoint.as_str(),
-                    None => "queue",
-                };
-                let record = fields(LogRecord::new("late_end")).with("task_in", place);
+                let record = fields(LogRecord::new("late_end"));
+                let record = record.with("task_in", self.place_of(end.task));
                 let record = record.with("batch", assignment.batch.serial);
                 record.with("entry", assignment.entry.name.as_str())
             }
@@ -85,16 +83,6 @@
         out.log(record.with("result", result));
     }
 
-    /// Returns the batch here that holds a task.
-    fn find_task(&self, task: TaskId) -> Option<&Assignment> {
-        let holds = |assignment: &&Assignment| {
-            let batch = &assignment.batch;
-            (batch.job, batch.step) == (task.job, task.step)
-                && assignment.tasks.contains_key(&task.index)
-        };
-        self.assignments.values().find(holds)
-    }
-
     /// Returns the ends that are due to be reported, and marks them as reported now: new ones, and those whose
     /// last report is too old.
     pub fn take_ends_to_report(&mut self, now: Time) -> Vec<RunEnd> {
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -104,7 +104,7 @@
     ) {
         self.claim(handover.rack, token, out);
         self.update_endpoints(listings, now, out);
-        let mut unwanted = Vec::new();
+        let (mut unwanted, mut handles) = (Vec::new(), Vec::new());
         for held in handover.batches {
             let numbers = held.next.iter().zip(&held.failures);
             let numbers = numbers.zip(&held.suspicions);
@@ -121,6 +121,7 @@
             }
             self.announce_moved(&held, out);
             let handle = self.add_assignment(&held.entry, held.batch, tasks, held.started, now);
+            handles.push(handle);
             let own = self.own.as_ref();
             if let Some(assignment) = self.assignments.get_mut(&handle) {
                 assignment.done = held.done;
@@ -162,6 +163,9 @@
             }
         }
         self.drop_unwanted(&unwanted, out);
+        for handle in handles {
+            self.withdraw_unstored(handle, out);
+        }
     }
 
     /// Tells a batch's entry that the batch is here. If the former owner has died and the entry has already taken
--- a/src/instance/heartbeats.rs
+++ b/src/instance/heartbeats.rs
@@ -73,7 +73,8 @@
                 bytes.extend_from_slice(&body);
                 bytes
             });
-            match with_body.and_then(|bytes| postcard::to_extend(receipt, bytes)) {
+            let with_receipt = with_body.and_then(|bytes| postcard::to_extend(receipt, bytes));
+            match with_receipt.and_then(|bytes| postcard::to_extend(&heartbeat.protocol, bytes)) {
                 Ok(bytes) => {
                     hub.metrics.count_heartbeat(bytes.len());
                     self.socket.try_send_to(&bytes, address).ok();
@@ -106,8 +107,8 @@
     }
 }
 
-/// Encodes a heartbeat without its sender, and its loads after it. The receipt follows. Builds that don't know these ignore what follows
-/// the heartbeat.
+/// Encodes a heartbeat without its sender, and its loads after it. The receipt and the protocol follow. Builds that don't know these
+/// ignore what follows the heartbeat.
 ///
 /// # Errors
 ///
@@ -117,8 +118,8 @@
     postcard::to_extend(&heartbeat.loads, body)
 }
 
-/// Decodes a datagram, that is an encoded sender and heartbeat with loads and receipt. Loads that are missing or can't be read count
-/// as none.
+/// Decodes a datagram, that is an encoded sender and heartbeat with loads, receipt and protocol. Loads that are missing or can't be
+/// read count as none, and a protocol as the first.
 ///
 /// # Errors
 ///
@@ -130,10 +131,13 @@
         mut heartbeat,
     } = datagram;
     // Only an earlier build sends no receipt. One that can't be read confirms nothing.
-    let receipt = |rest: &[u8]| postcard::from_bytes(rest).unwrap_or_default();
     if let Ok((loads, rest)) = postcard::take_from_bytes(rest) {
         heartbeat.loads = loads;
-        heartbeat.receipt = (!rest.is_empty()).then(|| receipt(rest));
+        if !rest.is_empty() {
+            let (receipt, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+            heartbeat.receipt = Some(receipt);
+            heartbeat.protocol = postcard::from_bytes(rest).unwrap_or_default();
+        }
     } else if !rest.is_empty() {
         heartbeat.receipt = Some(Receipt::default());
     }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -125,7 +125,7 @@
     }
 
     /// Queues a message to a peer, after those sent before it. If too many bytes are queued, or it can't be encoded, an empty message
-    /// takes its place, since the peer counts messages. A message that decides which confirmations count is never dropped.
+    /// takes its place, since the peer counts messages. A message that takes work back, or decides which confirmations count, is never dropped.
     pub fn send(&self, hub: &Rc<Hub>, to: &Contact, message: Message) {
         let mut links = self.links.borrow_mut();
         let link = links
@@ -135,7 +135,10 @@
             link.address.clone_from(&to.address);
         }
         let kind = message.kind();
-        let is_kept = matches!(message, Message::Cancel(_) | Message::Moved { .. });
+        let is_kept = matches!(
+            message,
+            Message::Cancel(_) | Message::Moved { .. } | Message::Withdraw { .. }
+        );
         let encoded = match postcard::to_stdvec(&message) {
             Ok(bytes) if is_kept || link.bytes + bytes.len() <= MAX_QUEUED_BYTES => {
                 hub.metrics.count_queued(kind, bytes.len());
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -33,6 +33,8 @@
 mod stored;
 #[path = "dispatch/straggler.rs"]
 mod straggler;
+#[path = "dispatch/withdrawals.rs"]
+mod withdrawals;
 #[path = "dispatch/world.rs"]
 mod world;
 
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -45,6 +45,8 @@
     pub crashed: bool,
     /// Whether its owner let the endpoint forget its end before the endpoint's lease had expired.
     pub forgotten_early: bool,
+    /// When its owner let the endpoint forget its end.
+    pub forgotten_at: Option<Time>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -288,6 +290,7 @@
                     failed: false,
                     crashed: false,
                     forgotten_early: false,
+                    forgotten_at: None,
                 });
                 self.running.insert(*task, ActiveRun(active));
                 Reply::Done { clock }
@@ -311,16 +314,17 @@
                 ..
             } => {
                 self.extend_lease(*lease, now);
-                self.acknowledge(*acknowledged);
+                self.acknowledge(*acknowledged, now);
                 self.poll_reply(now)
             }
         }
     }
 
     /// Removes the ends up to the serial number `seen`.
-    fn acknowledge(&mut self, acknowledged: u64) {
+    fn acknowledge(&mut self, acknowledged: u64, now: Time) {
         for end in self.ended.iter().filter(|end| end.serial <= acknowledged) {
             let record = &mut self.history[self.indices[&end.serial]];
+            record.forgotten_at = Some(now);
             record.forgotten_early = record.until.is_some_and(|until| until > self.lease_ended);
         }
         self.ended.retain(|end| end.serial > acknowledged);
--- a/tests/dispatch/licenses.rs
+++ b/tests/dispatch/licenses.rs
@@ -9,6 +9,7 @@
             Answer,
             Contact,
             Heartbeat,
+            Protocol,
             Sender,
             Status, //
         }, //
@@ -268,6 +269,7 @@
         rooms: Vec::new(),
         loads: Vec::new(),
         receipt: None,
+        protocol: Protocol::CURRENT,
     };
     let receipt = Receipt {
         settled: now,
--- a/tests/dispatch/speed.rs
+++ b/tests/dispatch/speed.rs
@@ -29,6 +29,7 @@
             Name,
             Order,
             Output,
+            Protocol,
             Reply,
             Running,
             Status, //
@@ -493,6 +494,7 @@
             rooms,
             loads: Vec::new(),
             receipt: None,
+            protocol: Protocol::CURRENT,
         };
         plain += encode(&heartbeat).unwrap().len();
         heartbeat.loads = loads;
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -79,6 +79,8 @@
 const STORE_TIMEOUT: Span = Span::millis(400);
 /// How long after a change of an endpoint's capacity starts may arrive that the owner sent before it learned of the change.
 const CAPACITY_LAG: Span = Span::millis(20);
+/// How long after an endpoint was let forget the end of a task that is done the task may still start, whatever became of leases.
+const END_SPREAD: Span = Span::seconds(1);
 /// The delay after which a caller retries when its connection broke.
 const CALLER_RETRY: Span = Span::millis(1_300);
 
@@ -1206,7 +1208,8 @@
     }
 
     /// Runs to the end and checks stored jobs: all tasks of an accepted job are done unless it failed, and no task was started
-    /// again after its end was acknowledged to the endpoint. Returns the number of accepted jobs.
+    /// again after its end was acknowledged to the endpoint, at once or, if its lease had expired before, later than
+    /// [`END_SPREAD`]. Returns the number of accepted jobs.
     pub(crate) fn finish_and_check_stored(&mut self) -> usize {
         self.finish_and_check();
         self.run(Span::seconds(20));
@@ -1221,6 +1224,13 @@
                     "{record:?} was acknowledged, and the task started again"
                 );
             }
+            if let Some(at) = record.forgotten_at {
+                let late = all().find(|b| b.task == record.task && b.from > at + END_SPREAD);
+                assert_eq!(
+                    late, None,
+                    "{record:?} was acknowledged long before the task started again"
+                );
+            }
         }
         let is_accepted = |(_, view): &(&JobId, &CallerView)| view.answer == Some(Answer::Accepted);
         let accepted: Vec<JobId> = self
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -399,10 +399,10 @@
     assert_eq!(audited.collect::<Vec<_>>(), ["last"]);
 }
 
-/// Runs a stored job of one task and returns its batch.
-fn run_stored_job(entry: &mut Entry) -> Batch {
+/// Runs a stored job of one step and returns its batch.
+fn run_stored_job(entry: &mut Entry, tasks: u32) -> Batch {
     let step = Step {
-        count: 1,
+        count: tasks,
         need: Resources {
             cpu: 1_000,
             memory: 64,
@@ -442,7 +442,7 @@
         index: 0,
     };
     let (mut entry, _) = entry_with_rack();
-    let batch = run_stored_job(&mut entry);
+    let batch = run_stored_job(&mut entry, 1);
     for other in [None, Some(batch.serial + 1)] {
         let mut out = Effects::default();
         entry.on_task_failed(task, other, NOW);
@@ -459,6 +459,56 @@
     );
 }
 
+/// Returns the task of [`run_stored_job`]'s job with an index.
+fn stored_task(index: u32) -> TaskId {
+    TaskId {
+        job: JobId(7),
+        step: 0,
+        index,
+    }
+}
+
+/// Returns the withdrawals among messages: to whom, and which tasks.
+fn withdrawals(out: &Effects) -> Vec<(&str, &[u32])> {
+    let messages = out.messages.iter();
+    let withdrawals = messages.filter_map(|(to, message)| match message {
+        Message::Withdraw { tasks, .. } => Some((to.name.as_str(), &tasks[..])),
+        _ => None,
+    });
+    withdrawals.collect()
+}
+
+/// A task of a batch is done by a run that the batch's owner doesn't know. The owner must be told, as it may have the task queued; a task
+/// whose end it has reported itself needs no message.
+#[test]
+fn owner_is_told_of_tasks_that_are_done_elsewhere_only() {
+    let (mut entry, _) = entry_with_rack();
+    let batch = run_stored_job(&mut entry, 3);
+    let mut out = Effects::default();
+    entry.on_run_done(batch.serial, stored_task(0));
+    entry.on_task_done(stored_task(0), NOW, &mut out);
+    assert_eq!(out.messages, []);
+    entry.on_task_done(stored_task(1), NOW, &mut out);
+    assert_eq!(withdrawals(&out), [("owner", &[1][..])]);
+    entry.on_task_done(stored_task(2), NOW, &mut out);
+    assert_eq!(cancels(&out), [("owner".to_owned(), batch.serial)]);
+}
+
+/// A batch moves while a withdrawal of one of its tasks is on the way to its former owner. The new owner must be told when the move is
+/// announced, and again when the new owner announces it: the first message may have arrived before the rack.
+#[test]
+fn withdrawal_follows_a_batch_that_moves() {
+    let (mut entry, _) = entry_with_rack();
+    let batch = run_stored_job(&mut entry, 2);
+    entry.on_task_done(stored_task(0), NOW, &mut Effects::default());
+    let next: Instance = "next".parse().unwrap();
+    for _ in ["former owner", "new owner"] {
+        let mut out = Effects::default();
+        entry.on_batch_moved(batch.serial, next.clone(), 1, NOW, &mut out);
+        assert_eq!(withdrawals(&out), [("next", &[0][..])]);
+    }
+}
+
 /// Submits a job of eight tasks of 60 ms at a priority, and returns what the entry does. Its caller waits 1.5 s.
 fn submit_wide(entry: &mut Entry, id: u64, priority: u32, now: Time) -> Effects {
     let step = Step {
--- a/tests/fleet/single.rs
+++ b/tests/fleet/single.rs
@@ -12,6 +12,7 @@
             Input,
             Message,
             Output,
+            Protocol,
             Sender,
             Status, //
         },
@@ -262,6 +263,7 @@
                 rooms: Vec::new(),
                 loads: Vec::new(),
                 receipt: None,
+                protocol: Protocol::CURRENT,
             };
             (sender, heartbeat)
         })
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -4,10 +4,13 @@
     dispatch::{
         id::RackId,
         license::Receipt,
+        member::Members,
         message::{
             Contact,
             Heartbeat,
             Load,
+            Message,
+            Protocol,
             Sender,
             Status,
             Vacancy, //
@@ -47,6 +50,7 @@
         }],
         loads,
         receipt: None,
+        protocol: Protocol::FIRST,
     }
 }
 
@@ -100,3 +104,29 @@
         assert_eq!(received, (sender(), cut.clone()), "of {length} bytes");
     }
 }
+
+/// A member's heartbeat states which messages it can read, after the receipt. One without, of an earlier build, is sent none that it
+/// would refuse with the whole envelope.
+#[test]
+fn member_of_an_earlier_build_gets_no_message_that_it_cannot_read() {
+    let now = Time(10_000_000);
+    let withdrawal = Message::Withdraw {
+        serial: 1,
+        tasks: vec![0],
+    };
+    for (protocol, readable) in [(None, false), (Some(Protocol::CURRENT), true)] {
+        let mut bytes = datagram(&heartbeat(vec![load()]));
+        bytes.extend(postcard::to_stdvec(&Receipt::default()).expect("a receipt can be encoded"));
+        if let Some(protocol) = protocol {
+            bytes.extend(postcard::to_stdvec(&protocol).expect("a protocol can be encoded"));
+        }
+        let (from, received) = decode(&bytes).expect("the datagram can be read");
+        assert_eq!(received.receipt, Some(Receipt::default()));
+        let name = &from.contact.name;
+        let mut members = Members::new(&"own".parse().expect("a name"), "c");
+        members.check_sender(&from, 2, now);
+        members.set_protocol(name, received.protocol);
+        assert_eq!(members.can_read(name, &withdrawal), readable);
+        assert!(members.can_read(name, &Message::Cancel(1)));
+    }
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -846,3 +846,132 @@
     assert_eq!(test.owner.take_scarcity_updates(START).len(), 1);
     assert!(!test.owner.has_scarcity_changes(START));
 }
+
+/// Returns a batch of a stored job.
+fn stored_batch(serial: u64, tasks: Vec<u32>) -> Batch {
+    Batch {
+        stored: true,
+        ..batch(serial, tasks)
+    }
+}
+
+fn task_of(job: u64, index: u32) -> TaskId {
+    TaskId {
+        job: JobId(job),
+        step: 0,
+        index,
+    }
+}
+
+/// Lets the endpoint of an owner list the end of a task's first run, and returns the owner's messages.
+fn list_done(owner: &mut Owner, task: TaskId, now: Time) -> Vec<(Contact, Message)> {
+    let mut out = Effects::default();
+    owner.process_due(now, &mut out);
+    let poll = out.outputs.iter().find_map(|output| match output {
+        Output::Call {
+            call,
+            order: Order::Poll { .. },
+            ..
+        } => Some(*call),
+        _ => None,
+    });
+    let ended = Ended {
+        serial: 1,
+        task: Name::Known(task),
+        run: Run(1),
+        end: End::Done,
+    };
+    let reply = Reply::Looked(Lists {
+        clock: now.0 / 1_000,
+        ended: vec![ended],
+        ..Lists::default()
+    });
+    let mut out = Effects::default();
+    owner.on_reply(poll.unwrap(), now, reply, now, &mut out);
+    out.messages
+}
+
+fn stops(out: &Effects) -> usize {
+    let is_stop = |output: &&Output| {
+        let Output::Call { order, .. } = output else {
+            return false;
+        };
+        matches!(order, Order::Stop { .. })
+    };
+    out.outputs.iter().filter(is_stop).count()
+}
+
+/// An entry withdraws a queued task that was done by a run elsewhere. The task must not start when there is room.
+#[test]
+fn withdrawn_task_is_not_started() {
+    let mut test = TestOwner::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    let batch = stored_batch(1, vec![0, 1]);
+    test.owner.accept(&own, batch, START, &mut out);
+    assert_eq!(starts(&test.process_due(START)), 1);
+    test.owner.withdraw(&own.name, 1, &[1], &mut out);
+    assert_eq!(stops(&out), 0);
+    list_done(&mut test.owner, task_of(1, 0), START + Span::millis(60));
+    assert_eq!(starts(&test.process_due(START + Span::millis(130))), 0);
+    assert!(test.owner.is_idle());
+}
+
+/// An entry withdraws a task that has a second run. That run must be stopped, and not repeated when it's lost.
+#[test]
+fn run_of_a_withdrawn_task_is_stopped_and_not_repeated() {
+    let mut test = TestOwner::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    let batch = stored_batch(1, vec![0]);
+    test.owner.accept(&own, batch, START, &mut out);
+    assert_eq!(starts(&test.process_due(START)), 1);
+    test.owner.withdraw(&own.name, 1, &[0], &mut out);
+    assert_eq!(stops(&out), 1);
+    for tick in 1..40 {
+        let now = START + Span::millis(10).times(tick);
+        assert_eq!(starts(&test.process_due(now)), 0);
+    }
+}
+
+/// A batch arrives with a task whose end this owner has heard, and which isn't stored yet. Its entry didn't know, and the task must not
+/// start.
+#[test]
+fn task_whose_end_is_being_stored_is_not_started() {
+    let mut test = TestOwner::new(1);
+    let own = contact("own");
+    list_done(&mut test.owner, task_of(1, 0), START + Span::millis(5_100));
+    let now = START + Span::millis(5_120);
+    let mut out = Effects::default();
+    let batch = stored_batch(1, vec![0]);
+    test.owner.accept(&own, batch, now, &mut out);
+    assert_eq!(starts(&test.process_due(now)), 0);
+    assert!(test.owner.is_idle());
+}
+
+/// A rack arrives with a run of a task whose end its new owner has heard from another endpoint. The run must be stopped.
+#[test]
+fn run_that_arrives_after_the_end_of_its_task_is_stopped() {
+    let mut test = TestOwner::new(1);
+    let (own, next) = (contact("own"), contact("next"));
+    let mut out = Effects::default();
+    let batch = stored_batch(1, vec![0]);
+    test.owner.accept(&own, batch, START, &mut out);
+    assert_eq!(starts(&test.process_due(START)), 1);
+    let handover = test.owner.hand_over(test.rack, &next, START, &mut out);
+    let mut receiver = Owner::new(&next.name);
+    let other = Listing {
+        id: "w-2".parse().unwrap(),
+        rack: "other".to_owned(),
+        ..listing(1)
+    };
+    let token = Token::new(Epoch(2), 2);
+    receiver.claim(other.rack_id(), token, &mut out);
+    let listings = [listing(1), other];
+    receiver.update_endpoints(&listings, START, &mut out);
+    list_done(&mut receiver, task_of(1, 0), START);
+    let mut out = Effects::default();
+    receiver.take_over(handover.unwrap(), token, &listings, START, &mut out);
+    assert_eq!(stops(&out), 1);
+    assert!(receiver.is_idle());
+}
