A job that is cancelled while it's being stored doesn't run

Callers who cancelled a job right after they had submitted it were told that it is cancelled, and its tasks ran, again every two seconds or so, for as long as its shard kept its coordinator.

Cause: while the write with the job's record was outstanding, the cancellation changed the state in memory. When the write was acknowledged, the job was handed to the entry all the same. Its cancellation had found nothing to release by then, and its end released nothing either. The owners' reports of the tasks' ends were answered, since the job had ended, and changed nothing at the entry, which took the batches for lost and placed them again.

Evidence, found by random_cuts_start_no_ended_task_again before the fix (one job, in ms):

3,997 job_stored, batch_sent 4,002 job_ended state=Cancelled 4,004 task_started all four tasks 6,257 task_started three of them, run 2 7,277 batch_lost 8,984 task_started all four tasks, of another batch; and so on, run 131,071 at 50,245

--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -702,7 +702,8 @@
         if newly_stored {
             let entry = LogRecord::routine("job_stored").job(id);
             out.outputs.push(Output::Log(entry));
-            if !ended {
+            // It may have been cancelled since this change was sent.
+            if job.progress.state == State::Open {
                 actions.push(Action::Run(id, now));
             }
         }
@@ -714,6 +715,8 @@
             job.record = None;
             job.reported_ends = HashMap::new();
             self.ended_jobs.push_back((now, id));
+            // Whatever the entry still has of it must start nowhere.
+            actions.push(Action::Release(id));
             let entry = LogRecord::routine("job_ended").job(id);
             let entry = entry.with("state", format!("{:?}", change.state));
             out.outputs.push(Output::Log(entry));
--- a/tests/dispatch/withdrawals.rs
+++ b/tests/dispatch/withdrawals.rs
@@ -3,12 +3,32 @@
 use std::collections::BTreeSet;
 
 use poplarknot::{
-    dispatch::id::JobId,
+    dispatch::{
+        durable::{
+            Action,
+            Coordinator, //
+        },
+        id::JobId,
+        message::{
+            Contact,
+            Output,
+            Question,
+            StoreRequest, //
+        },
+        owner::Effects,
+        task::{
+            AcceptedJob,
+            Step,
+            Submission, //
+        }, //
+    },
     prelude::*, //
 };
 
 use super::{
+    rows::Rows,
     world::{
+        Faults,
         Shape,
         World, //
     },
@@ -76,3 +96,95 @@
         assert_eq!(runs.len(), 12, "seed {seed}, the first step twice");
     }
 }
+
+/// A caller cancels a job while the write that stores it is on its way. The job mustn't run once the write is acknowledged: nothing would
+/// stop it, and its tasks would run again and again as nobody takes note of their ends.
+#[test]
+fn job_that_is_cancelled_while_it_is_being_stored_does_not_run() {
+    let job = CUT_JOB;
+    let record = AcceptedJob {
+        submission: Submission {
+            id: job,
+            spec: "cell".to_owned(),
+            steps: vec![Step {
+                count: 1,
+                ..Step::default()
+            }],
+            best_effort: false,
+            unsupported: None,
+        },
+        route: "queue".to_owned(),
+        service: "cells".to_owned(),
+        attempts: 3,
+        priority: 0,
+        objective: Span::seconds(1),
+    };
+    let caller = Contact {
+        name: "caller".parse().unwrap(),
+        address: "caller:1".to_owned(),
+    };
+    let (mut now, mut rows) = (Time(1_000_000), Rows::default());
+    let mut coordinator = Coordinator::new("own 1");
+    coordinator.claim(job.shard(), now);
+    let mut out = Effects::default();
+    let question = Question::Accept(Box::new(record));
+    coordinator.on_request(&caller, 1, job, question, now, &mut out);
+    let (mut actions, mut cancelled) = (Vec::new(), false);
+    for _ in 0..10 {
+        now = now + Span::millis(20);
+        let mut out = Effects::default();
+        actions.extend(coordinator.run_due(now, &mut out));
+        for output in std::mem::take(&mut out.outputs) {
+            let Output::Store { call, request } = output else {
+                continue;
+            };
+            let stores_job = matches!(&request, StoreRequest::Write { set, .. } if set.len() == 2);
+            if stores_job && !cancelled {
+                cancelled = true;
+                coordinator.on_request(&caller, 2, job, Question::Cancel, now, &mut out);
+            }
+            let reply = rows.execute(&request);
+            actions.extend(coordinator.on_store_reply(call, reply, now, &mut out));
+        }
+    }
+    assert!(cancelled);
+    assert_eq!(actions, [Action::Release(job)]);
+}
+
+/// Endpoints are cut off one after the other for longer than their leases, while instances die, drain and pause and callers cancel jobs:
+/// no task starts after its end was taken note of, or after its job was cancelled.
+#[test]
+fn random_cuts_start_no_ended_task_again() {
+    for seed in 0..40 {
+        let faults = Faults {
+            lost_heartbeats: 0.03,
+            failed_runs: 0.02,
+            broken_links: 0.02,
+            ..NO_FAULTS
+        };
+        let mut world = World::new(seed, 4, 3, faults);
+        world.store_jobs();
+        for n in 0..30 {
+            let tasks = (1 + (n % 6) as u32, 1_000, Span::millis(300 + 170 * (n % 7)));
+            let i = ((seed + n) % 4) as usize;
+            world.submit_at(Span::millis(90).times(n), i, tasks, Shape::default());
+        }
+        for n in 0..6 {
+            let draw = seed.wrapping_mul(0x9e37_79b9) >> n;
+            let w = (draw % 12) as usize;
+            let cut = Span::millis(1_300 + 250 * (draw % 9));
+            world.isolate_endpoint_at(Span::millis(400 + 500 * n), w, cut);
+            let at = Span::millis(60 + 450 * n + draw % 400);
+            world.cancel_at(at, JobId(1 + draw % 30));
+        }
+        let (at, i) = (Span::millis(900 + 37 * seed), (seed / 4 % 4) as usize);
+        match seed % 4 {
+            0 => world.kill_at(at, i, Span::millis(900)),
+            1 => world.drain_at(at, i),
+            2 => world.suspend_at(at, i, Span::millis(2_500)),
+            _ => world.stall_at(at, i, (i + 1) % 4, Span::millis(900)),
+        }
+        world.run(Span::seconds(16));
+        world.finish_and_check_stored();
+    }
+}
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -79,7 +79,8 @@
 const STORE_TIMEOUT: Span = Span::millis(400);
 /// How long after a change of an endpoint's capacity starts may arrive that the owner sent before it learned of the change.
 const CAPACITY_LAG: Span = Span::millis(20);
-/// How long after an endpoint was let forget the end of a task that is done the task may still start, whatever became of leases.
+/// How long a task may still start after an endpoint was let forget its end, whatever became of leases, or after its job was shown as
+/// cancelled: orders and messages are on their way.
 const END_SPREAD: Span = Span::seconds(1);
 /// The delay after which a caller retries when its connection broke.
 const CALLER_RETRY: Span = Span::millis(1_300);
@@ -136,6 +137,7 @@
     DelayStops(usize, Option<Span>),
     BreakCaller(JobId),
     BreakCallers(usize),
+    Cancel(JobId),
     Abandoned(usize, u64, Ticket),
 }
 
@@ -273,6 +275,8 @@
     logged: HashMap<&'static str, usize>,
     /// The capacity of each resized endpoint, and when it was changed.
     resized: HashMap<usize, (Time, u64)>,
+    /// Stored jobs that are shown as cancelled, and since when.
+    cancelled: HashMap<JobId, Time>,
 }
 
 /// A waiting poll: the endpoint, its deadline, the call of an instance, and the order.
@@ -372,6 +376,7 @@
             collects_overlaps: false,
             logged: HashMap::new(),
             resized: HashMap::new(),
+            cancelled: HashMap::new(),
         };
         for i in 0..racks * per_rack {
             let listing = Listing {
@@ -907,6 +912,7 @@
                 jobs.sort_unstable();
                 jobs.into_iter().for_each(|job| self.break_caller(job));
             }
+            Event::Cancel(job) => self.ask(job, Question::Cancel),
             Event::Abandoned(i, incarnation, ticket) => {
                 if self.instances[i].incarnation != incarnation {
                     return;
@@ -1113,6 +1119,9 @@
         };
         view.answer = Some(answer);
         view.answered_at = now;
+        if answer == Answer::Standing(JobState::Cancelled) {
+            self.cancelled.entry(job).or_insert(now);
+        }
         let resubmits = self.stores_jobs || self.resubmits_given_up;
         if resubmits && matches!(answer, Answer::GivenUp { .. }) {
             view.only_refused = false;
@@ -1183,6 +1192,11 @@
         self.schedule(CALLER_RETRY, Event::Submit(at, job, tasks, cpu, duration));
     }
 
+    /// Cancels a stored job.
+    pub(crate) fn cancel_at(&mut self, after: Span, job: JobId) {
+        self.schedule(after, Event::Cancel(job));
+    }
+
     /// Returns whether a job was completed within its objective.
     pub(crate) fn is_on_time(&self, job: JobId) -> bool {
         let view = self.jobs[&job];
@@ -1209,7 +1223,7 @@
 
     /// Runs to the end and checks stored jobs: all tasks of an accepted job are done unless it failed, and no task was started
     /// again after its end was acknowledged to the endpoint, at once or, if its lease had expired before, later than
-    /// [`END_SPREAD`]. Returns the number of accepted jobs.
+    /// [`END_SPREAD`], nor of a cancelled job. Returns the number of accepted jobs.
     pub(crate) fn finish_and_check_stored(&mut self) -> usize {
         self.finish_and_check();
         self.run(Span::seconds(20));
@@ -1232,6 +1246,13 @@
                 );
             }
         }
+        for record in all() {
+            let cancelled = self.cancelled.get(&record.task.job);
+            assert!(
+                cancelled.is_none_or(|at| record.from <= *at + END_SPREAD),
+                "{record:?} started after its job was shown as cancelled"
+            );
+        }
         let is_accepted = |(_, view): &(&JobId, &CallerView)| view.answer == Some(Answer::Accepted);
         let accepted: Vec<JobId> = self
             .jobs
@@ -1258,13 +1279,21 @@
     pub(crate) fn check_crashing_job_failed(&mut self, job: JobId) {
         let is_accepted = self.jobs[&job].answer == Some(Answer::Accepted);
         assert!(is_accepted, "{job} wasn't accepted: {:?}", self.jobs[&job]);
+        self.ask(job, Question::State);
+        self.run(Span::seconds(3));
+        let failed = Answer::Standing(JobState::Failed);
+        assert_eq!(self.jobs[&job].answer, Some(failed));
+    }
+
+    /// Asks an instance that is up about a stored job.
+    fn ask(&mut self, job: JobId, question: Question) {
+        let up = |h: &SimulatedInstance| h.dispatcher.is_some();
+        let Some(i) = self.instances.iter().position(up) else {
+            return;
+        };
         self.tickets += 1;
-        let (ticket, up) = (Ticket(self.tickets), |h: &SimulatedInstance| {
-            h.dispatcher.is_some()
-        });
-        let i = self.instances.iter().position(up).unwrap();
+        let ticket = Ticket(self.tickets);
         self.instances[i].tickets.insert(ticket, job);
-        let question = Question::State;
         self.feed(
             i,
             Input::JobRequested {
@@ -1273,9 +1302,6 @@
                 question,
             },
         );
-        self.run(Span::seconds(3));
-        let failed = Answer::Standing(JobState::Failed);
-        assert_eq!(self.jobs[&job].answer, Some(failed));
     }
 
     /// Checks that no task runs twice at the same time.
