Tasks of stored batches that have ended aren't reported as missing

When the last waiting task of a stored batch went back to its entry, and other tasks of the batch had ended before, the owner reported the batch as done, naming no task: ends of stored tasks are reported one by one. The entry took the ended tasks, as far as their ends hadn't been counted yet, for lost, and placed them again 10 ms later. In the same step the report even went ahead of the ends. A task that is done could so start again while its end is on the way, or for as long as no coordinator takes note of it.

Now nothing is reported for such a batch. An end that never arrives is found by the audit of the batch, as before. ended_part_of_a_stored_batch_is_not_reported_as_missing failed before ("assertion failed: !…is_report(message)") and passes now.

--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -291,11 +291,10 @@
             cause,
         };
         out.send(&assignment.entry, message);
-        let (finished, empty) = (
-            assignment.tasks.is_empty(),
-            assignment.batch.tasks.is_empty(),
-        );
-        if empty {
+        let finished = assignment.tasks.is_empty();
+        // The ends of stored tasks are reported one by one.
+        let reported = assignment.batch.stored || assignment.batch.tasks.is_empty();
+        if finished && reported {
             self.remove_assignment(handle);
         } else if finished {
             // All tasks that remain are done, and that is reported with the last of them.
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -975,3 +975,27 @@
     assert_eq!(stops(&out), 1);
     assert!(receiver.is_idle());
 }
+
+/// One task of a stored batch is done, and its end is reported to its coordinator; the other is returned. A report that the batch is done
+/// would name neither, and its entry would place the first one again before its end is stored.
+#[test]
+fn ended_part_of_a_stored_batch_is_not_reported_as_missing() {
+    let mut test = TestOwner::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    let batch = stored_batch(1, vec![0, 1]);
+    test.owner.accept(&own, batch, START, &mut out);
+    assert_eq!(starts(&test.process_due(START)), 1);
+    list_done(&mut test.owner, task_of(1, 0), START + Span::millis(60));
+    let to = RackId::of("cells", "a", "other");
+    let room = listing(4).capacity;
+    let mut out = Effects::default();
+    test.owner
+        .reassign_waiting(test.rack, to, vec![room], START, &mut out);
+    let is_return =
+        |message: &Message| matches!(message, Message::Returned { tasks, .. } if tasks == &[1]);
+    assert!(out.messages.iter().any(|(_, message)| is_return(message)));
+    let is_report = |message: &Message| matches!(message, Message::Report { .. });
+    assert!(!out.messages.iter().any(|(_, message)| is_report(message)));
+    assert!(test.owner.is_idle());
+}
