Tasks that ended behind a cut count for callers that wait

A caller whose job ran on an endpoint that was cut off waited for second runs of its tasks, although the endpoint listed the first ones as done as soon as it was reached again: the kin of the stored tasks that started after their end. The owner queued them again, passed the end on as that of a run that it doesn't know, and started them when there was room.

An owner now keeps which runs of a task it has taken for lost. If one of them turns out to be done, the task is done, and a second run is stopped. Only runs of the same batch count: a job that isn't stored may be submitted again and run from the start, and the record of lost runs doesn't move with a rack.

Also queued_task_that_an_endpoint_lists_as_done_is_not_started, for the stored case without any message of the entry.

--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -171,6 +171,8 @@
     suspicion: Suspicion,
     /// The endpoint where its last run failed, or from which it was moved.
     failed_on: Option<Endpoint>,
+    /// Runs that were taken for lost, with their endpoints. They may have ended as done.
+    lost_runs: Vec<(Endpoint, Run)>,
 }
 
 impl Default for TaskState {
@@ -181,6 +183,7 @@
             restarts: 0,
             suspicion: Suspicion::default(),
             failed_on: None,
+            lost_runs: Vec::new(),
         }
     }
 }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -312,6 +312,7 @@
                 Event::Lost(task, handle, next) => {
                     self.run_locations.remove(&task);
                     self.log_lost(id, task, out);
+                    self.record_lost_run(id, task, handle, next);
                     self.requeue(task, handle, next, now);
                 }
                 Event::Ended {
@@ -336,6 +337,7 @@
                 Event::Expired(task, handle, next) => {
                     self.run_locations.remove(&task);
                     self.log_lost(id, task, out);
+                    self.record_lost_run(id, task, handle, next);
                     let state = self.endpoints.get(id);
                     let refused = state.is_some_and(|state| state.refuses_connections);
                     self.on_run_expired((task, handle, next), refused, now);
--- a/src/dispatch/owner/ends.rs
+++ b/src/dispatch/owner/ends.rs
@@ -26,7 +26,7 @@
         batch: Option<Handle>,
         out: &mut Effects,
     ) {
-        let (task, is_done) = (end.task, end.done);
+        let task = end.task;
         let assignment = batch.and_then(|handle| self.assignments.get(&handle));
         end.batch =
             assignment.map(|assignment| (assignment.entry.name.clone(), assignment.batch.serial));
@@ -39,8 +39,6 @@
             let record = record.with("task", task.to_string());
             out.log(record.with("endpoint", end.endpoint.as_str()));
         }
-        let key = (end.endpoint.clone(), end.life, end.serial);
-        self.unstored_ends.insert(key, (end, None));
         let assignment =
             batch.and_then(|handle| Some((handle, self.assignments.get_mut(&handle)?)));
         if let Some((handle, assignment)) = assignment {
@@ -49,9 +47,11 @@
                 self.remove_assignment(handle);
             }
         }
-        if is_done {
-            self.withdraw_done(task, out);
+        if end.done {
+            self.withdraw_done(&end, out);
         }
+        let key = (end.endpoint.clone(), end.life, end.serial);
+        self.unstored_ends.insert(key, (end, None));
     }
 
     /// Logs an end that is reported to the coordinator of its job. That of a run which this owner doesn't know, or has taken for lost,
--- a/src/dispatch/owner/withdrawal.rs
+++ b/src/dispatch/owner/withdrawal.rs
@@ -7,10 +7,14 @@
 use super::{
     super::{
         endpoint::Fate,
-        id::TaskId,
+        id::{
+            Run,
+            TaskId, //
+        },
         message::{
             LogRecord,
-            Outcome, //
+            Outcome,
+            RunEnd, //
         },
         queue::{
             Handle,
@@ -36,15 +40,41 @@
         }
     }
 
-    /// Takes a task of a stored job that is done out of all batches here.
-    pub(super) fn withdraw_done(&mut self, task: TaskId, out: &mut Effects) {
-        for handle in self.batches_with(task) {
-            if self.assignments[&handle].batch.stored {
-                self.withdraw_task(handle, task.index, "endpoint", out);
+    /// Handles a run that is done: its task leaves all batches here.
+    ///
+    /// A batch of a job that isn't stored counts only its own runs, since the job may have been submitted more than once.
+    pub(super) fn withdraw_done(&mut self, end: &RunEnd, out: &mut Effects) {
+        let index = end.task.index;
+        for handle in self.batches_with(end.task) {
+            let Some(assignment) = self.assignments.get_mut(&handle) else {
+                continue;
+            };
+            let is_own = assignment.has_lost(index, &end.endpoint, end.run);
+            if is_own && !assignment.batch.stored {
+                assignment.done.push(index);
+            }
+            if is_own || assignment.batch.stored {
+                self.withdraw_task(handle, index, "endpoint", out);
             }
         }
     }
 
+    /// Records a run that is taken for lost; the next run of its task has the number `next` at least.
+    pub(super) fn record_lost_run(
+        &mut self,
+        id: &Endpoint,
+        task: TaskId,
+        handle: Handle,
+        next: Run,
+    ) {
+        let assignment = self.assignments.get_mut(&handle);
+        let task_state = assignment.and_then(|a| a.tasks.get_mut(&task.index));
+        if let Some(task_state) = task_state {
+            let run = Run(next.0.saturating_sub(1));
+            task_state.lost_runs.push((id.clone(), run));
+        }
+    }
+
     /// Takes tasks out of a new batch whose ends are known here and aren't stored yet: its entry didn't know them.
     pub(super) fn withdraw_unstored(&mut self, handle: Handle, out: &mut Effects) {
         let assignment = self.assignments.get(&handle);
@@ -84,7 +114,10 @@
         if assignment.tasks.remove(&index).is_none() {
             return;
         }
-        assignment.batch.tasks.retain(|in_batch| *in_batch != index);
+        if !assignment.done.contains(&index) {
+            let tasks = &mut assignment.batch.tasks;
+            tasks.retain(|in_batch| *in_batch != index);
+        }
         let (task, serial) = (assignment.task_id(index), assignment.batch.serial);
         let is_empty = assignment.tasks.is_empty();
         let has_results = !assignment.done.is_empty();
@@ -120,4 +153,11 @@
         let batch = &self.batch;
         (batch.job, batch.step) == (task.job, task.step) && self.tasks.contains_key(&task.index)
     }
+
+    /// Returns whether a run of one of its tasks was taken for lost on an endpoint.
+    fn has_lost(&self, index: u32, endpoint: &Endpoint, run: Run) -> bool {
+        let task_state = self.tasks.get(&index);
+        let mut lost = task_state.into_iter().flat_map(|state| &state.lost_runs);
+        lost.any(|(on, number)| on == endpoint && *number == run)
+    }
 }
--- a/tests/dispatch/withdrawals.rs
+++ b/tests/dispatch/withdrawals.rs
@@ -10,6 +10,7 @@
         },
         id::JobId,
         message::{
+            Answer,
             Contact,
             Output,
             Question,
@@ -38,16 +39,21 @@
 /// The job whose tasks end behind a cut.
 const CUT_JOB: JobId = JobId(1);
 
-/// Returns a world of stored jobs on one rack. The endpoint that runs the tasks of [`CUT_JOB`] is cut off from all instances for `cut`;
-/// the tasks end meanwhile, before their leases expire. Tasks that take `filling` occupy the others all the while.
-fn world_with_cut(seed: u64, filling: Span, cut: Span) -> World {
+/// Returns a world of one rack. The endpoint that runs the tasks of [`CUT_JOB`] is cut off from all instances for `cut`; the tasks end
+/// meanwhile, before their leases expire. Tasks that take `filling` occupy the others all the while.
+fn world_with_cut(seed: u64, stored: bool, filling: Span, cut: Span) -> World {
     let mut world = World::new(seed, 3, 1, NO_FAULTS);
-    world.store_jobs();
-    let tasks = (4, 1_000, Span::millis(1_200));
-    world.submit_at(Span(0), 0, tasks, Shape::default());
+    if stored {
+        world.store_jobs();
+    }
+    let patient = Shape {
+        wait: Span::seconds(30),
+        ..Shape::default()
+    };
+    world.submit_at(Span(0), 0, (4, 1_000, Span::millis(1_200)), patient);
     for n in 1..5 {
         let at = Span::millis(40).times(n);
-        world.submit_at(at, 0, (16, 1_000, filling), Shape::default());
+        world.submit_at(at, 0, (16, 1_000, filling), patient);
     }
     world.run(Span::millis(900));
     for w in endpoints_of_job(&world) {
@@ -72,7 +78,7 @@
 #[test]
 fn task_that_ended_behind_a_cut_is_not_started_again() {
     for seed in 0..8 {
-        let mut world = world_with_cut(seed, Span::seconds(6), Span::millis(3_500));
+        let mut world = world_with_cut(seed, true, Span::seconds(6), Span::millis(3_500));
         world.run(Span::seconds(30));
         assert_eq!(world.finish_and_check_stored(), 5);
         let runs = world.runs(CUT_JOB);
@@ -85,7 +91,7 @@
 #[test]
 fn second_run_of_a_task_that_is_done_is_not_repeated() {
     for seed in 0..8 {
-        let mut world = world_with_cut(seed, Span::seconds(2), Span::millis(3_700));
+        let mut world = world_with_cut(seed, true, Span::seconds(2), Span::millis(3_700));
         world.run(Span::millis(3_650));
         for w in endpoints_of_job(&world) {
             world.isolate_endpoint_at(Span::millis(20), w, Span::millis(2_500));
@@ -97,6 +103,19 @@
     }
 }
 
+/// The same cut under a job whose caller waits: the tasks that ended behind it count, and the caller needn't wait for second runs.
+#[test]
+fn task_that_ended_behind_a_cut_counts_for_a_waiting_caller() {
+    for seed in 0..8 {
+        let mut world = world_with_cut(seed, false, Span::seconds(6), Span::millis(3_500));
+        world.run(Span::millis(4_700));
+        assert_eq!(world.jobs[&CUT_JOB].answer, Some(Answer::Completed));
+        world.run(Span::seconds(20));
+        world.finish_and_check();
+        assert_eq!(world.runs(CUT_JOB).len(), 4, "seed {seed}");
+    }
+}
+
 /// A caller cancels a job while the write that stores it is on its way. The job mustn't run once the write is acknowledged: nothing would
 /// stop it, and its tasks would run again and again as nobody takes note of their ends.
 #[test]
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -917,6 +917,25 @@
     assert!(test.owner.is_idle());
 }
 
+/// An owner hears from an endpoint that a task which it has queued was done by a run that it doesn't know. The task must not start, also
+/// if no message of the entry arrives.
+#[test]
+fn queued_task_that_an_endpoint_lists_as_done_is_not_started() {
+    let mut test = TestOwner::new(1);
+    let own = contact("own");
+    let mut out = Effects::default();
+    let batch = stored_batch(1, vec![0, 1]);
+    test.owner.accept(&own, batch, START, &mut out);
+    assert_eq!(starts(&test.process_due(START)), 1);
+    list_done(&mut test.owner, task_of(1, 1), START + Span::millis(60));
+    for tick in 7..40 {
+        let orders = test.process_due(START + Span::millis(10).times(tick));
+        let is_start =
+            |order: &Order| matches!(order, Order::Start { task, .. } if task.index == 1);
+        assert!(!orders.iter().any(is_start));
+    }
+}
+
 /// An entry withdraws a task that has a second run. That run must be stopped, and not repeated when it's lost.
 #[test]
 fn run_of_a_withdrawn_task_is_stopped_and_not_repeated() {
