A job that is given up places nothing more

A caller could be told that nothing of its job was run, while a task of it starts. Several parts of a job that wait for a rack come due at the same tick. If one of them can't run anywhere any more, the job is given up and its batches are cancelled; the parts after it in the same round were placed all the same, in batches that nobody cancels. It takes racks that are removed or evacuated while another rack of the job gets an owner, so it's rare, but the answer isn't true then.

A job that was given up isn't placed any more. job_that_is_given_up_places_nothing_more saw one batch sent before, and none now. Found by asking of each place that keeps tasks what ends them; no run of the program has shown it.

--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -617,7 +617,8 @@
         now: Time,
         out: &mut Effects,
     ) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        // It may have been given up since these tasks were found due.
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.given_up) else {
             return;
         };
         let submission = job.submission.clone();
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -478,6 +478,85 @@
     withdrawals.collect()
 }
 
+/// Returns an endpoint of a rack of its own, with the rack's name as its label.
+fn single_rack(rack: &str) -> Listing {
+    Listing {
+        id: format!("w-{rack}").parse().unwrap(),
+        life: Life::default(),
+        service: "cells".to_owned(),
+        address: format!("w-{rack}:80"),
+        centre: "a".to_owned(),
+        rack: rack.to_owned(),
+        labels: vec![rack.to_owned()],
+        capacity: Resources {
+            cpu: 8_000,
+            memory: 8_000,
+            gpu: 0,
+        },
+        draining: false,
+    }
+}
+
+/// One step of a job is placed, and two wait for an owner of their racks. One of the racks is removed, so that the job is given up; the
+/// other gets an owner at the same moment. Nothing more of the job may be placed: its caller is told that nothing was run.
+#[test]
+fn job_that_is_given_up_places_nothing_more() {
+    let racks = ["placed", "removed", "late"].map(single_rack);
+    let owner = Contact {
+        name: "owner".parse().unwrap(),
+        address: "owner:1".to_owned(),
+    };
+    let mut entry = Entry::new(0, &"own".parse().unwrap(), "a");
+    entry.set_endpoints(&racks);
+    entry.set_owners(&HashMap::from([(racks[0].rack_id(), owner.clone())]));
+    let vacancy = |listing: &Listing| Vacancy {
+        rack: listing.rack_id(),
+        free: vec![listing.capacity],
+        movable: 0,
+        backlog: 0,
+    };
+    entry.update_rooms(&owner.name, vec![vacancy(&racks[0])]);
+    let steps = ["placed", "removed", "late"].map(|label| Step {
+        count: 1,
+        need: Resources {
+            cpu: 1_000,
+            memory: 1,
+            gpu: 0,
+        },
+        estimate: Span::millis(60),
+        label: Some(label.to_owned()),
+        ..Step::default()
+    });
+    let submission = Submission {
+        id: JobId(1),
+        spec: String::new(),
+        steps: steps.to_vec(),
+        best_effort: true,
+        unsupported: None,
+    };
+    let route = Route {
+        service: "cells".to_owned(),
+        attempts: 2,
+        timeout: Span::seconds(4),
+        stretch: 1.5,
+        target: Span::millis(100),
+        ..Route::default()
+    };
+    let mut out = Effects::default();
+    entry.submit(Ticket(1), submission, &route, None, NOW, &mut out);
+    assert_eq!(batches(&out).len(), 1);
+    entry.set_endpoints([&racks[0], &racks[2]]);
+    entry.set_owners(&HashMap::from([
+        (racks[0].rack_id(), owner.clone()),
+        (racks[2].rack_id(), owner.clone()),
+    ]));
+    entry.update_rooms(&owner.name, vec![vacancy(&racks[2])]);
+    let mut out = Effects::default();
+    entry.run_due(NOW + Span::millis(20), &mut out);
+    assert_eq!(cancels(&out).len(), 1);
+    assert_eq!(batches(&out).len(), 0);
+}
+
 /// A task of a batch is done by a run that the batch's owner doesn't know. The owner must be told, as it may have the task queued; a task
 /// whose end it has reported itself needs no message.
 #[test]
