A job that waits for its shard isn't unknown to its cancellation

A caller that cancelled its job while the first lock of the job's shard was written was told that there is no such job; the job was stored and run a moment later.

A question about a job that isn't in a shard is answered as unknown once the lock is confirmed, and the jobs that wait for the shard to be held weren't looked at. Now the answer is that the shard isn't ready, as for any other question that comes too early, and the instance that has the caller asks again until the job is accepted or refused. cancellation_of_a_job_that_waits_for_its_shard_is_not_answered_as_unknown: `Unknown` before, `Unready` now.

--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -255,7 +255,7 @@
         out: &mut Effects,
     ) -> Option<Action> {
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.send_unknown(from, serial, out);
+            self.send_unknown(from, serial, id, out);
             return None;
         };
         if let Some(state) = job.stored_state.filter(|state| *state != State::Open) {
@@ -293,14 +293,22 @@
                 }
             }
             Some(_) => send_verdict(from, serial, Verdict::Unready, out),
-            None => self.send_unknown(from, serial, out),
+            None => self.send_unknown(from, serial, id, out),
         }
     }
 
-    /// Answers a request about a job that isn't in this shard.
-    pub(super) fn send_unknown(&mut self, from: &Contact, serial: u64, out: &mut Effects) {
+    /// Answers a request about a job that isn't in this shard. One that waits for the shard to be held may be stored soon.
+    pub(super) fn send_unknown(
+        &mut self,
+        from: &Contact,
+        serial: u64,
+        id: JobId,
+        out: &mut Effects,
+    ) {
         let verdict = Verdict::Unknown;
+        let waits = self.waiting.iter().any(|waiting| waiting.job == id);
         match self.phase {
+            _ if waits => send_verdict(from, serial, Verdict::Unready, out),
             Phase::Held | Phase::Empty | Phase::FindingLock => {
                 self.defer_until_lock_checked((from.clone(), Message::Verdict { serial, verdict }));
             }
