--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -863,8 +863,8 @@
     }
 }
 
-/// Lets the endpoint of an owner list the end of a task's first run, and returns the owner's messages.
-fn list_done(owner: &mut Owner, task: TaskId, now: Time) -> Vec<(Contact, Message)> {
+/// Lets the endpoint of an owner list the ends of tasks' first runs, and returns the owner's messages.
+fn list_done(owner: &mut Owner, tasks: &[TaskId], now: Time) -> Vec<(Contact, Message)> {
     let mut out = Effects::default();
     owner.process_due(now, &mut out);
     let poll = out.outputs.iter().find_map(|output| match output {
@@ -875,15 +875,15 @@
         } => Some(*call),
         _ => None,
     });
-    let ended = Ended {
-        serial: 1,
-        task: Name::Known(task),
+    let ended = tasks.iter().zip(1..).map(|(task, serial)| Ended {
+        serial,
+        task: Name::Known(*task),
         run: Run(1),
         end: End::Done,
-    };
+    });
     let reply = Reply::Looked(Lists {
         clock: now.0 / 1_000,
-        ended: vec![ended],
+        ended: ended.collect(),
         ..Lists::default()
     });
     let mut out = Effects::default();
@@ -912,7 +912,7 @@
     assert_eq!(starts(&test.process_due(START)), 1);
     test.owner.withdraw(&own.name, 1, &[1], &mut out);
     assert_eq!(stops(&out), 0);
-    list_done(&mut test.owner, task_of(1, 0), START + Span::millis(60));
+    list_done(&mut test.owner, &[task_of(1, 0)], START + Span::millis(60));
     assert_eq!(starts(&test.process_due(START + Span::millis(130))), 0);
     assert!(test.owner.is_idle());
 }
@@ -927,13 +927,15 @@
     let batch = stored_batch(1, vec![0, 1]);
     test.owner.accept(&own, batch, START, &mut out);
     assert_eq!(starts(&test.process_due(START)), 1);
-    list_done(&mut test.owner, task_of(1, 1), START + Span::millis(60));
+    let ended = [task_of(1, 0), task_of(1, 1)];
+    list_done(&mut test.owner, &ended, START + Span::millis(60));
     for tick in 7..40 {
         let orders = test.process_due(START + Span::millis(10).times(tick));
         let is_start =
             |order: &Order| matches!(order, Order::Start { task, .. } if task.index == 1);
         assert!(!orders.iter().any(is_start));
     }
+    assert!(test.owner.is_idle());
 }
 
 /// An entry withdraws a task that has a second run. That run must be stopped, and not repeated when it's lost.
@@ -959,7 +961,11 @@
 fn task_whose_end_is_being_stored_is_not_started() {
     let mut test = TestOwner::new(1);
     let own = contact("own");
-    list_done(&mut test.owner, task_of(1, 0), START + Span::millis(5_100));
+    list_done(
+        &mut test.owner,
+        &[task_of(1, 0)],
+        START + Span::millis(5_100),
+    );
     let now = START + Span::millis(5_120);
     let mut out = Effects::default();
     let batch = stored_batch(1, vec![0]);
@@ -988,7 +994,7 @@
     receiver.claim(other.rack_id(), token, &mut out);
     let listings = [listing(1), other];
     receiver.update_endpoints(&listings, START, &mut out);
-    list_done(&mut receiver, task_of(1, 0), START);
+    list_done(&mut receiver, &[task_of(1, 0)], START);
     let mut out = Effects::default();
     receiver.take_over(handover.unwrap(), token, &listings, START, &mut out);
     assert_eq!(stops(&out), 1);
@@ -1005,7 +1011,7 @@
     let batch = stored_batch(1, vec![0, 1]);
     test.owner.accept(&own, batch, START, &mut out);
     assert_eq!(starts(&test.process_due(START)), 1);
-    list_done(&mut test.owner, task_of(1, 0), START + Span::millis(60));
+    list_done(&mut test.owner, &[task_of(1, 0)], START + Span::millis(60));
     let to = RackId::of("cells", "a", "other");
     let room = listing(4).capacity;
     let mut out = Effects::default();
