An end that is heard after its job has ended is late

A task of a stored job could start again after an end that was taken note of. Its coordinator lost the shard in a partition before it had stored the end; the next one, which the owner couldn't reach, started the task again after its delay; the job was cancelled; and then the first end arrived and was forgotten at once, since only ends of completed jobs counted as late then.

An end that is reported after its job has ended is late now, whatever ended the job: its endpoint forgets it once its lease has expired, and by then it doesn't count any more. That is what happened already to ends that were reported before the cancellation was stored.

--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -368,10 +368,9 @@
             return None;
         };
         // If the job has ended but that isn't stored yet, the end is still needed.
-        if let Some(state) = job.stored_state.filter(|state| *state != State::Open) {
-            // The job completed without this end, so another run of the task was recorded.
-            let late = state == State::Completed;
-            out.messages.push((from.clone(), noted_reply(late)));
+        if job.stored_state.is_some_and(|state| state != State::Open) {
+            // The job ended without this end, so that another run of the task may have been started, also by a former coordinator.
+            out.messages.push((from.clone(), noted_reply(true)));
             return None;
         }
         let key = (end.endpoint.clone(), end.life, end.serial);
--- a/tests/dispatch/withdrawals.rs
+++ b/tests/dispatch/withdrawals.rs
@@ -8,7 +8,12 @@
             Action,
             Coordinator, //
         },
-        id::JobId,
+        id::{
+            JobId,
+            Life,
+            Run,
+            TaskId, //
+        },
         message::{
             Answer,
             Contact,
@@ -16,6 +21,7 @@
             Message,
             Output,
             Question,
+            RunEnd,
             StoreRequest,
             Verdict, //
         },
@@ -140,67 +146,148 @@
     }
 }
 
-/// Submits a job to the coordinator of its empty shard, and cancels it before the coordinator sends a request of the given kind to the
-/// store. Returns the actions that follow, and the answers to the cancellation.
-fn cancel_before(is_moment: impl Fn(&StoreRequest) -> bool) -> (Vec<Action>, Vec<Verdict>) {
+/// The coordinator of the shard of [`CUT_JOB`], which is empty at first, with its store and a caller.
+struct Coordination {
+    coordinator: Coordinator,
+    rows: Rows,
+    now: Time,
+    /// The actions that the coordinator has returned.
+    actions: Vec<Action>,
+    /// Its messages.
+    messages: Vec<Message>,
+}
+
+impl Coordination {
+    const SUBMISSION: u64 = 1;
     const CANCELLATION: u64 = 2;
-    let job = CUT_JOB;
-    let caller = Contact {
-        name: "caller".parse().unwrap(),
-        address: "caller:1".to_owned(),
-    };
-    let (mut now, mut rows) = (Time(1_000_000), Rows::default());
-    let mut coordinator = Coordinator::new("own 1");
-    coordinator.claim(job.shard(), now);
-    let question = Question::Accept(Box::new(stored_job(job)));
-    coordinator.on_request(&caller, 1, job, question, now, &mut Effects::default());
-    let (mut actions, mut verdicts, mut cancelled) = (Vec::new(), Vec::new(), false);
-    for _ in 0..10 {
-        now = now + Span::millis(20);
-        let mut out = Effects::default();
-        actions.extend(coordinator.run_due(now, &mut out));
-        for output in std::mem::take(&mut out.outputs) {
-            let Output::Store { call, request } = output else {
-                continue;
-            };
-            if is_moment(&request) && !cancelled {
-                cancelled = true;
-                coordinator.on_request(&caller, CANCELLATION, job, Question::Cancel, now, &mut out);
+
+    /// Returns the coordinator after the job was submitted, before anything is read or stored.
+    fn new() -> Self {
+        let now = Time(1_000_000);
+        let mut coordinator = Coordinator::new("own 1");
+        coordinator.claim(CUT_JOB.shard(), now);
+        let mut coordination = Self {
+            coordinator,
+            rows: Rows::default(),
+            now,
+            actions: Vec::new(),
+            messages: Vec::new(),
+        };
+        let question = Question::Accept(Box::new(stored_job(CUT_JOB)));
+        coordination.ask(Self::SUBMISSION, question);
+        coordination
+    }
+
+    fn caller() -> Contact {
+        Contact {
+            name: "caller".parse().unwrap(),
+            address: "caller:1".to_owned(),
+        }
+    }
+
+    fn ask(&mut self, serial: u64, question: Question) {
+        let (caller, mut out) = (Self::caller(), Effects::default());
+        self.coordinator
+            .on_request(&caller, serial, CUT_JOB, question, self.now, &mut out);
+        self.take_messages(out);
+    }
+
+    /// Lets the coordinator work with the store for a while. The job is cancelled before the first request for which `is_moment` holds.
+    fn run(&mut self, is_moment: impl Fn(&StoreRequest) -> bool) {
+        let mut cancelled = false;
+        for _ in 0..10 {
+            self.now = self.now + Span::millis(20);
+            let mut out = Effects::default();
+            let actions = self.coordinator.run_due(self.now, &mut out);
+            self.actions.extend(actions);
+            let outputs = std::mem::take(&mut out.outputs);
+            self.take_messages(out);
+            for output in outputs {
+                let Output::Store { call, request } = output else {
+                    continue;
+                };
+                if !cancelled && is_moment(&request) {
+                    cancelled = true;
+                    self.ask(Self::CANCELLATION, Question::Cancel);
+                }
+                let (reply, mut out) = (self.rows.execute(&request), Effects::default());
+                let actions = self
+                    .coordinator
+                    .on_store_reply(call, reply, self.now, &mut out);
+                self.actions.extend(actions);
+                self.take_messages(out);
             }
-            let reply = rows.execute(&request);
-            actions.extend(coordinator.on_store_reply(call, reply, now, &mut out));
         }
-        verdicts.extend(
-            out.messages
-                .iter()
-                .filter_map(|(_, message)| match message {
-                    Message::Verdict { serial, verdict } if *serial == CANCELLATION => {
-                        Some(*verdict)
-                    }
-                    _ => None,
-                }),
-        );
     }
-    assert!(cancelled);
-    (actions, verdicts)
+
+    fn take_messages(&mut self, out: Effects) {
+        let messages = out.messages.into_iter().map(|(_, message)| message);
+        self.messages.extend(messages);
+    }
+
+    /// Returns the answers to the cancellation.
+    fn cancellation_verdicts(&self) -> Vec<Verdict> {
+        let messages = self.messages.iter();
+        let verdicts = messages.filter_map(|message| match message {
+            Message::Verdict { serial, verdict } if *serial == Self::CANCELLATION => Some(*verdict),
+            _ => None,
+        });
+        verdicts.collect()
+    }
 }
 
 /// A caller cancels a job while the write that stores it is on its way. The job mustn't run once the write is acknowledged: nothing would
 /// stop it, and its tasks would run again and again as nobody takes note of their ends.
 #[test]
 fn job_that_is_cancelled_while_it_is_being_stored_does_not_run() {
-    let is_record = |request: &StoreRequest| matches!(request, StoreRequest::Write { set, .. } if set.len() == 2);
-    let (actions, verdicts) = cancel_before(is_record);
-    assert_eq!(actions, [Action::Release(CUT_JOB)]);
-    assert_eq!(verdicts, [Verdict::Standing(JobState::Cancelled)]);
+    let mut shard = Coordination::new();
+    shard.run(|request| matches!(request, StoreRequest::Write { set, .. } if set.len() == 2));
+    assert_eq!(shard.actions, [Action::Release(CUT_JOB)]);
+    let cancelled = Verdict::Standing(JobState::Cancelled);
+    assert_eq!(shard.cancellation_verdicts(), [cancelled]);
 }
 
 /// A caller cancels a job that waits until its shard, which is empty, has a lock. The answer mustn't be that there is no such job, since
 /// the job is stored and run a moment later.
 #[test]
 fn cancellation_of_a_job_that_waits_for_its_shard_is_not_answered_as_unknown() {
-    let (_, verdicts) = cancel_before(|request| matches!(request, StoreRequest::Find { .. }));
-    assert_eq!(verdicts, [Verdict::Unready]);
+    let mut shard = Coordination::new();
+    shard.run(|request| matches!(request, StoreRequest::Find { .. }));
+    assert_eq!(shard.cancellation_verdicts(), [Verdict::Unready]);
+}
+
+/// A task ends under a former coordinator, which can't store that, and the next one starts it again before the job is cancelled. The first
+/// end, heard after that, may be forgotten only once its endpoint's lease has expired: the second run began after an end that counts.
+#[test]
+fn end_that_is_heard_after_the_end_of_its_job_is_late() {
+    let mut shard = Coordination::new();
+    shard.run(|_| false);
+    shard.ask(Coordination::CANCELLATION, Question::Cancel);
+    shard.run(|_| false);
+    let cancelled = Verdict::Standing(JobState::Cancelled);
+    assert_eq!(shard.cancellation_verdicts(), [cancelled]);
+    let end = RunEnd {
+        endpoint: "w-1".parse().unwrap(),
+        life: Life(1),
+        serial: 1,
+        task: TaskId {
+            job: CUT_JOB,
+            step: 0,
+            index: 0,
+        },
+        run: Run::FIRST,
+        done: true,
+        batch: None,
+    };
+    let mut out = Effects::default();
+    let owner = Coordination::caller();
+    let action = shard.coordinator.on_run_end(&owner, &end, None, &mut out);
+    assert_eq!(action, None);
+    let is_late = |message: &Message| matches!(message, Message::Noted { late: true, .. });
+    let [(_, message)] = &out.messages[..] else {
+        panic!("{:?}", out.messages);
+    };
+    assert!(is_late(message), "{message:?}");
 }
 
 /// Endpoints are cut off one after the other for longer than their leases, while instances die, drain and pause and callers cancel jobs:
