The soak looks for starts long after an end was forgotten

The endpoint's double keeps when an instance lets it forget an end, and the soak reports starts of stored tasks over a second later.

--- a/tests/platform/endpoint.rs
+++ b/tests/platform/endpoint.rs
@@ -63,6 +63,8 @@
     pub(crate) started_at: Instant,
     pub(crate) ended_at: Option<Instant>,
     pub(crate) outcome: &'static str,
+    /// When an instance let the endpoint forget its end.
+    pub(crate) forgotten_at: Option<Instant>,
 }
 
 /// The time for which an owner may be unaware of a run's end and still count the run.
@@ -366,6 +368,21 @@
         lost
     }
 
+    /// Forgets the ends up to a serial number.
+    fn forget_ends(&mut self, seen: u64) {
+        let (forgotten, kept) = std::mem::take(&mut self.finished)
+            .into_iter()
+            .partition(|(serial, ..)| *serial <= seen);
+        self.finished = kept;
+        let forgotten: Vec<(u64, String, u64, &'static str)> = forgotten;
+        for (_, task, run, _) in forgotten {
+            let is_run = |e: &&mut Execution| e.task == task && e.run == run;
+            if let Some(execution) = self.history.iter_mut().rev().find(is_run) {
+                execution.forgotten_at = Some(Instant::now());
+            }
+        }
+    }
+
     fn forbid_run(&mut self, task: &str, run: u64) {
         let last_forbidden = self.forbidden_runs.entry(task.to_owned()).or_default();
         *last_forbidden = (*last_forbidden).max(run);
@@ -418,6 +435,7 @@
             started_at: now,
             ended_at: None,
             outcome: "",
+            forgotten_at: None,
         });
         self.running.insert(task.to_owned(), active);
         Ok(())
@@ -501,7 +519,7 @@
                     state.lease = state.lease.max(lease.min(state.clock() + 1_000));
                 }
                 let seen = body["last_seen"].as_u64().unwrap_or(0);
-                state.finished.retain(|(n, ..)| *n > seen);
+                state.forget_ends(seen);
                 None
             }
             _ => return json_response(404, &json!({})),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,9 +5,9 @@
 //! callers keep their connections open, and some disconnect before their answer. A third of the callers submit stored jobs,
 //! which are queried at the end.
 //!
-//! The test checks that no task runs twice at a time, that "completed" means that every task was done, that "not run" means
-//! that no task started, and that an instance cuts no caller off without a kill or a pause. Each seed gives one sequence of
-//! faults. `SOAK_SEEDS=FROM-TO cargo test --test soak` runs other seeds than the default ones.
+//! The test checks that no task runs twice at a time, that no task of a stored job starts long after its end was forgotten, that
+//! "completed" means that every task was done, that "not run" means that no task started, and that an instance cuts no caller
+//! off without a kill or a pause. Each seed gives one sequence of faults. `SOAK_SEEDS=FROM-TO cargo test --test soak` runs other seeds than the default ones.
 #![allow(dead_code)] // Other tests use more of these modules.
 
 #[path = "platform/endpoint.rs"]
@@ -67,6 +67,9 @@
     Instant, //
 };
 
+/// How long after the end of a run was forgotten an order to start its task may still be on its way.
+const END_SPREAD: Duration = Duration::from_secs(1);
+
 /// Seeds that run by default, with the failure that each guards against. A seed that finds a fault is added.
 const DEFAULT_SEEDS: [u64; 2] = [
     1, // An instance without time left to drain cuts its callers off.
@@ -277,6 +280,7 @@
         }
     }
     let mut violations = std::mem::take(&mut ledger.violations);
+    violations.extend(find_late_starts(fleet, &ledger));
     for id in &ledger.completed {
         let done_count = done_tasks
             .get(&format!("{id:016x}"))
@@ -313,6 +317,41 @@
     violations
 }
 
+/// Returns the starts of tasks of stored jobs long after the end of a run that is done was forgotten.
+fn find_late_starts(fleet: &Fleet, ledger: &Ledger) -> Vec<String> {
+    let mut starts: HashMap<String, Vec<Instant>> = HashMap::new();
+    let mut forgotten: Vec<(String, Instant)> = Vec::new();
+    for execution in fleet.endpoints.iter().flat_map(|e| e.history()) {
+        if let Some(at) = execution
+            .forgotten_at
+            .filter(|_| execution.outcome == "done")
+        {
+            forgotten.push((execution.task.clone(), at));
+        }
+        starts
+            .entry(execution.task)
+            .or_default()
+            .push(execution.started_at);
+    }
+    let is_stored = |task: &String| {
+        let job = task.split('.').next().unwrap_or_default();
+        let id = u64::from_str_radix(job, 16);
+        id.is_ok_and(|id| ledger.accepted.contains(&id))
+    };
+    let mut late = Vec::new();
+    for (task, at) in forgotten.into_iter().filter(|(task, _)| is_stored(task)) {
+        for start in starts.get(&task).into_iter().flatten() {
+            let after = start.saturating_duration_since(at);
+            if after > END_SPREAD {
+                late.push(format!(
+                    "{task} started {after:?} after its end was forgotten"
+                ));
+            }
+        }
+    }
+    late
+}
+
 /// Submits one job after another, and retries at a random instance after a broken connection or a 504.
 async fn submit_jobs(
     caller: u64,
