An idle endpoint with a late end is asked again once its leases are over

An endpoint that had been cut off, and listed an end when it was back, could stay without tasks for five seconds: a late end is forgotten after the leases, the endpoint takes no task before, and an idle endpoint is polled every five seconds only. With ends that are late after any end of a job it would come more often.

The next poll is due when the leases are over. endpoint_with_a_late_end_returns_once_its_leases_are_over wasn't asked within 1.1 s before, and is now.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -447,8 +447,12 @@
             .reading
             .is_some_and(|r| now.since(r.received) < POLL_IDLE);
         if idle && acknowledged && reading_recent && !self.poll_wanted {
-            // No poll is due before a start, or before the reading of its clock is too old.
-            self.next_poll = self.reading.map_or(now, |r| r.received + POLL_IDLE);
+            // No poll is due before a start, or before the reading of its clock is too old, unless late ends are released earlier.
+            let outdated = self.reading.map_or(now, |r| r.received + POLL_IDLE);
+            self.next_poll = match self.late_ends.is_empty() {
+                true => outdated,
+                false => outdated.min(self.late_release()),
+            };
             return None;
         }
         let stop_unconfirmed = |execution: &Execution| {
@@ -497,9 +501,15 @@
     pub fn on_late_end_stored(&mut self, life: Life, serial: u64) {
         if life == self.life && self.unstored_ends.contains(&serial) {
             self.late_ends.insert(serial);
+            self.next_poll = self.next_poll.min(self.late_release());
         }
     }
 
+    /// Returns when late ends are released if no lease is extended.
+    fn late_release(&self) -> Time {
+        self.leases_end + Span(1)
+    }
+
     /// Releases the late ends once the lease has expired.
     fn release_late_ends(&mut self, now: Time) {
         if !self.late_ends.is_empty() && now > self.leases_end {
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -901,6 +901,41 @@
     out.outputs.iter().filter(is_stop).count()
 }
 
+/// An idle endpoint has an end that it may forget once its leases are over. It must be asked to then: it gets no task before.
+#[test]
+fn endpoint_with_a_late_end_returns_once_its_leases_are_over() {
+    let mut state = State::new(listing(1), Token::new(Epoch(1), 1), START);
+    let lists = Lists {
+        clock: 1,
+        ended: vec![Ended {
+            serial: 1,
+            task: Name::Known(task_of(1, 0)),
+            run: Run(1),
+            end: End::Done,
+        }],
+        ..Lists::default()
+    };
+    let mut forgotten_at = None;
+    for tick in 0..500 {
+        let now = START + Span::millis(10).times(tick);
+        let call = CallId(tick);
+        match state.poll(call, now) {
+            Some(Order::Poll {
+                acknowledged: 1, ..
+            }) => {
+                forgotten_at = Some(now);
+                break;
+            }
+            Some(_) => drop(state.on_poll_answer(call, now, lists.clone(), now)),
+            None => {}
+        }
+        if tick == 5 {
+            state.on_late_end_stored(Life::default(), 1);
+        }
+    }
+    assert!(forgotten_at.is_some_and(|at| at <= START + Span::millis(1_100)));
+}
+
 /// An entry withdraws a queued task that was done by a run elsewhere. The task must not start when there is room.
 #[test]
 fn withdrawn_task_is_not_started() {
