review/5: a planned restart of endpoints counts as a crash, and a job is shown as failed

Endpoints are restarted one after the other under their names. A job whose task loses two of them is shown as failed, though none of its runs ended as failed. The stand-in of an endpoint tells its start (born) from now on.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -3,6 +3,7 @@
 pub mod crash;
 pub mod large_job;
 pub mod late_ends;
+pub mod release;
 pub mod server_limit;
 
 use std::{
--- a/review/standin-2/src/cases/crash.rs
+++ b/review/standin-2/src/cases/crash.rs
@@ -64,7 +64,7 @@
             worker.id(),
             on(&worker.id())
         ));
-        worker.crash(DOWN, &fleet.store);
+        worker.crash(DOWN);
     }
     thread::sleep(DOWN + BACK);
     let mut short = Vec::new();
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -5,7 +5,7 @@
     net::TcpListener,
     sync::{Arc, Condvar, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -44,7 +44,11 @@
 struct State {
     /// The name of this life.
     id: String,
-    /// Until when it is down after a crash.
+    /// When it started, in milliseconds since 1970.
+    born: u64,
+    /// Whether it is about to leave.
+    draining: bool,
+    /// Until when it is down.
     down_until: Option<Instant>,
     started_at: Instant,
     slots: usize,
@@ -62,6 +66,10 @@
 #[derive(Clone)]
 pub struct Worker {
     state: Arc<(Mutex<State>, Condvar)>,
+    store: Store,
+    address: String,
+    zone: String,
+    rack: String,
 }
 
 impl Worker {
@@ -72,6 +80,8 @@
         let address = listener.local_addr().expect("an address").to_string();
         let state = State {
             id: id.to_owned(),
+            born: unix_millis(),
+            draining: false,
             down_until: None,
             started_at: Instant::now(),
             slots,
@@ -86,42 +96,72 @@
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let shared = state.clone();
         http::serve(listener, Arc::new(move |request| handle(&shared, &request)));
-        let (store, zone, rack) = (store.clone(), zone.to_owned(), rack.to_owned());
         let worker = Self {
-            state: state.clone(),
+            state,
+            store: store.clone(),
+            address,
+            zone: zone.to_owned(),
+            rack: rack.to_owned(),
         };
+        let reporting = worker.clone();
         thread::spawn(move || {
             for sequence in 1_u64.. {
-                let capacity = vec![
-                    ("cpu", Value::from(slots as u64 * 1_000)),
-                    ("mem_mb", Value::from(131_072)),
-                    ("gpu", Value::from(0)),
-                ];
-                let row = object(vec![
-                    ("service", "cells".into()),
-                    ("address", address.as_str().into()),
-                    ("zone", zone.as_str().into()),
-                    ("version", "v1".into()),
-                    ("slots", Value::from(slots as u64)),
-                    ("state", "ready".into()),
-                    ("cold_remaining_ms", Value::from(0)),
-                    ("sequence", sequence.into()),
-                    ("capacity", object(capacity)),
-                    ("labels", vec!["a".into(), rack.as_str().into()].into()),
-                ]);
-                let (id, is_up) = {
-                    let mut state = state.0.lock().unwrap();
-                    (state.id.clone(), state.is_up())
-                };
-                if is_up {
-                    store.set("servers", &id, &row);
-                }
+                reporting.write_row(sequence);
                 thread::sleep(HEARTBEAT);
             }
         });
         worker
     }
 
+    /// Writes its row to the store, unless it's down.
+    fn write_row(&self, sequence: u64) {
+        let mut state = self.state.0.lock().unwrap();
+        if !state.is_up() {
+            return;
+        }
+        let capacity = vec![
+            ("cpu", Value::from(state.slots as u64 * 1_000)),
+            ("mem_mb", Value::from(131_072)),
+            ("gpu", Value::from(0)),
+        ];
+        let condition = if state.draining { "draining" } else { "ready" };
+        let mut row = vec![
+            ("service", "cells".into()),
+            ("address", self.address.as_str().into()),
+            ("zone", self.zone.as_str().into()),
+            ("version", "v1".into()),
+            ("slots", Value::from(state.slots as u64)),
+            ("state", condition.into()),
+            ("cold_remaining_ms", Value::from(0)),
+            ("sequence", sequence.into()),
+            ("born", state.born.into()),
+            ("capacity", object(capacity)),
+            ("labels", vec!["a".into(), self.rack.as_str().into()].into()),
+        ];
+        if state.draining {
+            row.push(("remaining_ms", Value::from(0)));
+        }
+        self.store.set("servers", &state.id, &object(row));
+    }
+
+    /// Restarts the endpoint as planned: it reports that it drains, serves on for `drain`, ends with all that it runs, and is back
+    /// after `down` under its name, born later. Returns when it's back.
+    pub fn restart(&self, drain: Duration, down: Duration) {
+        self.state.0.lock().unwrap().draining = true;
+        self.write_row(0);
+        thread::sleep(drain);
+        let mut state = self.state.0.lock().unwrap();
+        state.end_life("ended with its endpoint");
+        state.down_until = Some(Instant::now() + down);
+        state.draining = false;
+        let id = state.id.clone();
+        drop(state);
+        self.store.remove("servers", &id);
+        thread::sleep(down);
+        self.state.0.lock().unwrap().born = unix_millis();
+        self.write_row(1);
+    }
+
     /// Returns the name of its current life.
     pub fn id(&self) -> String {
         self.state.0.lock().unwrap().id.clone()
@@ -129,21 +169,14 @@
 
     /// Crashes the endpoint: all that it runs ends, and for some time it answers nothing. After that it has another name, runs
     /// nothing and knows nothing, at the same address. Its former row is removed three heartbeats after the crash.
-    pub fn crash(&self, down: Duration, store: &Store) {
+    pub fn crash(&self, down: Duration) {
         let mut state = self.state.0.lock().unwrap();
-        state.end_due();
-        let now = Instant::now();
-        for run in std::mem::take(&mut state.running).into_values() {
-            state.history[run.history].ended = Some((now, "crashed"));
-        }
+        state.end_life("crashed");
         let former = state.id.clone();
         state.id = format!("{former}-2");
-        state.down_until = Some(now + down);
-        state.started_at = now;
-        (state.lease, state.token, state.serial) = (0, 0, 0);
-        state.finished.clear();
-        state.barred.clear();
-        let store = store.clone();
+        state.born = unix_millis() + down.as_millis() as u64;
+        state.down_until = Some(Instant::now() + down);
+        let store = self.store.clone();
         thread::spawn(move || {
             thread::sleep(HEARTBEAT * 3);
             store.remove("servers", &former);
@@ -159,6 +192,19 @@
 }
 
 impl State {
+    /// Ends all that runs, and forgets everything.
+    fn end_life(&mut self, how: &'static str) {
+        self.end_due();
+        let now = Instant::now();
+        for run in std::mem::take(&mut self.running).into_values() {
+            self.history[run.history].ended = Some((now, how));
+        }
+        self.started_at = now;
+        (self.lease, self.token, self.serial) = (0, 0, 0);
+        self.finished.clear();
+        self.barred.clear();
+    }
+
     fn is_up(&mut self) -> bool {
         if self.down_until.is_some_and(|until| until <= Instant::now()) {
             self.down_until = None;
@@ -298,6 +344,7 @@
         });
         object(vec![
             ("clock_ms", self.clock().into()),
+            ("born", self.born.into()),
             ("running", running.collect::<Vec<Value>>().into()),
             ("finished", finished.collect::<Vec<Value>>().into()),
         ])
@@ -382,3 +429,8 @@
         _ => respond(404, object(vec![])),
     }
 }
+
+fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |since| since.as_millis() as u64)
+}
