--- a/review/standin-2/src/cases/crash.rs
+++ b/review/standin-2/src/cases/crash.rs
@@ -20,7 +20,7 @@
 const WAIT: Duration = Duration::from_millis(1_500);
 const BEFORE: Duration = Duration::from_secs(2);
 /// How long the endpoint is down, and how long after its return the short jobs come.
-const DOWN: Duration = Duration::from_millis(4_500);
+const DOWN: Duration = Duration::from_millis(3_000);
 const BACK: Duration = Duration::from_secs(3);
 
 pub fn play(record: &Record, trouble: bool) -> io::Result<Verdict> {
