--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,8 +1,8 @@
 //! The cases, and what they share.
 
 pub mod crash;
-pub mod large_job;
 pub mod late_ends;
+pub mod pending;
 pub mod release;
 pub mod server_limit;
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -44,9 +44,9 @@
         false => "without the disruption",
     });
     let verdict = match case {
-        "large-job" => cases::large_job::play(&record, trouble),
         "late-ends" => cases::late_ends::play(&record, trouble),
         "crash" => cases::crash::play(&record, trouble),
+        "pending" => cases::pending::play(&record, trouble),
         "release" => cases::release::play(&record, trouble),
         "server-limit" => cases::server_limit::play(&record, trouble),
         other => Err(io::Error::other(format!("no case {other}"))),
