--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -46,6 +46,12 @@
     ]
 }
 
+/// Returns the `spec` of a job whose tasks take a time for each step.
+pub fn by_step(millis: &[u64]) -> String {
+    let millis: Vec<String> = millis.iter().map(u64::to_string).collect();
+    millis.join(",")
+}
+
 /// Builds the body of a job that must be kept.
 pub fn job(spec: &str, steps: Vec<Vec<(&'static str, Value)>>) -> Vec<u8> {
     let steps: Vec<Value> = steps.into_iter().map(object).collect();
@@ -108,13 +114,7 @@
         .unwrap_or(0);
     let room = moments.iter().map(|at| fitting(*at)).min().unwrap_or(0);
     for run in &runs {
-        let end = run
-            .ended
-            .map_or("runs".to_owned(), |(_, how)| how.to_owned());
-        record.add_at(
-            run.started_at,
-            format!("run {} of {} on {}: {end}", run.run, run.task, run.endpoint),
-        );
+        record.add_at(run.started_at, run.describe());
     }
     let slots = idle.slots;
     record.add(format!(
--- a/review/standin-2/src/cases/late_ends.rs
+++ b/review/standin-2/src/cases/late_ends.rs
@@ -12,18 +12,19 @@
 };
 
 const ENDPOINTS: usize = 4;
-/// Long tasks, one of each job on every endpoint.
+/// Jobs of long tasks, one of each step on every endpoint. The third step runs from 12 s to 19 s.
 const LONG_JOBS: u64 = 2;
-const LONG_MILLIS: u64 = 60_000;
+const LONG_STEPS: [u64; 3] = [5_000, 7_000, 7_000];
 /// Jobs of many short steps, each with one task on every endpoint.
 const SHORT_JOBS: u64 = 5;
-const SHORT_STEPS: u64 = 100;
-const SHORT_MILLIS: u64 = 300;
+const SHORT_STEPS: u64 = 52;
+const SHORT_MILLIS: u64 = 400;
 const WAIT: Duration = Duration::from_millis(1_500);
-/// How long all runs undisturbed before an instance is killed.
-const BEFORE: Duration = Duration::from_secs(4);
-/// How long the instance is down.
+/// How long after the traffic an instance is killed, for how long, and when the judgement begins: `contact_ms` later and after
+/// `finish_s`.
+const KILL: Duration = Duration::from_millis(12_500);
 const DOWN: Duration = Duration::from_secs(1);
+const JUDGE: Duration = Duration::from_millis(15_800);
 
 pub fn play(record: &Record, trouble: bool) -> io::Result<Verdict> {
     let plan = Plan {
@@ -32,25 +33,25 @@
         max_attempts: 3,
     };
     let mut fleet = Fleet::start(&plan)?;
-    let limited = |millis: u64| {
-        let mut step = step(ENDPOINTS as u64, millis);
-        step.push(("max_per_server", Value::from(1)));
-        step
+    let chain = |steps: &[u64]| {
+        let steps = steps.iter().enumerate().map(|(index, millis)| {
+            let mut step = step(ENDPOINTS as u64, *millis);
+            step.push(("max_per_server", Value::from(1)));
+            if index > 0 {
+                step.push(("after", vec![Value::from(index as u64 - 1)].into()));
+            }
+            step
+        });
+        steps.collect::<Vec<_>>()
     };
     let mut short = Vec::new();
     for n in 0..LONG_JOBS + SHORT_JOBS {
         let is_long = n < LONG_JOBS;
         let body = match is_long {
-            true => job(&LONG_MILLIS.to_string(), vec![limited(LONG_MILLIS)]),
+            true => job(&super::by_step(&LONG_STEPS), chain(&LONG_STEPS)),
             false => {
-                let steps = (0..SHORT_STEPS).map(|index| {
-                    let mut step = limited(SHORT_MILLIS);
-                    if index > 0 {
-                        step.push(("after", vec![Value::from(index - 1)].into()));
-                    }
-                    step
-                });
-                job(&SHORT_MILLIS.to_string(), steps.collect())
+                let steps = vec![SHORT_MILLIS; SHORT_STEPS as usize];
+                job(&SHORT_MILLIS.to_string(), chain(&steps))
             }
         };
         let id = job_id(n);
@@ -69,7 +70,7 @@
         }
     }
     record.add("the traffic has ended");
-    thread::sleep(BEFORE);
+    thread::sleep(KILL);
     if trouble {
         // The endpoints are in the zone of the first instance, which owns their rack and stays up.
         let instance = &mut fleet.instances[1];
@@ -78,8 +79,10 @@
         thread::sleep(DOWN);
         fleet.restart(1)?;
         record.add("it is started again");
+    } else {
+        thread::sleep(DOWN);
     }
-    thread::sleep(super::FINISH - BEFORE);
+    thread::sleep(JUDGE - KILL - DOWN);
     let idle = Idle {
         fleet: &fleet,
         jobs: &short,
--- a/review/standin-2/src/cases/pending.rs
+++ b/review/standin-2/src/cases/pending.rs
@@ -17,7 +17,7 @@
 
 const SLOTS: u64 = 8;
 const WAITING_JOBS: u64 = 18;
-const MILLIS: u64 = 60_000;
+const MILLIS: u64 = 7_000;
 const WAIT: Duration = Duration::from_millis(1_500);
 /// `visible_ms` and 2 s: jobs that were accepted before that count.
 const VISIBLE: Duration = Duration::from_millis(5_000);
--- a/review/standin-2/src/cases/release.rs
+++ b/review/standin-2/src/cases/release.rs
@@ -10,20 +10,24 @@
 use crate::{
     fleet::{Fleet, Plan},
     record::Record,
+    worker::Worker,
     Verdict,
 };
 
-const ENDPOINTS: usize = 3;
+/// Two of five endpoints are restarted.
+const ENDPOINTS: usize = 5;
+const RESTARTS: usize = 2;
 const JOBS: u64 = 1;
-const MILLIS: u64 = 25_000;
+const MILLIS: u64 = 7_000;
 const WAIT: Duration = Duration::from_millis(1_500);
 /// How long an endpoint serves on after the store has its report: `drain_ms`, and a little longer.
-const DRAIN: Duration = Duration::from_millis(3_000);
-/// How long it is down, and how long it's up before the next one drains.
+const DRAIN: Duration = Duration::from_millis(2_300);
+/// How long it is down.
 const DOWN: Duration = Duration::from_millis(1_500);
-const PAUSE: Duration = Duration::from_millis(3_500);
+/// How long a run lasts before its endpoint drains.
+const BEFORE: Duration = Duration::from_secs(1);
 /// How long jobs may take in all: longer than all restarts and a run without one.
-const LONGEST: Duration = Duration::from_secs(80);
+const LONGEST: Duration = Duration::from_secs(45);
 
 pub fn play(record: &Record, trouble: bool) -> io::Result<Verdict> {
     let plan = Plan {
@@ -48,14 +52,12 @@
         jobs.push(id);
     }
     let end = Instant::now() + LONGEST;
-    thread::sleep(Duration::from_secs(2));
-    if trouble {
-        for worker in &fleet.workers {
-            record.add(format!("{} drains", worker.id()));
-            worker.restart(DRAIN, DOWN);
-            record.add(format!("{} is back", worker.id()));
-            thread::sleep(PAUSE);
-        }
+    for _ in 0..if trouble { RESTARTS } else { 0 } {
+        let worker = running_on(&fleet, &jobs[0])?;
+        thread::sleep(BEFORE);
+        record.add(format!("{} drains", worker.id()));
+        worker.restart(DRAIN, DOWN);
+        record.add(format!("{} is back", worker.id()));
     }
     let mut states;
     loop {
@@ -74,13 +76,7 @@
     }
     let runs = fleet.history();
     for run in &runs {
-        let end = run
-            .ended
-            .map_or("runs".to_owned(), |(_, how)| how.to_owned());
-        record.add_at(
-            run.started_at,
-            format!("run {} of {} on {}: {end}", run.run, run.task, run.endpoint),
-        );
+        record.add_at(run.started_at, run.describe());
     }
     let failed = runs
         .iter()
@@ -96,3 +92,25 @@
         false => Verdict::Held,
     })
 }
+
+/// Waits until a task of a job runs, and returns its endpoint.
+fn running_on(fleet: &Fleet, job: &str) -> io::Result<Worker> {
+    let end = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < end {
+        let runs = fleet.history();
+        let run = runs
+            .iter()
+            .find(|run| run.task.starts_with(job) && run.ended.is_none());
+        let worker = run.and_then(|run| {
+            fleet
+                .workers
+                .iter()
+                .find(|worker| worker.id() == run.endpoint)
+        });
+        if let Some(worker) = worker {
+            return Ok(worker.clone());
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Err(io::Error::other("the task doesn't run"))
+}
--- a/review/standin-2/src/cases/server_limit.rs
+++ b/review/standin-2/src/cases/server_limit.rs
@@ -10,20 +10,21 @@
     Verdict,
 };
 
-/// The endpoints of each of the two racks.
-const ENDPOINTS: usize = 4;
-const LARGE_TASKS: u64 = 32;
-const LARGE_MILLIS: u64 = 7_000;
+/// The endpoints of the rack, and those of another one.
+const ENDPOINTS: usize = 2;
+const OTHERS: usize = 6;
+const LARGE_TASKS: u64 = 16;
+const LARGE_MILLIS: u64 = 3_600;
 const SMALL_JOBS: u64 = 6;
 const SMALL_MILLIS: u64 = 200;
 const WAIT: Duration = Duration::from_millis(1_500);
 /// How long after the first job the others come: the large one has been late by 5 s then.
-const LATER: Duration = Duration::from_secs(12);
+const LATER: Duration = Duration::from_millis(7_500);
 
 pub fn play(record: &Record, trouble: bool) -> io::Result<Verdict> {
     let plan = Plan {
         zones: &["a", "b"],
-        workers: &[("a", "r1", ENDPOINTS), ("b", "r2", ENDPOINTS)],
+        workers: &[("a", "r1", ENDPOINTS), ("b", "r2", OTHERS)],
         max_attempts: 3,
     };
     let fleet = Fleet::start(&plan)?;
@@ -62,7 +63,7 @@
         fleet: &fleet,
         jobs: &small,
         cores: 1,
-        slots: 2 * ENDPOINTS * 8,
+        slots: (ENDPOINTS + OTHERS) * 8,
     };
     check_idle(&idle, record)
 }
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File},
     io,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -21,20 +21,44 @@
 pub const HOST: &str = "cells.example";
 pub const PREFIX: &str = "/q/";
 
+/// The ports of the instances: for callers, for the readiness check and for peers. They're the same at all addresses.
+#[derive(Debug, Clone, Copy)]
+struct Ports([u16; 3]);
+
+impl Ports {
+    /// Returns ports that are free at an address.
+    fn find(ip: &str) -> io::Result<Self> {
+        let listeners = [0; 3].map(|port| TcpListener::bind((ip, port)));
+        let mut ports = [0; 3];
+        for (port, listener) in ports.iter_mut().zip(listeners) {
+            *port = listener?.local_addr()?.port();
+        }
+        Ok(Self(ports))
+    }
+}
+
 /// An instance of the program.
 pub struct Instance {
     pub name: String,
     ip: String,
     zone: String,
+    ports: Ports,
     front: SocketAddr,
     ready: SocketAddr,
     child: Child,
 }
 
 impl Instance {
-    fn start(store: &Store, folder: &Path, ip: &str, name: &str, zone: &str) -> io::Result<Self> {
+    fn start(
+        store: &Store,
+        folder: &Path,
+        ip: &str,
+        name: &str,
+        zone: &str,
+        ports: Ports,
+    ) -> io::Result<Self> {
         let settings = folder.join(format!("{name}.toml"));
-        fs::write(&settings, render_settings(store, ip, name, zone))?;
+        fs::write(&settings, render_settings(store, ip, name, zone, ports))?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -51,8 +75,9 @@
             name: name.to_owned(),
             ip: ip.to_owned(),
             zone: zone.to_owned(),
-            front: address(8_161)?,
-            ready: address(8_167)?,
+            ports,
+            front: address(ports.0[0])?,
+            ready: address(ports.0[1])?,
             child,
         })
     }
@@ -65,6 +90,7 @@
             &self.ip.clone(),
             &self.name.clone(),
             &self.zone.clone(),
+            self.ports,
         )?;
         Ok(())
     }
@@ -135,7 +161,8 @@
     }
 }
 
-fn render_settings(store: &Store, ip: &str, name: &str, zone: &str) -> String {
+fn render_settings(store: &Store, ip: &str, name: &str, zone: &str, ports: Ports) -> String {
+    let Ports([front, ready, control]) = ports;
     format!(
         r#"node = "{name}"
 role = "instance"
@@ -151,9 +178,9 @@
 heartbeat_ms = 1500
 command_mode = "rpc"
 [listen_addrs]
-front = "{ip}:8161"
-ready = "{ip}:8167"
-control = "{ip}:8166"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
 [limits]
 cpu_share = 0.25
 cores = 1
@@ -223,10 +250,17 @@
             instances: Vec::new(),
             folder,
         };
+        let ports = Ports::find(&ip(10))?;
         for (index, zone) in plan.zones.iter().enumerate() {
             let name = format!("edge-{zone}-{}", index + 1);
-            let instance =
-                Instance::start(&fleet.store, &fleet.folder, &ip(10 + index), &name, zone)?;
+            let instance = Instance::start(
+                &fleet.store,
+                &fleet.folder,
+                &ip(10 + index),
+                &name,
+                zone,
+                ports,
+            )?;
             fleet.instances.push(instance);
         }
         let end = Instant::now() + Duration::from_secs(15);
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
     time::Duration,
@@ -50,6 +50,44 @@
     });
 }
 
+/// Serves a listener while `is_up` says so. When it doesn't, the port has no listener and all connections are closed.
+pub fn serve_while(
+    listener: TcpListener,
+    is_up: impl Fn() -> bool + Send + 'static,
+    handler: Arc<Handler>,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    listener.set_nonblocking(true)?;
+    thread::spawn(move || {
+        let mut listener = Some(listener);
+        let mut open: Vec<TcpStream> = Vec::new();
+        loop {
+            let up = is_up();
+            if !up {
+                listener = None;
+                for stream in open.drain(..) {
+                    stream.shutdown(Shutdown::Both).ok();
+                }
+            } else if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+                if let Some(bound) = &listener {
+                    bound.set_nonblocking(true).ok();
+                }
+            }
+            match listener.as_ref().map(TcpListener::accept) {
+                Some(Ok((stream, _))) => {
+                    stream.set_nonblocking(false).ok();
+                    open.extend(stream.try_clone());
+                    let handler = handler.clone();
+                    thread::spawn(move || drop(serve_connection(stream, &*handler)));
+                }
+                _ => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    });
+    Ok(())
+}
+
 fn serve_connection(stream: TcpStream, handler: &Handler) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -46,8 +46,10 @@
     id: String,
     /// When it started, in milliseconds since 1970.
     born: u64,
-    /// Whether it is about to leave.
-    draining: bool,
+    /// Until when it serves at least, if it is about to leave.
+    draining: Option<Instant>,
+    /// The number of its last report in this life.
+    sequence: u64,
     /// Until when it is down.
     down_until: Option<Instant>,
     started_at: Instant,
@@ -81,7 +83,8 @@
         let state = State {
             id: id.to_owned(),
             born: unix_millis(),
-            draining: false,
+            draining: None,
+            sequence: 0,
             down_until: None,
             started_at: Instant::now(),
             slots,
@@ -95,7 +98,10 @@
         };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let shared = state.clone();
-        http::serve(listener, Arc::new(move |request| handle(&shared, &request)));
+        let up = state.clone();
+        let is_up = move || up.0.lock().unwrap().is_up();
+        let handler = Arc::new(move |request| handle(&shared, &request));
+        http::serve_while(listener, is_up, handler).expect("a listener");
         let worker = Self {
             state,
             store: store.clone(),
@@ -104,27 +110,30 @@
             rack: rack.to_owned(),
         };
         let reporting = worker.clone();
-        thread::spawn(move || {
-            for sequence in 1_u64.. {
-                reporting.write_row(sequence);
-                thread::sleep(HEARTBEAT);
-            }
+        thread::spawn(move || loop {
+            reporting.write_row();
+            thread::sleep(HEARTBEAT);
         });
         worker
     }
 
     /// Writes its row to the store, unless it's down.
-    fn write_row(&self, sequence: u64) {
+    fn write_row(&self) {
         let mut state = self.state.0.lock().unwrap();
         if !state.is_up() {
             return;
         }
+        state.sequence += 1;
         let capacity = vec![
             ("cpu", Value::from(state.slots as u64 * 1_000)),
             ("mem_mb", Value::from(131_072)),
             ("gpu", Value::from(0)),
         ];
-        let condition = if state.draining { "draining" } else { "ready" };
+        let condition = if state.draining.is_some() {
+            "draining"
+        } else {
+            "ready"
+        };
         let mut row = vec![
             ("service", "cells".into()),
             ("address", self.address.as_str().into()),
@@ -133,13 +142,14 @@
             ("slots", Value::from(state.slots as u64)),
             ("state", condition.into()),
             ("cold_remaining_ms", Value::from(0)),
-            ("sequence", sequence.into()),
+            ("sequence", state.sequence.into()),
             ("born", state.born.into()),
             ("capacity", object(capacity)),
             ("labels", vec!["a".into(), self.rack.as_str().into()].into()),
         ];
-        if state.draining {
-            row.push(("remaining_ms", Value::from(0)));
+        if let Some(until) = state.draining {
+            let left = until.saturating_duration_since(Instant::now());
+            row.push(("remaining_ms", (left.as_millis() as u64).into()));
         }
         self.store.set("servers", &state.id, &object(row));
     }
@@ -147,19 +157,19 @@
     /// Restarts the endpoint as planned: it reports that it drains, serves on for `drain`, ends with all that it runs, and is back
     /// after `down` under its name, born later. Returns when it's back.
     pub fn restart(&self, drain: Duration, down: Duration) {
-        self.state.0.lock().unwrap().draining = true;
-        self.write_row(0);
+        self.state.0.lock().unwrap().draining = Some(Instant::now() + drain);
+        self.write_row();
         thread::sleep(drain);
         let mut state = self.state.0.lock().unwrap();
         state.end_life("ended with its endpoint");
         state.down_until = Some(Instant::now() + down);
-        state.draining = false;
+        state.draining = None;
         let id = state.id.clone();
         drop(state);
         self.store.remove("servers", &id);
         thread::sleep(down);
         self.state.0.lock().unwrap().born = unix_millis();
-        self.write_row(1);
+        self.write_row();
     }
 
     /// Returns the name of its current life.
@@ -176,10 +186,12 @@
         state.id = format!("{former}-2");
         state.born = unix_millis() + down.as_millis() as u64;
         state.down_until = Some(Instant::now() + down);
-        let store = self.store.clone();
+        let worker = self.clone();
         thread::spawn(move || {
-            thread::sleep(HEARTBEAT * 3);
-            store.remove("servers", &former);
+            thread::sleep(down);
+            worker.write_row();
+            thread::sleep((HEARTBEAT * 3).saturating_sub(down));
+            worker.store.remove("servers", &former);
         });
     }
 
@@ -191,6 +203,23 @@
     }
 }
 
+impl Run {
+    /// Returns the task and the run in words.
+    pub fn describe(&self) -> String {
+        let mut parts = self.task.split('.');
+        let (job, step) = (
+            parts.next().unwrap_or_default(),
+            parts.nth(1).unwrap_or_default(),
+        );
+        let index = parts.next().unwrap_or_default();
+        let end = self.ended.map_or("runs", |(_, how)| how);
+        format!(
+            "run {} of job {job}, step {step}, task {index} on {}: {end}",
+            self.run, self.endpoint
+        )
+    }
+}
+
 impl State {
     /// Ends all that runs, and forgets everything.
     fn end_life(&mut self, how: &'static str) {
@@ -200,7 +229,7 @@
             self.history[run.history].ended = Some((now, how));
         }
         self.started_at = now;
-        (self.lease, self.token, self.serial) = (0, 0, 0);
+        (self.lease, self.token, self.serial, self.sequence) = (0, 0, 0, 0);
         self.finished.clear();
         self.barred.clear();
     }
@@ -286,10 +315,15 @@
         }
         let now = Instant::now();
         let spec = body.get("spec").as_str().unwrap_or_default();
-        let work = spec
-            .split(' ')
-            .next()
-            .and_then(|millis| millis.parse().ok());
+        // Milliseconds for all tasks, or a list of them by step.
+        let step: usize = task
+            .split('.')
+            .nth(2)
+            .and_then(|step| step.parse().ok())
+            .unwrap_or(0);
+        let list = spec.split(' ').next().unwrap_or_default();
+        let work = list.split(',').nth(step).or(list.split(',').next());
+        let work = work.and_then(|millis| millis.parse().ok());
         let active = Active {
             run,
             cores,
