--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -9,7 +9,9 @@
 
 pub mod foreign;
 pub mod handover;
+pub mod hot;
 pub mod kind;
+pub mod routes;
 
 /// What a case found: the breaches of its rule.
 pub type Outcome = Result<Vec<String>, String>;
--- a/review/standin-3/src/cases/foreign.rs
+++ b/review/standin-3/src/cases/foreign.rs
@@ -48,7 +48,7 @@
 fn cancel(fleet: &Fleet, route: &Route, job: &str) {
     for attempt in 0..12 {
         let index = (KILLED + attempt) % fleet.instances.len();
-        let path = format!("{}{job}", route.prefix());
+        let path = format!("{}{job}", route.prefix);
         if let Some((200..=299 | 410, _)) = fleet.call(index, "DELETE", &path, 3_000, "") {
             return;
         }
@@ -58,7 +58,7 @@
 
 /// Asks for the state of a job until it is shown as ended. Returns what was wrong.
 fn follow(fleet: &Fleet, route: &Route, job: &str, until: Instant) -> Option<String> {
-    let path = format!("{}{job}", route.prefix());
+    let path = format!("{}{job}", route.prefix);
     while Instant::now() < until {
         let answer = fleet.call(KILLED, "GET", &path, 3_000, "");
         let at = fleet.record.now_ms();
--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -38,25 +38,24 @@
 
 /// A route of the configuration.
 pub struct Route {
-    pub name: &'static str,
+    pub name: String,
+    pub prefix: String,
     pub target_ms: u64,
     pub stretch: f64,
     pub attempts: u32,
 }
 
 impl Route {
-    pub fn new(name: &'static str) -> Self {
+    /// Returns a route whose prefix is its name.
+    pub fn new(name: &str) -> Self {
         Self {
-            name,
+            name: name.to_owned(),
+            prefix: format!("/{name}/"),
             target_ms: 60,
             stretch: 1.6,
             attempts: 3,
         }
     }
-
-    pub fn prefix(&self) -> String {
-        format!("/{}/", self.name)
-    }
 }
 
 /// One of the project's processes.
@@ -129,7 +128,7 @@
                 "{{\"name\":\"{0}\",\"hostname\":\"{HOST}\",\"prefix\":\"{1}\",\"service\":\"{SERVICE}\",\"priority\":1,\
                  \"max_attempts\":{2},\"timeout_ms\":3000,\"stretch\":{3},\"target_duration_ms\":{4}}}",
                 route.name,
-                route.prefix(),
+                route.prefix,
                 route.attempts,
                 route.stretch,
                 route.target_ms
@@ -141,6 +140,12 @@
              \"max_connections\":64}}],\"limits\":{{}}}}",
             routes.join(",")
         );
+        // The store takes rows of 65,536 bytes (`row_bytes`); this holds also if that counts the base64.
+        assert!(
+            value.len() <= 49_152,
+            "the configuration has {} bytes",
+            value.len()
+        );
         self.store.set("op", "config", &value);
         self.record
             .add(format!("the operator writes version {version}"));
@@ -355,7 +360,7 @@
     pub fn submit(&self, first: usize, route: &Route, job: &str, body: &str) -> bool {
         for attempt in 0..8 {
             let index = (first + attempt) % self.instances.len();
-            let path = format!("{}{job}", route.prefix());
+            let path = format!("{}{job}", route.prefix);
             match self.call(index, "POST", &path, 3_000, body) {
                 Some((200..=299, _)) => return true,
                 Some((400..=404, _)) => return false,
@@ -369,7 +374,7 @@
     pub fn state(&self, first: usize, route: &Route, job: &str) -> Option<(u16, String)> {
         for attempt in 0..4 {
             let index = (first + attempt) % self.instances.len();
-            let path = format!("{}{job}", route.prefix());
+            let path = format!("{}{job}", route.prefix);
             match self.call(index, "GET", &path, 2_000, "") {
                 Some((200, body)) => {
                     let body = json::parse(body.as_bytes());
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -35,6 +35,8 @@
             let outcome = match case.as_str() {
                 "foreign" => cases::foreign::run(&mut fleet, trouble),
                 "handover" => cases::handover::run(&mut fleet, trouble),
+                "routes" => cases::routes::run(&mut fleet, trouble),
+                "hot" => cases::hot::run(&mut fleet, trouble),
                 "kind" => cases::kind::run(&mut fleet, trouble),
                 _ => Err(format!("there is no case {case}")),
             };
