review/12: late starts run on workers that are back under their ids

A start that a worker left unanswered is carried out by its next life, which knows neither the fencing token nor the run nor the clock of the former one, while the task runs elsewhere or has ended there.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -9,8 +9,8 @@
 
 pub mod foreign;
 pub mod handover;
-pub mod hot;
 pub mod kind;
+pub mod reborn;
 pub mod routes;
 
 /// What a case found: the breaches of its rule.
--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -19,7 +19,7 @@
     json,
     record::Record,
     store::Store,
-    worker::{Profile, Run, Runs, Worker},
+    worker::{LateOrders, Profile, Run, Runs, Worker},
 };
 
 pub const HOST: &str = "jobs.example";
@@ -72,6 +72,7 @@
     pub record: Record,
     pub runs: Runs,
     pub store: Store,
+    pub late: LateOrders,
     pub workers: Vec<Option<Worker>>,
     pub instances: Vec<Instance>,
     program: PathBuf,
@@ -107,6 +108,7 @@
             record,
             runs: Runs::default(),
             store,
+            late: LateOrders::default(),
             workers: Vec::new(),
             instances: Vec::new(),
             program: program.to_owned(),
@@ -167,7 +169,7 @@
 
     /// Starts a worker, in place of the one with its index.
     pub fn start_worker(&mut self, index: usize, profile: Profile) -> io::Result<()> {
-        let worker = Worker::start(profile, &self.store, &self.record, &self.runs)?;
+        let worker = Worker::start(profile, &self.store, &self.record, &self.runs, &self.late)?;
         while self.workers.len() <= index {
             self.workers.push(None);
         }
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -25,6 +25,8 @@
 pub enum Response {
     /// A status and a JSON body.
     Answer(u16, String),
+    /// The request gets no answer, and the connection delivers nothing further.
+    Silence,
     /// The connection is closed.
     Close,
 }
@@ -108,6 +110,17 @@
                     return;
                 }
             }
+            Response::Silence => {
+                let mut buffer = [0; 512];
+                loop {
+                    match reader.get_mut().read(&mut buffer) {
+                        Ok(0) => return,
+                        Err(e) if !is_timeout(&e) => return,
+                        _ if stopped.load(Ordering::SeqCst) => return,
+                        _ => {}
+                    }
+                }
+            }
             Response::Close => return,
         }
     }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -36,7 +36,7 @@
                 "foreign" => cases::foreign::run(&mut fleet, trouble),
                 "handover" => cases::handover::run(&mut fleet, trouble),
                 "routes" => cases::routes::run(&mut fleet, trouble),
-                "hot" => cases::hot::run(&mut fleet, trouble),
+                "reborn" => cases::reborn::run(&mut fleet, trouble),
                 "kind" => cases::kind::run(&mut fleet, trouble),
                 _ => Err(format!("there is no case {case}")),
             };
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -61,6 +61,59 @@
     pub lapsed_between: bool,
 }
 
+type Shared = Arc<(Mutex<State>, Condvar)>;
+
+/// Orders that workers leave unanswered and carry out late.
+#[derive(Clone)]
+pub struct LateOrders(Arc<Mutex<Late>>);
+
+impl Default for LateOrders {
+    fn default() -> Self {
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self(Arc::new(Mutex::new(Late {
+            share: 0,
+            lives: HashMap::new(),
+            random: now.as_nanos() as u64,
+        })))
+    }
+}
+
+struct Late {
+    /// The share of orders, in percent.
+    share: u64,
+    /// The present life of each worker, by its id: a late order is carried out by the life that is there by then.
+    lives: HashMap<String, Shared>,
+    random: u64,
+}
+
+/// When a late order is carried out: between the first and the last of these, in milliseconds.
+const LATE_MS: (u64, u64) = (2_000, 12_000);
+
+impl LateOrders {
+    /// Sets the share of orders that are carried out late, in percent.
+    pub fn set_share(&self, share: u64) {
+        self.0.lock().unwrap().share = share;
+    }
+
+    /// Returns after how many milliseconds an order is carried out, if it is one of the late ones.
+    fn draw(&self) -> Option<u64> {
+        let mut late = self.0.lock().unwrap();
+        late.random = late
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        let drawn = late.random >> 33;
+        let delay = LATE_MS.0 + drawn / 100 % (LATE_MS.1 - LATE_MS.0);
+        (drawn % 100 < late.share).then_some(delay)
+    }
+
+    fn life(&self, id: &str) -> Option<Shared> {
+        self.0.lock().unwrap().lives.get(id).cloned()
+    }
+}
+
 /// The runs of all workers.
 #[derive(Clone, Default)]
 pub struct Runs(pub Arc<Mutex<Vec<Run>>>);
@@ -126,6 +179,7 @@
         store: &Store,
         record: &Record,
         runs: &Runs,
+        late: &LateOrders,
     ) -> io::Result<Self> {
         let born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -152,8 +206,11 @@
         };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let (handled, log, all) = (shared.clone(), record.clone(), runs.clone());
+        let late = late.clone();
+        let id = shared.0.lock().unwrap().profile.id.clone();
+        late.0.lock().unwrap().lives.insert(id, shared.clone());
         let server = http::serve(address, move |request| {
-            handle(&handled, &log, &all, &request)
+            answer_or_delay(&handled, &log, &all, &late, request)
         })?;
         let worker = Self {
             shared,
@@ -482,6 +539,34 @@
     }
 }
 
+/// Handles an order, or leaves it unanswered and lets the worker's life of a later time handle it.
+fn answer_or_delay(
+    shared: &Shared,
+    record: &Record,
+    runs: &Runs,
+    late: &LateOrders,
+    request: Request,
+) -> Response {
+    let Some(delay) = late.draw() else {
+        return handle(shared, record, runs, &request);
+    };
+    let id = shared.0.lock().unwrap().profile.id.clone();
+    record.add(format!(
+        "{} to {id} is left unanswered, to be carried out in {delay} ms",
+        request.path
+    ));
+    let (late, record, runs) = (late.clone(), record.clone(), runs.clone());
+    thread::spawn(move || {
+        thread::sleep(Duration::from_millis(delay));
+        if let Some(life) = late.life(&id) {
+            record.add(format!("{} to {id} is carried out now", request.path));
+            // Nobody waits for the answer.
+            handle(&life, &record, &runs, &request);
+        }
+    });
+    Response::Silence
+}
+
 fn handle(
     shared: &(Mutex<State>, Condvar),
     record: &Record,
