Logs tell why a run is taken for lost, and which life of an endpoint answered

The record of the incident doesn't show why the owner started the task again. run_gone names the run, the reason, whether a start of it is unanswered, and the life that the owner knew; endpoint_restarted and stop_confirmed show which life an answer came from. No decision changes.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -5,10 +5,13 @@
 mod execution;
 mod life;
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet,
-    HashSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashSet, //
+    },
+    fmt, //
 };
 
 pub use self::execution::{
@@ -114,6 +117,45 @@
     pub sole: bool,
 }
 
+/// Why a run is taken for lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The endpoint doesn't list it.
+    Unlisted,
+    /// The endpoint is silent, and all leases have expired.
+    Silent,
+    /// Another endpoint answers at the address.
+    Replaced,
+    /// Its start wasn't carried out.
+    Unsent,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unlisted => "unlisted",
+            Self::Silent => "silent",
+            Self::Replaced => "replaced",
+            Self::Unsent => "unsent",
+        })
+    }
+}
+
+/// A run that ended without a result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loss {
+    /// The run's task.
+    pub task: TaskId,
+    /// The task's batch.
+    pub batch: Handle,
+    /// The run.
+    pub run: Run,
+    /// Why it is taken for lost.
+    pub reason: Reason,
+    /// Whether each start that was sent for it was answered.
+    pub answered: bool,
+}
+
 /// An event that the owner must handle.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -121,12 +163,12 @@
     Done(TaskId, Handle, Run, u64),
     /// A run failed.
     Failed(TaskId, Handle),
-    /// A run ended without a result. The task is to be started again, with this run number at least.
-    Lost(TaskId, Handle, Run),
+    /// A run ended without a result. The task is to be started again, with a higher run.
+    Lost(Loss),
     /// A run expired on a silent endpoint, which may have crashed under it. See [`Event::Lost`].
-    Expired(TaskId, Handle, Run),
+    Expired(Loss),
     /// The endpoint crashed under a run. See [`Event::Lost`].
-    Crashed(Crash, Run),
+    Crashed(Crash, Loss),
     /// An endpoint that had fallen silent under a task did crash.
     CrashConfirmed(Crash),
     /// An endpoint that had fallen silent under a task answered without having restarted.
@@ -687,7 +729,7 @@
             (_, Fate::Drop) => Event::Discarded(*task),
             (End::Done, _) => Event::Done(*task, execution.batch, end.run, end.serial),
             (End::Failed, _) => Event::Failed(*task, execution.batch),
-            _ => Event::Lost(*task, execution.batch, execution.run.next()),
+            _ => Event::Lost(execution.loss(*task, Reason::Unlisted)),
         });
     }
 
@@ -699,20 +741,21 @@
         };
         let unlisted: Vec<TaskId> = self.executions.iter().filter_map(unlisted).collect();
         for task in unlisted {
-            self.remove_lost(task, events);
+            self.remove_lost(task, Reason::Unlisted, events);
         }
     }
 
     /// Removes a run that ended without a result.
-    pub fn remove_lost(&mut self, task: TaskId, events: &mut Vec<Event>) {
+    pub fn remove_lost(&mut self, task: TaskId, reason: Reason, events: &mut Vec<Event>) {
         if let Some(execution) = self.remove(&task) {
-            let (batch, next) = (execution.batch, execution.run.next());
+            let batch = execution.batch;
+            let loss = execution.loss(task, reason);
             events.push(match (execution.fate, execution.lost_in_crash) {
                 (Fate::Drop, _) => Event::Discarded(task),
-                (Fate::Restart, None) => Event::Lost(task, batch, next),
+                (Fate::Restart, None) => Event::Lost(loss),
                 (Fate::Restart, Some(sole)) => {
                     let crash = Crash { task, batch, sole };
-                    Event::Crashed(crash, next)
+                    Event::Crashed(crash, loss)
                 }
             });
         }
@@ -900,10 +943,10 @@
     }
 
     /// Removes all runs as ended without a result.
-    fn remove_all(&mut self, events: &mut Vec<Event>) {
+    fn remove_all(&mut self, reason: Reason, events: &mut Vec<Event>) {
         let tasks: Vec<TaskId> = self.executions.keys().copied().collect();
         for task in tasks {
-            self.remove_lost(task, events);
+            self.remove_lost(task, reason, events);
         }
     }
 
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -2,14 +2,19 @@
 
 use super::{
     super::{
-        id::Run,
+        id::{
+            Run,
+            TaskId, //
+        },
         message::Suspicion,
         progress::Tracker,
         queue::Handle,
         straggler::Pace,
         task::Resources, //
     },
-    Completion, //
+    Completion,
+    Loss,
+    Reason, //
 };
 use crate::prelude::*;
 
@@ -98,6 +103,17 @@
         }
     }
 
+    /// Returns it as lost.
+    pub(super) fn loss(&self, task: TaskId, reason: Reason) -> Loss {
+        Loss {
+            task,
+            batch: self.batch,
+            run: self.run,
+            reason,
+            answered: self.phase != Phase::Starting && !self.duplicate_possible,
+        }
+    }
+
     /// Returns how long it took if it's done now; `None` if that isn't known, or tells nothing about the endpoint, since a call was
     /// lost or its stop was ordered.
     pub(super) fn completion(&self, now: Time) -> Option<Completion> {
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -19,6 +19,7 @@
     Event,
     Execution,
     Fate,
+    Reason,
     Standing,
     State,
     EJECTION_TIME,
@@ -79,7 +80,7 @@
             self.mark_crashed();
             events = self.confirm_crashes();
         }
-        self.remove_all(&mut events);
+        self.remove_all(Reason::Replaced, &mut events);
         events
     }
 
@@ -90,12 +91,13 @@
         }
         let mut events = Vec::new();
         let suspects = self.sole_suspects();
-        self.remove_all(&mut events);
+        self.remove_all(Reason::Silent, &mut events);
         for event in &mut events {
-            if let Event::Lost(task, batch, next) = *event {
+            if let Event::Lost(loss) = *event {
+                let (task, batch) = (loss.task, loss.batch);
                 let sole = suspects.contains(&task);
                 self.unconfirmed_crashes.push(Crash { task, batch, sole });
-                *event = Event::Expired(task, batch, next);
+                *event = Event::Expired(loss);
             }
         }
         events
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -428,8 +428,9 @@
                     out.log(record.with("endpoint", listing.id.as_str()));
                 }
                 state.update_listing(listing.clone());
+                let former = state.life();
                 let events = state.update_life(listing.life, now);
-                life_events.push((listing.id.clone(), events));
+                life_events.push((listing.id.clone(), former, events));
                 continue;
             }
             let mut state = State::new(listing.clone(), rack.token, now);
@@ -437,7 +438,8 @@
             self.endpoints.insert(listing.id.clone(), state);
             rack.endpoints.push(listing.id.clone());
         }
-        for (id, events) in life_events {
+        for (id, former, events) in life_events {
+            self.log_restart(&id, former, out);
             self.learn_speed(&id, now);
             self.handle_events(&id, events, now, out);
         }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -5,13 +5,16 @@
         endpoint::{
             Event,
             Fate,
+            Loss,
             Phase,
             Reaction,
+            Reason,
             Standing,
             State,
             MAX_START_SENDS, //
         },
         id::{
+            Life,
             Run,
             TaskId, //
         },
@@ -27,6 +30,7 @@
         progress::MAX_RESTARTS,
         queue::Handle, //
     },
+    run_record,
     Effects,
     Owner,
     Purpose,
@@ -71,6 +75,7 @@
         }
         let events = match (purpose, reply) {
             (Purpose::Poll, Reply::Looked(lists)) => {
+                let former = state.life();
                 let norm = self.norms.entry(state.kind).or_default();
                 state.set_norm(*norm);
                 let (events, unknown) = state.on_poll_answer(call, sent, lists, now);
@@ -78,6 +83,7 @@
                     norm.record(run_time);
                 }
                 self.learn_speed(&id, now);
+                self.log_restart(&id, former, out);
                 for (task, run) in unknown {
                     self.stop_unknown(&id, task, run, out);
                 }
@@ -99,6 +105,8 @@
             }
             (Purpose::Stop(Name::Known(task), run), _) => {
                 state.on_stopped(&task, run, now);
+                let record = run_record("stop_confirmed", &id, task, run);
+                out.log(record.with("life", state.life().0));
                 Vec::new()
             }
             _ => Vec::new(),
@@ -117,6 +125,7 @@
             Name::Foreign(name) => name.clone(),
         };
         let record = LogRecord::new("unknown_run_stopped").with("endpoint", id.as_str());
+        let record = record.with("life", state.life().0);
         out.log(record.with("task", name).with("run", run.0));
         let order = state.stop_order(task.clone(), run);
         self.call_endpoint(id, order, Purpose::Stop(task, run), false, out);
@@ -136,7 +145,9 @@
             return;
         };
         let record = LogRecord::new("start_refused").job(task.job);
+        let record = record.with("task", task.to_string()).with("run", run.0);
         let record = record.with("endpoint", id.as_str());
+        let record = record.with("life", state.life().0);
         out.log(record.with("reason", format!("{refusal:?}")));
         match state.on_start_refused(task, run, refusal, now) {
             Reaction::Ignore => {}
@@ -244,6 +255,7 @@
             execution.sends,
         );
         let record = LogRecord::new("start_unanswered").job(task.job);
+        let record = record.with("task", task.to_string()).with("run", run.0);
         let record = record
             .with("endpoint", id.as_str())
             .with("tries", u32::from(sends));
@@ -251,7 +263,7 @@
         if nothing_done && !duplicate_possible {
             state.on_unwell(now);
             let mut events = Vec::new();
-            state.remove_lost(task, &mut events);
+            state.remove_lost(task, Reason::Unsent, &mut events);
             return self.handle_events(id, events, now, out);
         }
         match sends {
@@ -309,11 +321,11 @@
                     out.log(record.with("endpoint", id.as_str()));
                     self.on_task_failed(id, task, handle, now, out);
                 }
-                Event::Lost(task, handle, next) => {
-                    self.run_locations.remove(&task);
-                    self.log_lost(id, task, out);
-                    self.record_lost_run(id, task, handle, next);
-                    self.requeue(task, handle, next, now);
+                Event::Lost(loss) => {
+                    self.run_locations.remove(&loss.task);
+                    self.log_lost(id, &loss, out);
+                    self.record_lost_run(id, &loss);
+                    self.requeue(loss.task, loss.batch, loss.run.next(), now);
                 }
                 Event::Ended {
                     task,
@@ -334,17 +346,18 @@
                     };
                     self.on_run_ended(end, batch, out);
                 }
-                Event::Expired(task, handle, next) => {
-                    self.run_locations.remove(&task);
-                    self.log_lost(id, task, out);
-                    self.record_lost_run(id, task, handle, next);
+                Event::Expired(loss) => {
+                    self.run_locations.remove(&loss.task);
+                    self.log_lost(id, &loss, out);
+                    self.record_lost_run(id, &loss);
                     let state = self.endpoints.get(id);
                     let refused = state.is_some_and(|state| state.refuses_connections);
-                    self.on_run_expired((task, handle, next), refused, now);
+                    self.on_run_expired(&loss, refused, now);
                 }
-                Event::Crashed(crash, next) => {
+                Event::Crashed(crash, loss) => {
                     self.run_locations.remove(&crash.task);
-                    self.on_crash(id, crash, next, now, out);
+                    self.log_lost(id, &loss, out);
+                    self.on_crash(id, crash, loss.run.next(), now, out);
                 }
                 Event::CrashConfirmed(crash) => self.confirm_crash(id, crash, true, now, out),
                 Event::CrashRuledOut(task, handle) => self.rule_out_crash(task, handle, now),
@@ -369,10 +382,32 @@
     }
 
     /// Logs a run that ended without a result.
-    fn log_lost(&self, id: &Endpoint, task: TaskId, out: &mut Effects) {
-        let record = LogRecord::new("run_gone").job(task.job);
-        let record = record.with("task", task.to_string());
-        out.log(record.with("endpoint", id.as_str()));
+    fn log_lost(&self, id: &Endpoint, loss: &Loss, out: &mut Effects) {
+        let record = LogRecord::new("run_gone").job(loss.task.job);
+        let record = record.with("task", loss.task.to_string());
+        let record = record.with("run", loss.run.0);
+        let record = record.with("endpoint", id.as_str());
+        let record = record.with("reason", loss.reason.to_string());
+        let start = match loss.answered {
+            true => "answered",
+            false => "unanswered",
+        };
+        let record = record.with("start", start);
+        let life = self.endpoints.get(id).map(State::life).unwrap_or_default();
+        out.log(record.with("life", life.0));
+    }
+
+    /// Logs that an endpoint has restarted under its name, if it has since `former`.
+    pub(super) fn log_restart(&self, id: &Endpoint, former: Life, out: &mut Effects) {
+        let Some(state) = self.endpoints.get(id) else {
+            return;
+        };
+        if former.is_before(state.life()) {
+            let record = LogRecord::new("endpoint_restarted").with("endpoint", id.as_str());
+            let record = record.with("life", state.life().0);
+            let record = record.with("former_life", former.0);
+            out.log(record.with("runs", state.executions.len()));
+        }
     }
 
     /// Stops a stalled run so that its task starts again, and ejects the endpoint if none of its runs makes progress.
--- a/src/dispatch/owner/suspects.rs
+++ b/src/dispatch/owner/suspects.rs
@@ -8,7 +8,10 @@
 
 use super::{
     super::{
-        endpoint::Crash,
+        endpoint::{
+            Crash,
+            Loss, //
+        },
         id::{
             Run,
             TaskId, //
@@ -57,12 +60,8 @@
     ///
     /// Whether that endpoint crashed is known only when it is back. A task that keeps losing endpoints is held
     /// back until then, as it could crash many more.
-    pub(super) fn on_run_expired(
-        &mut self,
-        (task, handle, next): (TaskId, Handle, Run),
-        refused: bool,
-        now: Time,
-    ) {
+    pub(super) fn on_run_expired(&mut self, loss: &Loss, refused: bool, now: Time) {
+        let (task, handle, next) = (loss.task, loss.batch, loss.run.next());
         let Some(task_state) = self.task_mut(task, handle) else {
             return;
         };
--- a/src/dispatch/owner/withdrawal.rs
+++ b/src/dispatch/owner/withdrawal.rs
@@ -6,7 +6,10 @@
 
 use super::{
     super::{
-        endpoint::Fate,
+        endpoint::{
+            Fate,
+            Loss, //
+        },
         id::{
             Run,
             TaskId, //
@@ -59,19 +62,12 @@
         }
     }
 
-    /// Records a run that is taken for lost; the next run of its task has the number `next` at least.
-    pub(super) fn record_lost_run(
-        &mut self,
-        id: &Endpoint,
-        task: TaskId,
-        handle: Handle,
-        next: Run,
-    ) {
-        let assignment = self.assignments.get_mut(&handle);
-        let task_state = assignment.and_then(|a| a.tasks.get_mut(&task.index));
+    /// Records a run that is taken for lost.
+    pub(super) fn record_lost_run(&mut self, id: &Endpoint, loss: &Loss) {
+        let assignment = self.assignments.get_mut(&loss.batch);
+        let task_state = assignment.and_then(|a| a.tasks.get_mut(&loss.task.index));
         if let Some(task_state) = task_state {
-            let run = Run(next.0.saturating_sub(1));
-            task_state.lost_runs.push((id.clone(), run));
+            task_state.lost_runs.push((id.clone(), loss.run));
         }
     }
 
