--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -13,6 +13,8 @@
 mod endpoint;
 #[path = "dispatch/evacuation.rs"]
 mod evacuation;
+#[path = "dispatch/former_lives.rs"]
+mod former_lives;
 #[path = "dispatch/headroom.rs"]
 mod headroom;
 #[path = "dispatch/licenses.rs"]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -135,6 +135,7 @@
     CutOneWay(usize, usize, bool),
     LoseStops(usize, bool),
     DelayStops(usize, Option<Span>),
+    HoldOrders(usize, Option<Span>),
     BreakCaller(JobId),
     BreakCallers(usize),
     Cancel(JobId),
@@ -259,6 +260,9 @@
     unstoppable: HashSet<usize>,
     /// Endpoints that stop orders reach late and without an answer, and by how much.
     late_stops: HashMap<usize, Span>,
+    /// Endpoints whose orders are held on the way, and for how long. The life that is there by then carries them out, and nobody gets
+    /// an answer.
+    held_orders: HashMap<usize, Span>,
     /// Until when messages from one instance to another wait; they arrive in order then. Heartbeats pass.
     stalled: HashMap<(usize, usize), Time>,
     /// Pairs of instances of which the second doesn't hear the first.
@@ -368,6 +372,7 @@
             long_tasks: false,
             unstoppable: HashSet::new(),
             late_stops: HashMap::new(),
+            held_orders: HashMap::new(),
             stalled: HashMap::new(),
             cut_one_way: HashSet::new(),
             retry_at: None,
@@ -706,7 +711,16 @@
                 };
                 self.feed(i, input);
             }
-            Event::Order(w, ..) if self.isolated.contains(&w) => {}
+            Event::Order(w, .., false) if self.isolated.contains(&w) => {}
+            Event::Order(w, i, incarnation, call, sent, order, false)
+                if self.held_orders.contains_key(&w) =>
+            {
+                let delay = self.held_orders[&w];
+                self.schedule(
+                    delay,
+                    Event::Order(w, i, incarnation, call, sent, order, true),
+                );
+            }
             Event::Order(w, .., order, _)
                 if self.unstoppable.contains(&w) && matches!(*order, Order::Stop { .. }) => {}
             Event::Order(w, i, incarnation, call, sent, order, false)
@@ -906,6 +920,12 @@
                     None => self.late_stops.remove(&w),
                 };
             }
+            Event::HoldOrders(w, delay) => {
+                match delay {
+                    Some(delay) => self.held_orders.insert(w, delay),
+                    None => self.held_orders.remove(&w),
+                };
+            }
             Event::BreakCaller(job) => self.break_caller(job),
             Event::BreakCallers(i) => {
                 let mut jobs: Vec<JobId> = self.instances[i].tickets.values().copied().collect();
@@ -1392,6 +1412,13 @@
         self.schedule(after + span, Event::DelayStops(w, None));
     }
 
+    /// Holds the orders that are sent to an endpoint within a span. Each is carried out `delay` later, without an answer, by the life
+    /// that is there by then, also if the endpoint can't be reached at that time.
+    pub(crate) fn hold_orders_at(&mut self, after: Span, w: usize, span: Span, delay: Span) {
+        self.schedule(after, Event::HoldOrders(w, Some(delay)));
+        self.schedule(after + span, Event::HoldOrders(w, None));
+    }
+
     /// Lets an instance run only now and then for a span: for `awake`, then not for a random time within `pause`. What arrives
     /// meanwhile waits, ticks included.
     pub(crate) fn throttle_at(
