A task with a start in doubt starts elsewhere only once its endpoint bars it

Cause: a start without an answer may be carried out at any later time, by a later life of the endpoint too. The owner took its run for lost once all leases were over by the clock of the life that it knew, or once a life had confirmed a stop. Neither binds the next life: it knows no stop and no token, and the deadline in the start is far ahead on its new clock.

Now an endpoint's token rises when it falls silent and when it restarts, and a run whose start has an unanswered copy is taken for lost only when the endpoint answers a call with a higher token than the start's and doesn't list the run, or counts as gone (silent for 5 s and unlisted by the platform, or for 15 s). What a former life confirmed of such a run is void. Calls that a higher token of the same owner overtakes are sent again and don't cost the rack. A start isn't resent to an endpoint that is silent. The job of a caller that waits fails in its time if a task of it is in doubt until then. A probe of a silent owner's rack follows raised tokens one by one, so that it still changes nothing, and the owner announces its token again before they are far apart.

Evidence: starts_that_arrive_after_a_restart_behind_a_cut_run_no_task_twice, starts_that_arrive_after_two_restarts_run_no_task_twice and late_orders_around_restarts_run_no_task_twice fail without this, with two runs of a task, and pass with it.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -1,6 +1,7 @@
 //! An owner's view of an endpoint: its runs, the expiry of its leases, and whether it answers.
 
 mod backoff;
+mod barrier;
 mod clock;
 mod execution;
 mod life;
@@ -235,8 +236,12 @@
     life_since: Time,
     /// Runs that expired while it is silent: whether it crashed under them isn't known yet.
     unconfirmed_crashes: Vec<Crash>,
-    /// The owner's fencing token.
+    /// The token of the next call: the owner's fencing token, or a higher one of the same claim, see [`State::raise_token`].
     pub token: Token,
+    /// Whether a start, a lease or an acknowledgement was sent with that token.
+    token_used: bool,
+    /// When this owner began to use the endpoint.
+    claimed_at: Time,
     /// Whether it can be used.
     pub standing: Standing,
     /// Its runs.
@@ -278,7 +283,8 @@
     acknowledged_end: u64,
     /// Whether a poll is needed although no run is known.
     poll_wanted: bool,
-    pending_poll: Option<CallId>,
+    /// The poll that wasn't answered yet, and its token.
+    pending_poll: Option<(CallId, Token)>,
     backoff: Backoff,
     next_poll: Time,
     last_answer: Time,
@@ -302,6 +308,8 @@
             evacuated: false,
             refuses_connections: false,
             token,
+            token_used: false,
+            claimed_at: now,
             standing: Standing::Claimed,
             executions: BTreeMap::new(),
             ejected_until: Time::default(),
@@ -362,12 +370,10 @@
         }
     }
 
-    /// Adds a run that the former owner started.
-    pub fn adopt(&mut self, task: TaskId, mut execution: Execution, now: Time) {
+    /// Adds a run that the former owner started with this token or a lower one. Its start may still be in transit.
+    pub fn adopt(&mut self, task: TaskId, mut execution: Execution, token: Token) {
         execution.phase = Phase::Running;
-        // Its start may still be in transit. The run counts as present until the start's lease would have
-        // expired, even if polls don't list it.
-        execution.answered_at = Some(now + START_LEASE);
+        execution.unsettled = Some(token);
         self.add(task, execution);
     }
 
@@ -401,6 +407,10 @@
         now: Time,
     ) -> Option<Order> {
         let lease = self.grant_lease(START_LEASE, now)?;
+        if let Some(execution) = self.executions.get_mut(&task) {
+            execution.unsettled = Some(self.token);
+        }
+        self.token_used = true;
         Some(Order::Start {
             task,
             run,
@@ -514,12 +524,18 @@
             false => Span(0),
         };
         self.poll_wanted = false;
-        self.pending_poll = Some(call);
-        self.acknowledged_end = self.last_forgettable_end();
+        self.pending_poll = Some((call, self.token));
+        // A restarted endpoint counts its ends anew, and would forget some that nobody has heard of.
+        let acknowledged = match self.standing {
+            Standing::Open => self.last_forgettable_end(),
+            _ => 0,
+        };
+        self.acknowledged_end = self.acknowledged_end.max(acknowledged);
+        self.token_used |= lease.is_some() || acknowledged > 0;
         Some(Order::Poll {
             lease,
             token: self.token,
-            acknowledged: self.acknowledged_end,
+            acknowledged,
             wait,
         })
     }
@@ -597,9 +613,7 @@
         lists: Lists,
         now: Time,
     ) -> (Vec<Event>, Vec<(Name, Run)>) {
-        if self.pending_poll == Some(call) {
-            self.pending_poll = None;
-        }
+        let token = self.take_pending_poll(call);
         if lists.life.is_before(self.life) {
             self.next_poll = now;
             return (Vec::new(), Vec::new());
@@ -630,7 +644,7 @@
                 }
             }
         }
-        self.remove_unlisted(&listed, sent, &mut events);
+        self.remove_unlisted(&listed, sent, token.unwrap_or_default(), &mut events);
         let runs = self.executions.iter();
         let runs = runs.filter(|(_, run)| run.phase == Phase::Running);
         let runs = runs.map(|(task, run)| (task.job, &run.pace));
@@ -733,11 +747,19 @@
         });
     }
 
-    /// Removes runs that were confirmed before the poll was sent and that its answer doesn't list.
-    fn remove_unlisted(&mut self, listed: &HashSet<TaskId>, sent: Time, events: &mut Vec<Event>) {
+    /// Removes runs that the answer to a poll with this token doesn't list, and that can't begin any more: they were confirmed before
+    /// the poll was sent, or their starts are barred by its token.
+    fn remove_unlisted(
+        &mut self,
+        listed: &HashSet<TaskId>,
+        sent: Time,
+        token: Token,
+        events: &mut Vec<Event>,
+    ) {
         let unlisted = |(task, execution): (&TaskId, &Execution)| {
             let confirmed = execution.answered_at.is_some_and(|at| at < sent);
-            (confirmed && !listed.contains(task)).then_some(*task)
+            let over = confirmed || execution.is_barred_by(token);
+            (over && !listed.contains(task)).then_some(*task)
         };
         let unlisted: Vec<TaskId> = self.executions.iter().filter_map(unlisted).collect();
         for task in unlisted {
@@ -829,6 +851,9 @@
     /// Records that a start was confirmed.
     pub fn on_started(&mut self, task: &TaskId, run: Run, now: Time) {
         if let Some(execution) = self.executions.get_mut(task) {
+            if execution.run == run && !execution.duplicate_possible {
+                execution.unsettled = None;
+            }
             if execution.run == run && execution.phase == Phase::Starting {
                 execution.phase = Phase::Running;
                 execution.answered_at = Some(now);
@@ -882,13 +907,18 @@
     }
 
     /// Records that a stop was confirmed: the endpoint won't start the run any more, and the next poll doesn't
-    /// list it.
-    pub fn on_stopped(&mut self, task: &TaskId, run: Run, now: Time) {
+    /// list it. What a former life confirmed bars nothing in this one.
+    pub fn on_stopped(&mut self, task: &TaskId, run: Run, sent: Time, now: Time) {
+        let is_current = sent >= self.life_since;
         if let Some(execution) = self.executions.get_mut(task) {
-            if execution.run == run && execution.phase == Phase::Stopping {
-                execution.answered_at = Some(now);
-                self.next_poll = now;
+            if execution.run != run || execution.phase != Phase::Stopping {
+                return;
             }
+            match is_current || execution.unsettled.is_none() {
+                true => execution.answered_at = Some(now),
+                false => execution.retry_at = Some(now),
+            }
+            self.next_poll = now;
         }
     }
 
@@ -920,8 +950,7 @@
 
     /// Handles a poll without an answer. The endpoint becomes silent unless it answered another call recently.
     pub fn on_poll_unanswered(&mut self, call: CallId, now: Time) {
-        if self.pending_poll == Some(call) {
-            self.pending_poll = None;
+        if self.take_pending_poll(call).is_some() {
             self.next_poll = match self.standing {
                 Standing::Open if self.backoff.is_first() => now,
                 _ => now + self.backoff.delay(&self.listing.id),
@@ -931,13 +960,21 @@
                 Standing::Open if !answered => Standing::Silent,
                 other => other,
             };
+            if self.standing != Standing::Open {
+                self.raise_token();
+            }
         }
     }
 
+    /// Returns the token of the pending poll if it's this one, which is no longer pending then.
+    fn take_pending_poll(&mut self, call: CallId) -> Option<Token> {
+        let (_, token) = self.pending_poll.take_if(|(pending, _)| *pending == call)?;
+        Some(token)
+    }
+
     /// Handles a refused poll.
     pub fn on_poll_refused(&mut self, call: CallId, now: Time) {
-        if self.pending_poll == Some(call) {
-            self.pending_poll = None;
+        if self.take_pending_poll(call).is_some() {
             self.next_poll = now + POLL_RETRY;
         }
     }
--- /dev/null
+++ b/src/dispatch/endpoint/barrier.rs
@@ -0,0 +1,111 @@
+//! Starts without an answer, which may be carried out at any later time, also by a later life of the endpoint.
+//!
+//! A restarted endpoint knows neither the stops nor the tokens of its former life, and the deadline in a start is far ahead on its new
+//! clock. So the task of such a start may start elsewhere only once the endpoint has answered a call with a higher token than the start's:
+//! it refuses the start from then on. The token rises whenever calls may be on their way to a former life.
+
+use super::{
+    super::{
+        id::{
+            Run,
+            TaskId,
+            Token, //
+        },
+        queue::Handle, //
+    },
+    Fate,
+    Phase,
+    Standing,
+    State,
+    LEASE, //
+};
+use crate::prelude::*;
+
+/// How long an endpoint that the platform no longer lists must be silent until it counts as gone.
+const UNLISTED_SILENCE: Span = Span::seconds(5);
+
+/// How long an endpoint that the platform still lists must be silent until it counts as gone.
+const LISTED_SILENCE: Span = Span::seconds(15);
+
+impl State {
+    /// Raises the token above that of starts, leases and acknowledgements that may be on their way. The next answered call bars them.
+    pub(super) fn raise_token(&mut self) {
+        if std::mem::take(&mut self.token_used) {
+            self.token = self.token.next();
+        }
+    }
+
+    /// Raises the token to the one that the owner announces for the rack, if that is higher.
+    pub fn raise_token_to(&mut self, token: Token) {
+        if token > self.token {
+            (self.token, self.token_used) = (token, false);
+        }
+    }
+
+    /// Returns a token that bars all calls so far.
+    pub fn barring_token(&self) -> Token {
+        match self.token_used {
+            true => self.token.next(),
+            false => self.token,
+        }
+    }
+
+    /// Bars what was sent to the former life, and makes void what that life has confirmed of starts that may still be carried out.
+    pub(super) fn bar_former_orders(&mut self, now: Time) {
+        self.raise_token();
+        for execution in self.executions.values_mut() {
+            if execution.unsettled.is_some() {
+                execution.answered_at = None;
+                if execution.phase == Phase::Stopping {
+                    execution.retry_at = Some(now);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a call with this token was overtaken by one with a higher token.
+    pub fn is_outdated(&self, token: Token) -> bool {
+        token < self.token
+    }
+
+    /// Returns whether starts can be resent: the endpoint answers, and its clock is known.
+    pub fn takes_starts(&self) -> bool {
+        self.standing == Standing::Open && self.reading.is_some()
+    }
+
+    /// Returns whether it doesn't answer polls, since it was claimed or later.
+    pub(super) fn is_silent(&self, now: Time) -> bool {
+        match self.standing {
+            Standing::Open => false,
+            Standing::Silent => true,
+            Standing::Claimed => self.silence(now) > LEASE,
+        }
+    }
+
+    /// Returns whether it has been silent for so long that it counts as gone, with all calls that were sent to it.
+    pub(super) fn is_gone(&self, now: Time) -> bool {
+        let limit = match self.delisted {
+            true => UNLISTED_SILENCE,
+            false => LISTED_SILENCE,
+        };
+        self.silence(now) > limit
+    }
+
+    /// Returns the time since its last answer, or since it was claimed.
+    fn silence(&self, now: Time) -> Span {
+        now.since(self.last_answer.max(self.claimed_at))
+    }
+
+    /// Returns the runs whose tasks can't start elsewhere, as a start of them may still be carried out here, and the endpoint is silent.
+    pub fn unsettled_runs(&self, now: Time) -> Vec<(TaskId, Run, Handle)> {
+        if !self.is_silent(now) {
+            return Vec::new();
+        }
+        let runs = self.executions.iter();
+        let unsettled =
+            runs.filter(|(_, run)| run.unsettled.is_some() && run.fate == Fate::Restart);
+        unsettled
+            .map(|(task, run)| (*task, run.run, run.batch))
+            .collect()
+    }
+}
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -4,7 +4,8 @@
     super::{
         id::{
             Run,
-            TaskId, //
+            TaskId,
+            Token, //
         },
         message::Suspicion,
         progress::Tracker,
@@ -63,6 +64,9 @@
     pub pace: Pace,
     /// Whether an earlier copy of its start may still arrive.
     pub duplicate_possible: bool,
+    /// The highest token of a start of it that may still be carried out, by this life of the endpoint or by a later one; `None` if each
+    /// start that was sent for it was answered.
+    pub(super) unsettled: Option<Token>,
     /// Whether its end must be stored before the endpoint forgets it.
     pub stored: bool,
     /// Evidence that the task crashes endpoints.
@@ -94,6 +98,7 @@
             answered_at: None,
             sends: 1,
             duplicate_possible: false,
+            unsettled: None,
             stored: false,
             suspicion: Suspicion::default(),
             reached: false,
@@ -103,6 +108,11 @@
         }
     }
 
+    /// Returns whether none of its starts can be carried out any more after a call with this token was answered.
+    pub(super) fn is_barred_by(&self, token: Token) -> bool {
+        self.unsettled.is_some_and(|unsettled| unsettled < token)
+    }
+
     /// Returns it as lost.
     pub(super) fn loss(&self, task: TaskId, reason: Reason) -> Loss {
         Loss {
@@ -110,7 +120,7 @@
             batch: self.batch,
             run: self.run,
             reason,
-            answered: self.phase != Phase::Starting && !self.duplicate_possible,
+            answered: self.unsettled.is_none(),
         }
     }
 
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -70,6 +70,7 @@
         self.completions.clear();
         (self.failures, self.next_ejection, self.probation) = ((0, 0), EJECTION_TIME.0, false);
         self.straggler = Detector::default();
+        self.bar_former_orders(now);
         self.confirm_crashes()
     }
 
@@ -84,14 +85,22 @@
         events
     }
 
-    /// Removes the runs of a silent endpoint once all of its leases have expired.
+    /// Removes the runs of a silent endpoint once all of its leases have expired: those that can't begin any more, or all if the endpoint
+    /// counts as gone.
     pub fn expire_runs(&mut self, now: Time) -> Vec<Event> {
-        if self.standing != Standing::Silent || now <= self.leases_end {
+        if !self.is_silent(now) || now <= self.leases_end {
             return Vec::new();
         }
         let mut events = Vec::new();
         let suspects = self.sole_suspects();
-        self.remove_all(Reason::Silent, &mut events);
+        let is_gone = self.is_gone(now);
+        let over = |(task, run): (&TaskId, &Execution)| {
+            (is_gone || run.unsettled.is_none()).then_some(*task)
+        };
+        let over: Vec<TaskId> = self.executions.iter().filter_map(over).collect();
+        for task in over {
+            self.remove_lost(task, Reason::Silent, &mut events);
+        }
         for event in &mut events {
             if let Event::Lost(loss) = *event {
                 let (task, batch) = (loss.task, loss.batch);
--- a/src/dispatch/id.rs
+++ b/src/dispatch/id.rs
@@ -171,6 +171,11 @@
         Self(epoch.0 << CLAIMANT_BITS | low)
     }
 
+    /// Returns the next higher token of the same claim.
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+
     /// Returns the epoch of the claim.
     pub fn epoch(self) -> Epoch {
         Epoch(self.0 >> CLAIMANT_BITS)
--- a/src/dispatch/message/call.rs
+++ b/src/dispatch/message/call.rs
@@ -50,6 +50,17 @@
     },
 }
 
+impl Order {
+    /// Returns its fencing token.
+    pub fn token(&self) -> Token {
+        match self {
+            Self::Start { token, .. } | Self::Stop { token, .. } | Self::Poll { token, .. } => {
+                *token
+            }
+        }
+    }
+}
+
 /// How a call to an endpoint ended.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Reply {
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -13,6 +13,7 @@
 mod room;
 mod speeds;
 mod suspects;
+mod unsettled;
 mod withdrawal;
 
 use std::collections::{
@@ -92,7 +93,10 @@
 /// A rack that this instance owns.
 #[derive(Debug)]
 struct Rack {
+    /// The announced token. Those of endpoints are the same, or little higher.
     token: Token,
+    /// The token for endpoints that join: what was sent to an earlier life of theirs is barred by it.
+    joining_token: Token,
     endpoints: Vec<Endpoint>,
     queue: Queue,
     /// Whether its free room has changed since the last update to other instances.
@@ -210,7 +214,8 @@
     /// The endpoint of each task's current run, including runs that are being stopped. A task isn't started while
     /// it is listed here, so that it never runs twice at a time.
     run_locations: HashMap<TaskId, Endpoint>,
-    pending_calls: HashMap<CallId, (Endpoint, Purpose)>,
+    /// Calls that weren't answered yet, with their fencing tokens.
+    pending_calls: HashMap<CallId, (Endpoint, Purpose, Token)>,
     probes: HashMap<RackId, Probe>,
     /// Racks lost to an owner with a higher fencing token, with this instance's rejected token.
     fenced: Vec<(RackId, Token)>,
@@ -306,6 +311,7 @@
         out.log(LogRecord::new("rack_claimed").with("rack", rack.to_string()));
         let new_rack = Rack {
             token,
+            joining_token: token,
             endpoints: Vec::new(),
             queue: Queue::default(),
             room_changed: true,
@@ -433,12 +439,14 @@
                 life_events.push((listing.id.clone(), former, events));
                 continue;
             }
-            let mut state = State::new(listing.clone(), rack.token, now);
+            let token = rack.joining_token.max(rack.token);
+            let mut state = State::new(listing.clone(), token, now);
             state.evacuated = self.evacuated.contains(&listing.centre);
             self.endpoints.insert(listing.id.clone(), state);
             rack.endpoints.push(listing.id.clone());
         }
         for (id, former, events) in life_events {
+            self.publish_token(&id);
             self.log_restart(&id, former, out);
             self.learn_speed(&id, now);
             self.handle_events(&id, events, now, out);
@@ -474,8 +482,12 @@
             out.outputs
                 .push(Output::Disconnect(state.listing.address.clone()));
         }
+        let joining_token = self.endpoints.get(id).map(State::barring_token);
         self.remove_endpoint_state(id);
         for rack in self.racks.values_mut() {
+            if rack.endpoints.contains(id) {
+                rack.joining_token = rack.joining_token.max(joining_token.unwrap_or_default());
+            }
             rack.endpoints.retain(|other| other != id);
             rack.room_changed = true;
         }
@@ -737,7 +749,9 @@
             _ => Span(0),
         };
         let timeout = wait + self.call_timeout.timeout();
-        self.pending_calls.insert(call, (id.clone(), purpose));
+        let token = order.token();
+        self.pending_calls
+            .insert(call, (id.clone(), purpose, token));
         out.outputs.push(Output::Call {
             call,
             endpoint: id.clone(),
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -48,11 +48,11 @@
         now: Time,
         out: &mut Effects,
     ) {
-        let Some((id, purpose)) = self.pending_calls.remove(&call) else {
+        let Some((id, purpose, token)) = self.pending_calls.remove(&call) else {
             return;
         };
         if let Purpose::Probe(rack) = purpose {
-            return self.on_probe_reply(rack, call, &reply);
+            return self.on_probe_reply(rack, call, &id, &reply, now);
         }
         self.review_rack_of(&id);
         let Some(state) = self.endpoints.get_mut(&id) else {
@@ -70,6 +70,11 @@
                 return self.on_unanswered(call, &id, purpose, reply, now, out);
             }
         }
+        let is_fenced =
+            matches!(&reply, Reply::Refused { refusal, .. } if *refusal == Refusal::Fenced);
+        if is_fenced && state.is_outdated(token) {
+            return self.on_overtaken(call, &id, purpose, now);
+        }
         if purpose != Purpose::Poll {
             self.call_timeout.record(now.since(sent));
         }
@@ -83,6 +88,7 @@
                     norm.record(run_time);
                 }
                 self.learn_speed(&id, now);
+                self.publish_token(&id);
                 self.log_restart(&id, former, out);
                 for (task, run) in unknown {
                     self.stop_unknown(&id, task, run, out);
@@ -104,7 +110,7 @@
                 fencing_events(refusal)
             }
             (Purpose::Stop(Name::Known(task), run), _) => {
-                state.on_stopped(&task, run, now);
+                state.on_stopped(&task, run, sent, now);
                 let record = run_record("stop_confirmed", &id, task, run);
                 out.log(record.with("life", state.life().0));
                 Vec::new()
@@ -198,6 +204,7 @@
                     Reply::Unwell | Reply::Malformed(_) => state.on_poll_refused(call, now),
                     _ => state.on_poll_unanswered(call, now),
                 }
+                self.publish_token(id);
                 self.mark_changed(id);
             }
             Purpose::Start(task, run) => self.on_start_unanswered(id, task, run, reply, now, out),
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -41,6 +41,8 @@
     ) -> Option<Handover> {
         let state = self.racks.get(&rack)?;
         let (token, ids) = (state.token, state.endpoints.clone());
+        let tokens = ids.iter().filter_map(|id| self.endpoints.get(id));
+        let token = tokens.map(|state| state.token).fold(token, Token::max);
         let mut runs = Vec::new();
         for id in &ids {
             let Some(state) = self.endpoints.get(id) else {
@@ -102,6 +104,7 @@
         now: Time,
         out: &mut Effects,
     ) {
+        let former_token = handover.token;
         self.claim(handover.rack, token, out);
         self.update_endpoints(listings, now, out);
         let (mut unwanted, mut handles) = (Vec::new(), Vec::new());
@@ -148,7 +151,7 @@
             execution.stored = assignment.batch.stored;
             execution.suspicion = assignment.suspicion(run.task.index);
             if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
-                state.adopt(run.task, execution, now);
+                state.adopt(run.task, execution, former_token);
                 self.run_locations.insert(run.task, run.endpoint.clone());
             }
             if let Some(rack) = self.racks.get_mut(&handover.rack) {
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -47,7 +47,7 @@
 const MAX_MISFITS: usize = 24;
 
 /// The least share of its estimate that a task takes: estimates are off by up to 40 %.
-const MIN_ESTIMATE_SHARE: f64 = 0.6;
+pub(super) const MIN_ESTIMATE_SHARE: f64 = 0.6;
 
 /// The longest time between reviews of a queue while no event lets a task start, so that the ends of ejections
 /// and deadlines are noticed.
@@ -64,6 +64,7 @@
     pub fn process_due(&mut self, now: Time, out: &mut Effects) {
         self.update_speeds(now, out);
         self.expire_silent(now, out);
+        self.fail_unsettled(now, out);
         self.return_unconfirmed(now, out);
         self.release_due(now);
         self.resend_due(now, out);
@@ -79,7 +80,7 @@
         let ids: Vec<Endpoint> = self
             .endpoints
             .iter()
-            .filter(|(_, s)| s.standing == Standing::Silent && !s.executions.is_empty())
+            .filter(|(_, s)| s.standing != Standing::Open && !s.executions.is_empty())
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
--- a/src/dispatch/owner/probe.rs
+++ b/src/dispatch/owner/probe.rs
@@ -1,6 +1,9 @@
 //! Probes of racks whose owner has lost its heartbeat.
 
-use std::collections::HashSet;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
 use super::{
     super::{
@@ -16,6 +19,7 @@
             Reply, //
         }, //
     },
+    unsettled::MAX_TOKEN_LEAD,
     Effects,
     Owner,
     Purpose, //
@@ -38,6 +42,8 @@
     running: bool,
     /// When the next probe may be sent.
     next_probe: Time,
+    /// How far the token for an endpoint is above the announced one: the silent owner may have raised it since it was last heard.
+    leads: HashMap<Endpoint, u64>,
 }
 
 /// Whether a rack can be taken over from a silent owner.
@@ -55,7 +61,8 @@
     /// An instance that can't reach another one may itself be the one that is cut off. If both claimed each
     /// other's racks, they would fence each other off in turn and stop all runs. A probe uses the silent owner's
     /// own token and so changes nothing: runs of a dead owner end when their lease expires, and any that remain
-    /// are kept alive by their owner.
+    /// are kept alive by their owner. Where the token is too low, the next ones are tried, one after another, so that it
+    /// never exceeds the owner's.
     pub fn probe(
         &mut self,
         rack: RackId,
@@ -74,18 +81,22 @@
                 return Availability::Unconfirmed;
             }
         }
+        let former = self.probes.remove(&rack);
         let mut probe = Probe {
             pending: HashSet::new(),
             answered: 0,
             running: false,
             next_probe: now + PROBE_INTERVAL,
+            leads: former.map(|probe| probe.leads).unwrap_or_default(),
         };
         for listing in listings.iter().filter(|l| l.rack_id() == rack) {
             let call = self.next_call_id();
             probe.pending.insert(call);
             let purpose = Purpose::Probe(rack);
+            let lead = probe.leads.get(&listing.id).copied().unwrap_or_default();
+            let token = Token(token.0 + lead);
             self.pending_calls
-                .insert(call, (listing.id.clone(), purpose));
+                .insert(call, (listing.id.clone(), purpose, token));
             out.outputs.push(Output::Call {
                 call,
                 endpoint: listing.id.clone(),
@@ -104,8 +115,15 @@
         Availability::Unconfirmed
     }
 
-    /// Records an endpoint's reply to a probe. One that rejects the token has another owner.
-    pub(super) fn on_probe_reply(&mut self, rack: RackId, call: CallId, reply: &Reply) {
+    /// Records an endpoint's reply to a probe. One that rejects the token has another owner, or got a higher one from the silent owner.
+    pub(super) fn on_probe_reply(
+        &mut self,
+        rack: RackId,
+        call: CallId,
+        id: &Endpoint,
+        reply: &Reply,
+        now: Time,
+    ) {
         let Some(probe) = self.probes.get_mut(&rack) else {
             return;
         };
@@ -117,7 +135,15 @@
                 probe.answered += 1;
                 probe.running |= !lists.running.is_empty();
             }
-            Reply::Refused { .. } => probe.running = true,
+            Reply::Refused { .. } => {
+                probe.running = true;
+                let lead = probe.leads.entry(id.clone()).or_default();
+                // Beyond that another owner is the reason; its token isn't reached.
+                if *lead < 2 * MAX_TOKEN_LEAD {
+                    *lead += 1;
+                    probe.next_probe = now;
+                }
+            }
             _ => {}
         }
     }
--- a/src/dispatch/owner/retry.rs
+++ b/src/dispatch/owner/retry.rs
@@ -48,6 +48,8 @@
                 let order = state.stop_order(name.clone(), run);
                 (Some(order), Purpose::Stop(name, run))
             }
+            // A copy that no life of the endpoint answers would only be carried out late.
+            Phase::Starting if !state.takes_starts() => return state.schedule_retry(task, now),
             Phase::Starting => {
                 let spec = self
                     .assignments
--- /dev/null
+++ b/src/dispatch/owner/unsettled.rs
@@ -0,0 +1,111 @@
+//! Tasks that can't start elsewhere, as a start of them may still be carried out on a silent endpoint.
+
+use super::{
+    super::{
+        endpoint::Standing,
+        id::{
+            Run,
+            TaskId, //
+        },
+        message::{
+            CallId,
+            LogRecord,
+            Name,
+            Outcome, //
+        },
+        queue::Handle, //
+    },
+    place::MIN_ESTIMATE_SHARE,
+    Effects,
+    Owner,
+    Purpose, //
+};
+use crate::prelude::*;
+
+/// The time that the report of a failed job takes to its caller. Later the caller would stop waiting, and submit the job again while a
+/// start of it is in doubt.
+const REPORT_TIME: Span = Span::millis(50);
+
+/// How far the token of an endpoint may be above the announced one of its rack.
+pub(super) const MAX_TOKEN_LEAD: u64 = 8;
+
+impl Owner {
+    /// Fails the jobs of callers that wait, if a task of theirs can neither start elsewhere nor end in time.
+    pub(super) fn fail_unsettled(&mut self, now: Time, out: &mut Effects) {
+        let silent = self
+            .endpoints
+            .iter()
+            .filter(|(_, state)| state.standing != Standing::Open && !state.executions.is_empty());
+        let mut overdue: Vec<(Endpoint, TaskId, Run, Handle)> = Vec::new();
+        for (id, state) in silent {
+            let runs = state.unsettled_runs(now);
+            let runs = runs
+                .into_iter()
+                .filter(|(.., batch)| self.is_overdue(*batch, now));
+            overdue.extend(runs.map(|(task, run, batch)| (id.clone(), task, run, batch)));
+        }
+        for (id, task, run, batch) in overdue {
+            let record = LogRecord::new("start_unsettled").job(task.job);
+            let record = record.with("task", task.to_string()).with("run", run.0);
+            out.log(record.with("endpoint", id.as_str()));
+            self.finish(batch, Outcome::Failed, out);
+        }
+    }
+
+    /// Returns whether a caller waits for a batch, and its tasks can't end in time if they start now.
+    fn is_overdue(&self, batch: Handle, now: Time) -> bool {
+        let assignment = self.assignments.get(&batch);
+        let awaited = assignment.filter(|assignment| !assignment.batch.stored);
+        awaited.is_some_and(|assignment| {
+            let estimate = assignment.batch.estimate.0 as f64;
+            let duration = Span((estimate * MIN_ESTIMATE_SHARE) as u64);
+            now + duration + REPORT_TIME > assignment.deadline
+        })
+    }
+
+    /// Handles a call that the endpoint refused because a call with a higher token of this owner overtook it: it's sent again.
+    pub(super) fn on_overtaken(
+        &mut self,
+        call: CallId,
+        id: &Endpoint,
+        purpose: Purpose,
+        now: Time,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        match purpose {
+            Purpose::Poll => state.on_poll_refused(call, now),
+            Purpose::Start(task, run) | Purpose::Stop(Name::Known(task), run) => {
+                let current = state.executions.get(&task);
+                if current.is_some_and(|execution| execution.run == run) {
+                    state.schedule_retry(task, now);
+                }
+            }
+            // The next poll lists an unknown run that is still there.
+            Purpose::Stop(Name::Foreign(_), _) | Purpose::Probe(_) => {}
+        }
+    }
+
+    /// Announces a higher token for the rack of an endpoint if the endpoint's is far above the announced one.
+    pub(super) fn publish_token(&mut self, id: &Endpoint) {
+        let Some(state) = self.endpoints.get(id) else {
+            return;
+        };
+        let token = state.token;
+        let Some(rack) = self.racks.get_mut(&state.listing.rack_id()) else {
+            return;
+        };
+        if token.0.saturating_sub(rack.token.0) < MAX_TOKEN_LEAD {
+            return;
+        }
+        rack.token = token;
+        self.rack_changes += 1;
+        // A probe with the announced token must not be above the tokens of calls that follow.
+        for endpoint in &rack.endpoints {
+            if let Some(state) = self.endpoints.get_mut(endpoint) {
+                state.raise_token_to(token);
+            }
+        }
+    }
+}
