A task doesn't start while an endpoint lists a run of it that its owner doesn't know

What callers could see: a task on two endpoints at a time for as long as the stop of the former run takes. An endpoint carries out a late start of a run that its owner has given up; the owner stops the unknown run, and meanwhile starts the task's next run elsewhere, or takes the next run there for lost.

Cause: an unknown run was only looked at as something to stop, and not as a run of its task. Now a task with an unknown run on an endpoint stays in the queue until the run isn't listed any more or all leases there have expired, and a poll's answer that lists one run of a task gives up no other run of it.

Evidence: tasks_with_an_unknown_run_on_an_endpoint_do_not_start and run_whose_former_run_is_listed_is_not_given_up fail without this.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -577,6 +577,12 @@
         }
     }
 
+    /// Returns the tasks of the runs that it lists and this owner doesn't know.
+    pub fn tasks_of_unknown_runs(&self) -> Vec<TaskId> {
+        let names = self.unknown_runs.iter();
+        names.filter_map(|(name, _)| name.known()).collect()
+    }
+
     /// Returns when the next poll is due at the latest.
     pub fn next_poll(&self) -> Time {
         self.next_poll
@@ -644,6 +650,8 @@
                 }
             }
         }
+        // A task with an unknown run here counts as listed: it must not start elsewhere beside that run.
+        listed.extend(unknown.iter().filter_map(|(name, _)| name.known()));
         self.remove_unlisted(&listed, sent, token.unwrap_or_default(), &mut events);
         let runs = self.executions.iter();
         let runs = runs.filter(|(_, run)| run.phase == Phase::Running);
--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -13,6 +13,7 @@
         },
         queue::Handle, //
     },
+    life::LEASE_MARGIN,
     Fate,
     Phase,
     Standing,
@@ -82,6 +83,11 @@
         }
     }
 
+    /// Returns whether it is silent, and the longest lease that it may have granted since its last answer has expired.
+    pub fn have_leases_expired(&self, now: Time) -> bool {
+        self.is_silent(now) && now > self.leases_end && self.silence(now) > LEASE + LEASE_MARGIN
+    }
+
     /// Returns whether it has been silent for so long that it counts as gone, with all calls that were sent to it.
     pub(super) fn is_gone(&self, now: Time) -> bool {
         let limit = match self.delisted {
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -28,7 +28,7 @@
 use crate::prelude::*;
 
 /// Margin after the last lease of a life, by which all of its runs have ended.
-const LEASE_MARGIN: Span = Span::millis(50);
+pub(super) const LEASE_MARGIN: Span = Span::millis(50);
 
 impl State {
     /// Returns the latest known life.
--- a/src/dispatch/message/call.rs
+++ b/src/dispatch/message/call.rs
@@ -127,6 +127,16 @@
     Foreign(String),
 }
 
+impl Name {
+    /// Returns the task if the name is a valid identifier.
+    pub fn known(&self) -> Option<TaskId> {
+        match self {
+            Self::Known(task) => Some(*task),
+            Self::Foreign(_) => None,
+        }
+    }
+}
+
 /// A run in progress on an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Running {
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -214,6 +214,8 @@
     /// The endpoint of each task's current run, including runs that are being stopped. A task isn't started while
     /// it is listed here, so that it never runs twice at a time.
     run_locations: HashMap<TaskId, Endpoint>,
+    /// The tasks of runs that endpoints list and this owner doesn't know. They don't start before these runs have ended.
+    tasks_of_unknown_runs: BTreeMap<Endpoint, Vec<TaskId>>,
     /// Calls that weren't answered yet, with their fencing tokens.
     pending_calls: HashMap<CallId, (Endpoint, Purpose, Token)>,
     probes: HashMap<RackId, Probe>,
@@ -353,6 +355,7 @@
 
     fn remove_endpoint_state(&mut self, id: &Endpoint) {
         self.speed.forget(id);
+        self.tasks_of_unknown_runs.remove(id);
         if let Some(state) = self.endpoints.remove(id) {
             for task in state.executions.keys() {
                 self.run_locations.remove(task);
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -90,6 +90,7 @@
                 self.learn_speed(&id, now);
                 self.publish_token(&id);
                 self.log_restart(&id, former, out);
+                self.update_unknown_runs(&id);
                 for (task, run) in unknown {
                     self.stop_unknown(&id, task, run, out);
                 }
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -64,6 +64,7 @@
     pub fn process_due(&mut self, now: Time, out: &mut Effects) {
         self.update_speeds(now, out);
         self.expire_silent(now, out);
+        self.expire_unknown_runs(now);
         self.fail_unsettled(now, out);
         self.return_unconfirmed(now, out);
         self.release_due(now);
@@ -154,7 +155,8 @@
             let task = assignment.task_id(waiting.index);
             let entry_lost = !self.live_entries.contains(&assignment.entry.name);
             let may_start = !entry_lost && self.may_start(assignment, now);
-            if !may_start || self.run_locations.contains_key(&task) {
+            let is_running = self.run_locations.contains_key(&task) || self.has_unknown_run(&task);
+            if !may_start || is_running {
                 continue;
             }
             let same = |(n, l, _): &&Misfit| *n == need && l.as_ref() == label;
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -2,7 +2,10 @@
 
 use super::{
     super::{
-        endpoint::Standing,
+        endpoint::{
+            Standing,
+            State, //
+        },
         id::{
             Run,
             TaskId, //
@@ -63,6 +66,31 @@
         })
     }
 
+    /// Updates the tasks of unknown runs that an endpoint lists.
+    pub(super) fn update_unknown_runs(&mut self, id: &Endpoint) {
+        let state = self.endpoints.get(id);
+        let tasks = state.map(State::tasks_of_unknown_runs).unwrap_or_default();
+        match tasks.is_empty() {
+            true => self.tasks_of_unknown_runs.remove(id),
+            false => self.tasks_of_unknown_runs.insert(id.clone(), tasks),
+        };
+    }
+
+    /// Drops the unknown runs of endpoints that have been silent until all leases expired.
+    pub(super) fn expire_unknown_runs(&mut self, now: Time) {
+        let states = &self.endpoints;
+        self.tasks_of_unknown_runs.retain(|id, _| {
+            let state = states.get(id);
+            state.is_some_and(|state| !state.have_leases_expired(now))
+        });
+    }
+
+    /// Returns whether an endpoint lists a run of the task that this owner doesn't know.
+    pub(super) fn has_unknown_run(&self, task: &TaskId) -> bool {
+        let mut tasks = self.tasks_of_unknown_runs.values();
+        tasks.any(|tasks| tasks.contains(task))
+    }
+
     /// Handles a call that the endpoint refused because a call with a higher token of this owner overtook it: it's sent again.
     pub(super) fn on_overtaken(
         &mut self,
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -228,6 +228,143 @@
     assert!(state.accepts_tasks(later));
 }
 
+/// Returns a run as an endpoint lists it.
+fn listed(task: TaskId, run: Run) -> Running {
+    Running {
+        task: Name::Known(task),
+        run,
+        percent: None,
+    }
+}
+
+/// Answers the poll that is due at a time with the given runs. Returns all orders.
+fn answer_poll(test: &mut TestOwner, running: Vec<Running>, life: Life, now: Time) -> Vec<Order> {
+    let mut out = Effects::default();
+    confirm_entries(&mut test.owner, now);
+    test.owner.process_due(now, &mut out);
+    let mut orders = Vec::new();
+    for output in out.outputs {
+        let Output::Call { call, order, .. } = output else {
+            continue;
+        };
+        let clock = now.0 / 1_000;
+        let reply = match &order {
+            Order::Poll { .. } => Reply::Looked(Lists {
+                clock,
+                life,
+                running: running.clone(),
+                ended: Vec::new(),
+            }),
+            _ => Reply::Done { clock },
+        };
+        orders.push(order);
+        let mut out = Effects::default();
+        test.owner.on_reply(call, now, reply, now, &mut out);
+    }
+    orders
+}
+
+/// An endpoint carries out a late start of a former run, while its task waits here for its next run. The task must not start before
+/// the former run has ended.
+#[test]
+fn tasks_with_an_unknown_run_on_an_endpoint_do_not_start() {
+    let mut test = TestOwner::new(1);
+    let entry = contact("entry");
+    let mut out = Effects::default();
+    let spare = Listing {
+        id: "w-2".parse().unwrap(),
+        address: "w-2:80".to_owned(),
+        ..listing(1)
+    };
+    test.owner
+        .update_endpoints(&[listing(1), spare], START, &mut out);
+    let now = START + Span::millis(10);
+    answer_poll(&mut test, Vec::new(), Life::default(), now);
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    // Both endpoints are polled, and list the run; it's enough that one of them does.
+    let now = START + Span::seconds(6);
+    answer_poll(&mut test, vec![listed(task, Run(1))], Life::default(), now);
+    test.owner.mark_entry_alive(&entry.name);
+    test.owner
+        .accept(&entry, batch(1, vec![0, 1]), now, &mut out);
+    let mut out = Effects::default();
+    let polls = polls_at(&mut test, now + Span::millis(60), &mut out);
+    // One endpoint is free again, and the other still lists the run.
+    reply_to_poll(&mut test, polls[0], Vec::new(), now + Span::millis(61));
+    let run = vec![listed(task, Run(1))];
+    reply_to_poll(&mut test, polls[1], run, now + Span::millis(61));
+    let mut out = Effects::default();
+    confirm_entries(&mut test.owner, now + Span::millis(80));
+    test.owner.process_due(now + Span::millis(80), &mut out);
+    let is_start_of = |output: &Output, index: u32| matches!(output, Output::Call { order: Order::Start { task, .. }, .. } if task.index == index);
+    let started = |index| out.outputs.iter().any(|output| is_start_of(output, index));
+    assert!(!started(0), "the task started beside its former run");
+    assert!(started(1), "a task without a former run didn't start");
+}
+
+/// Processes due work and returns the calls of the polls that are sent.
+fn polls_at(test: &mut TestOwner, now: Time, out: &mut Effects) -> Vec<CallId> {
+    confirm_entries(&mut test.owner, now);
+    test.owner.process_due(now, out);
+    let poll = |output: &Output| match output {
+        Output::Call {
+            call,
+            order: Order::Poll { .. },
+            ..
+        } => Some(*call),
+        _ => None,
+    };
+    out.outputs.iter().filter_map(poll).collect()
+}
+
+/// Answers a poll with the given runs.
+fn reply_to_poll(test: &mut TestOwner, call: CallId, running: Vec<Running>, now: Time) {
+    let reply = Reply::Looked(Lists {
+        clock: now.0 / 1_000,
+        running,
+        ..Lists::default()
+    });
+    test.owner
+        .on_reply(call, now, reply, now, &mut Effects::default());
+}
+
+/// A restarted endpoint carries out a late start of a task's former run, and doesn't list the present one. The task must not start
+/// elsewhere before the former run has ended.
+#[test]
+fn run_whose_former_run_is_listed_is_not_given_up() {
+    let mut state = State::new(listing(4), Token(5), START);
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    let poll = |state: &mut State, n: u64, running: Vec<Running>, life: Life| {
+        let now = START + Span::millis(200 * n);
+        state.poll(CallId(n), now).unwrap();
+        let lists = Lists {
+            clock: now.0 / 1_000,
+            life,
+            running,
+            ..Lists::default()
+        };
+        let (events, _) = state.on_poll_answer(CallId(n), now, lists, now);
+        events
+    };
+    poll(&mut state, 1, Vec::new(), Life(1));
+    let now = START + Span::millis(210);
+    let mut execution = Execution::new(Handle(1), Run(2), listing(1).capacity, Span::seconds(3));
+    execution.license_end = now + LICENSE;
+    state.start(task, execution, String::new(), now).unwrap();
+    let former = vec![listed(task, Run(1))];
+    assert_eq!(poll(&mut state, 2, former.clone(), Life(2)), Vec::new());
+    assert_eq!(poll(&mut state, 3, former, Life(2)), Vec::new());
+    assert_eq!(poll(&mut state, 4, Vec::new(), Life(2)).len(), 1);
+}
+
 /// An endpoint that refuses connections does so immediately. Without backoff it would be polled thousands of times a
 /// second.
 #[test]
