--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -183,6 +183,8 @@
     pub held_back_tasks: usize,
     /// Urgent tasks for which its racks keep room.
     pub reserved_tasks: usize,
+    /// Runs on silent endpoints of which a start may still be carried out, so that their tasks can't start elsewhere.
+    pub unsettled_runs: usize,
 }
 
 /// What a heartbeat changes besides its sender's entry among the members.
@@ -390,6 +392,7 @@
             speeds: self.owner.speeds(),
             held_back_tasks,
             reserved_tasks: reserved_tasks as usize,
+            unsettled_runs: self.owner.count_unsettled_runs(self.stepped_at),
         }
     }
 
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Returns the number of runs on silent endpoints whose tasks can't start elsewhere.
+    pub fn count_unsettled_runs(&self, now: Time) -> usize {
+        let states = self.endpoints.values();
+        states.map(|state| state.unsettled_runs(now).len()).sum()
+    }
+
     /// Returns whether a caller waits for a batch, and its tasks can't end in time if they start now.
     fn is_overdue(&self, batch: Handle, now: Time) -> bool {
         let assignment = self.assignments.get(&batch);
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -225,6 +225,7 @@
         set("waiting_for_speed", stats.speeds.waiting_tasks);
         set("held_back_tasks", stats.held_back_tasks);
         set("reserved_tasks", stats.reserved_tasks);
+        set("unsettled_runs", stats.unsettled_runs);
         self.registry.render()
     }
 }
