Probes never pass the token of a silent owner, and follow any number of raises

What callers could see: an instance that doesn't hear another one twice takes that one's rack and ends its runs; or the rack of an owner that died after many raises gets no owner.

Cause: the steps by which probes follow raised tokens were counted from the announced token, and outlived it; and they ended after 16. Now the token of each endpoint is remembered beside the announced one that it was found from, steps have no end, and a raised token is announced at once.

--- a/src/dispatch/owner/probe.rs
+++ b/src/dispatch/owner/probe.rs
@@ -19,7 +19,6 @@
             Reply, //
         }, //
     },
-    unsettled::MAX_TOKEN_LEAD,
     Effects,
     Owner,
     Purpose, //
@@ -32,6 +31,10 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Span = Span::millis(150);
 
+/// The number of steps from the announced token on that need not wait for [`PROBE_INTERVAL`]. More are due only after a long silence, or
+/// where another owner is the reason, whose token is out of reach.
+const QUICK_STEPS: u64 = 16;
+
 /// The replies of a silent owner's endpoints to a probe.
 #[derive(Debug)]
 pub(super) struct Probe {
@@ -42,8 +45,10 @@
     running: bool,
     /// When the next probe may be sent.
     next_probe: Time,
-    /// How far the token for an endpoint is above the announced one: the silent owner may have raised it since it was last heard.
-    leads: HashMap<Endpoint, u64>,
+    /// The announced token of the silent owner.
+    announced: Token,
+    /// The token for an endpoint that has refused the announced one: the owner may have raised it since it was last heard.
+    tokens: HashMap<Endpoint, Token>,
 }
 
 /// Whether a rack can be taken over from a silent owner.
@@ -82,19 +87,20 @@
             }
         }
         let former = self.probes.remove(&rack);
+        let former = former.filter(|probe| probe.announced == token);
         let mut probe = Probe {
             pending: HashSet::new(),
             answered: 0,
             running: false,
             next_probe: now + PROBE_INTERVAL,
-            leads: former.map(|probe| probe.leads).unwrap_or_default(),
+            announced: token,
+            tokens: former.map(|probe| probe.tokens).unwrap_or_default(),
         };
         for listing in listings.iter().filter(|l| l.rack_id() == rack) {
             let call = self.next_call_id();
             probe.pending.insert(call);
             let purpose = Purpose::Probe(rack);
-            let lead = probe.leads.get(&listing.id).copied().unwrap_or_default();
-            let token = Token(token.0 + lead);
+            let token = probe.tokens.get(&listing.id).copied().unwrap_or(token);
             self.pending_calls
                 .insert(call, (listing.id.clone(), purpose, token));
             out.outputs.push(Output::Call {
@@ -137,10 +143,9 @@
             }
             Reply::Refused { .. } => {
                 probe.running = true;
-                let lead = probe.leads.entry(id.clone()).or_default();
-                // Beyond that another owner is the reason; its token isn't reached.
-                if *lead < 2 * MAX_TOKEN_LEAD {
-                    *lead += 1;
+                let token = probe.tokens.entry(id.clone()).or_insert(probe.announced);
+                *token = token.next();
+                if token.0 - probe.announced.0 <= QUICK_STEPS {
                     probe.next_probe = now;
                 }
             }
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -29,9 +29,6 @@
 /// start of it is in doubt.
 const REPORT_TIME: Span = Span::millis(50);
 
-/// How far the token of an endpoint may be above the announced one of its rack.
-pub(super) const MAX_TOKEN_LEAD: u64 = 8;
-
 impl Owner {
     /// Fails the jobs of callers that wait, if a task of theirs can neither start elsewhere nor end in time.
     pub(super) fn fail_unsettled(&mut self, now: Time, out: &mut Effects) {
@@ -121,18 +118,16 @@
         }
     }
 
-    /// Announces a higher token for the rack of an endpoint if the endpoint's is far above the announced one.
+    /// Announces the token of an endpoint for its rack if it was raised.
     pub(super) fn publish_token(&mut self, id: &Endpoint) {
         let Some(state) = self.endpoints.get(id) else {
             return;
         };
         let token = state.token;
-        let Some(rack) = self.racks.get_mut(&state.listing.rack_id()) else {
+        let rack = self.racks.get_mut(&state.listing.rack_id());
+        let Some(rack) = rack.filter(|rack| rack.token < token) else {
             return;
         };
-        if token.0.saturating_sub(rack.token.0) < MAX_TOKEN_LEAD {
-            return;
-        }
         rack.token = token;
         self.rack_changes += 1;
         // A probe with the announced token must not be above the tokens of calls that follow.
