Runs that were taken over or confirmed aren't failed or held for their starts

What callers could see: a job fails in a short silence of its endpoint though its run goes on and would end in time; a task whose rack was handed over waits for 15 s after the loss of its endpoint.

Cause: a run that was adopted stayed in doubt after the new owner's first poll had listed it, and the job of any run in doubt was failed as soon as a whole new run couldn't end in time. Now an answered poll with a higher token settles the runs that it lists, unless a copy of the start is unanswered, and a run that the endpoint has confirmed may go on until its caller stops waiting.

An endpoint to which a start may be on its way is polled as if it had runs for as long, so that a restart is noticed and the start barred before it arrives.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -240,6 +240,8 @@
     pub token: Token,
     /// Whether a start, a lease or an acknowledgement was sent with that token.
     token_used: bool,
+    /// Until when starts may arrive that weren't answered.
+    late_starts_until: Time,
     /// When this owner began to use the endpoint.
     claimed_at: Time,
     /// Whether it can be used.
@@ -309,6 +311,7 @@
             refuses_connections: false,
             token,
             token_used: false,
+            late_starts_until: Time::default(),
             claimed_at: now,
             standing: Standing::Claimed,
             executions: BTreeMap::new(),
@@ -498,7 +501,8 @@
         let reading_recent = self
             .reading
             .is_some_and(|r| now.since(r.received) < POLL_IDLE);
-        if idle && acknowledged && reading_recent && !self.poll_wanted {
+        let is_watched = self.expects_late_starts(now);
+        if idle && acknowledged && reading_recent && !self.poll_wanted && !is_watched {
             // No poll is due before a start, or before the reading of its clock is too old, unless late ends are released earlier.
             let outdated = self.reading.map_or(now, |r| r.received + POLL_IDLE);
             self.next_poll = match self.late_ends.is_empty() {
@@ -519,7 +523,7 @@
             false => None,
         };
         // An answer at once would be followed by the next poll at once.
-        let wait = match extend {
+        let wait = match extend || (idle && is_watched) {
             true => POLL_WAIT,
             false => Span(0),
         };
@@ -650,6 +654,7 @@
                 }
             }
         }
+        self.settle_listed(&listed, token.unwrap_or_default(), now);
         // A task with an unknown run here counts as listed: it must not start elsewhere beside that run.
         listed.extend(unknown.iter().filter_map(|(name, _)| name.known()));
         self.remove_unlisted(&listed, sent, token.unwrap_or_default(), &mut events);
@@ -961,7 +966,7 @@
         if self.take_pending_poll(call).is_some() {
             self.next_poll = match self.standing {
                 Standing::Open if self.backoff.is_first() => now,
-                _ => now + self.backoff.delay(&self.listing.id),
+                _ => now + self.poll_delay(now),
             };
             let answered = now.since(self.last_answer) < ANSWER_GRACE;
             self.standing = match self.standing {
--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -4,16 +4,15 @@
 //! clock. So the task of such a start may start elsewhere only once the endpoint has answered a call with a higher token than the start's:
 //! it refuses the start from then on. The token rises whenever calls may be on their way to a former life.
 
+use std::collections::HashSet;
+
 use super::{
-    super::{
-        id::{
-            Run,
-            TaskId,
-            Token, //
-        },
-        queue::Handle, //
+    super::id::{
+        TaskId,
+        Token, //
     },
     life::LEASE_MARGIN,
+    Execution,
     Fate,
     Phase,
     Standing,
@@ -22,11 +21,18 @@
 };
 use crate::prelude::*;
 
-/// How long an endpoint that the platform no longer lists must be silent until it counts as gone.
+/// The time for which a call without an answer is assumed to be on its way. The protocol has no bound.
+const MAX_CALL_DELAY: Span = Span::seconds(15);
+
+/// How long an endpoint must be silent until it counts as gone, though the platform lists it.
+const LISTED_SILENCE: Span = MAX_CALL_DELAY;
+
+/// The same for an endpoint that the platform has removed from its list, as it does after some seconds without a report. A stored task
+/// must not wait longer for an endpoint that is lost for good.
 const UNLISTED_SILENCE: Span = Span::seconds(5);
 
-/// How long an endpoint that the platform still lists must be silent until it counts as gone.
-const LISTED_SILENCE: Span = Span::seconds(15);
+/// The longest delay between polls of a silent endpoint that may get a late start.
+const MAX_POLL_DELAY: Span = Span::millis(50);
 
 impl State {
     /// Raises the token above that of starts, leases and acknowledgements that may be on their way. The next answered call bars them.
@@ -97,21 +103,48 @@
         self.silence(now) > limit
     }
 
+    /// Returns the delay before the next poll of an endpoint that doesn't answer.
+    pub(super) fn poll_delay(&self, now: Time) -> Span {
+        let delay = self.backoff.delay(&self.listing.id);
+        match self.expects_late_starts(now) {
+            true => delay.min(MAX_POLL_DELAY),
+            false => delay,
+        }
+    }
+
     /// Returns the time since its last answer, or since it was claimed.
     fn silence(&self, now: Time) -> Span {
         now.since(self.last_answer.max(self.claimed_at))
     }
 
     /// Returns the runs whose tasks can't start elsewhere, as a start of them may still be carried out here, and the endpoint is silent.
-    pub fn unsettled_runs(&self, now: Time) -> Vec<(TaskId, Run, Handle)> {
-        if !self.is_silent(now) {
-            return Vec::new();
+    pub fn unsettled_runs(&self, now: Time) -> impl Iterator<Item = (&TaskId, &Execution)> {
+        let runs = self.is_silent(now).then_some(&self.executions);
+        let runs = runs.into_iter().flatten();
+        runs.filter(|(_, run)| run.unsettled.is_some() && run.fate == Fate::Restart)
+    }
+
+    /// Records that a start wasn't answered.
+    pub fn on_start_unanswered(&mut self, now: Time) {
+        self.late_starts_until = now + MAX_CALL_DELAY;
+    }
+
+    /// Returns whether a start may still arrive whose task has been given up here: the endpoint is polled as if it had runs, so that the
+    /// first call that reaches a later life of it bars the start.
+    pub(super) fn expects_late_starts(&self, now: Time) -> bool {
+        now < self.late_starts_until
+    }
+
+    /// Settles runs that an answer to a poll with this token lists: copies of their starts are barred.
+    pub(super) fn settle_listed(&mut self, listed: &HashSet<TaskId>, token: Token, now: Time) {
+        for (task, run) in &mut self.executions {
+            let is_settled = run.is_barred_by(token) && !run.duplicate_possible;
+            if is_settled && listed.contains(task) {
+                run.unsettled = None;
+                if run.phase == Phase::Running {
+                    run.answered_at = run.answered_at.or(Some(now));
+                }
+            }
         }
-        let runs = self.executions.iter();
-        let unsettled =
-            runs.filter(|(_, run)| run.unsettled.is_some() && run.fate == Fate::Restart);
-        unsettled
-            .map(|(task, run)| (*task, run.run, run.batch))
-            .collect()
     }
 }
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Returns whether the endpoint has confirmed it, in its present life.
+    pub fn is_confirmed(&self) -> bool {
+        self.answered_at.is_some()
+    }
+
     /// Returns whether none of its starts can be carried out any more after a call with this token was answered.
     pub(super) fn is_barred_by(&self, token: Token) -> bool {
         self.unsettled.is_some_and(|unsettled| unsettled < token)
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -256,6 +256,12 @@
         }
         let nothing_done = matches!(reply, Reply::Unwell | Reply::Unsent);
         execution.duplicate_possible |= !nothing_done;
+        if !nothing_done {
+            state.on_start_unanswered(now);
+        }
+        let Some(execution) = state.executions.get_mut(&task) else {
+            return;
+        };
         execution.sends += 1;
         let (handle, duplicate_possible, sends) = (
             execution.batch,
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -3,6 +3,7 @@
 use super::{
     super::{
         endpoint::{
+            Execution,
             Standing,
             State, //
         },
@@ -38,11 +39,11 @@
             .filter(|(_, state)| state.standing != Standing::Open && !state.executions.is_empty());
         let mut overdue: Vec<(Endpoint, TaskId, Run, Handle)> = Vec::new();
         for (id, state) in silent {
-            let runs = state.unsettled_runs(now);
-            let runs = runs
-                .into_iter()
-                .filter(|(.., batch)| self.is_overdue(*batch, now));
-            overdue.extend(runs.map(|(task, run, batch)| (id.clone(), task, run, batch)));
+            for (task, execution) in state.unsettled_runs(now) {
+                if self.is_overdue(execution, now) {
+                    overdue.push((id.clone(), *task, execution.run, execution.batch));
+                }
+            }
         }
         for (id, task, run, batch) in overdue {
             let record = LogRecord::new("start_unsettled").job(task.job);
@@ -55,16 +56,20 @@
     /// Returns the number of runs on silent endpoints whose tasks can't start elsewhere.
     pub fn count_unsettled_runs(&self, now: Time) -> usize {
         let states = self.endpoints.values();
-        states.map(|state| state.unsettled_runs(now).len()).sum()
+        states.map(|state| state.unsettled_runs(now).count()).sum()
     }
 
-    /// Returns whether a caller waits for a batch, and its tasks can't end in time if they start now.
-    fn is_overdue(&self, batch: Handle, now: Time) -> bool {
-        let assignment = self.assignments.get(&batch);
+    /// Returns whether a caller waits for the batch of a run, and the task can't end in time: a run that was confirmed may still do so
+    /// until the caller stops waiting, any other has to begin first.
+    fn is_overdue(&self, execution: &Execution, now: Time) -> bool {
+        let assignment = self.assignments.get(&execution.batch);
         let awaited = assignment.filter(|assignment| !assignment.batch.stored);
         awaited.is_some_and(|assignment| {
             let estimate = assignment.batch.estimate.0 as f64;
-            let duration = Span((estimate * MIN_ESTIMATE_SHARE) as u64);
+            let duration = match execution.is_confirmed() {
+                true => Span(0),
+                false => Span((estimate * MIN_ESTIMATE_SHARE) as u64),
+            };
             now + duration + REPORT_TIME > assignment.deadline
         })
     }
