A task waits for an endpoint that is silent while a start of it may arrive there

What callers could see: two runs of a task at a time. An endpoint bars a start that is still on its way, the task runs there or elsewhere and is lost, the endpoint crashes, and its next life carries the start out while the task starts elsewhere.

Cause: the owner forgot the start together with the run that it was sent for. Now a task remembers the endpoints to which a start of it may be on its way. It doesn't start while one of them is silent and doesn't count as gone, and after a restart it prefers that endpoint: a run there ends with the next crash.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -15,15 +15,22 @@
     fmt, //
 };
 
-pub use self::execution::{
-    Execution,
-    Fate,
-    Phase, //
-};
 use self::{
     backoff::Backoff,
     clock::Reading, //
 };
+pub use self::{
+    barrier::{
+        MAX_CALL_DELAY,
+        UNLISTED_SILENCE, //
+    },
+    execution::{
+        Execution,
+        Fate,
+        Phase,
+        MIN_ESTIMATE_SHARE, //
+    },
+};
 use super::{
     id::{
         Life,
--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -22,14 +22,14 @@
 use crate::prelude::*;
 
 /// The time for which a call without an answer is assumed to be on its way. The protocol has no bound.
-const MAX_CALL_DELAY: Span = Span::seconds(15);
+pub const MAX_CALL_DELAY: Span = Span::seconds(15);
 
 /// How long an endpoint must be silent until it counts as gone, though the platform lists it.
 const LISTED_SILENCE: Span = MAX_CALL_DELAY;
 
 /// The same for an endpoint that the platform has removed from its list, as it does after some seconds without a report. A stored task
 /// must not wait longer for an endpoint that is lost for good.
-const UNLISTED_SILENCE: Span = Span::seconds(5);
+pub const UNLISTED_SILENCE: Span = Span::seconds(5);
 
 /// The longest delay between polls of a silent endpoint that may get a late start.
 const MAX_POLL_DELAY: Span = Span::millis(50);
@@ -94,6 +94,11 @@
         self.is_silent(now) && now > self.leases_end && self.silence(now) > LEASE + LEASE_MARGIN
     }
 
+    /// Returns whether it is silent, so that a later life of it may be there already, and doesn't count as gone yet.
+    pub fn may_restart_unnoticed(&self, now: Time) -> bool {
+        self.standing != Standing::Open && self.silence(now) > Span(0) && !self.is_gone(now)
+    }
+
     /// Returns whether it has been silent for so long that it counts as gone, with all calls that were sent to it.
     pub(super) fn is_gone(&self, now: Time) -> bool {
         let limit = match self.delisted {
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -19,6 +19,9 @@
 };
 use crate::prelude::*;
 
+/// The least share of its estimate that a task takes: estimates are off by up to 40 %.
+pub const MIN_ESTIMATE_SHARE: f64 = 0.6;
+
 /// The phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -108,6 +111,11 @@
         }
     }
 
+    /// Returns how long its task takes at the least.
+    pub fn min_duration(&self) -> Span {
+        Span((self.progress.estimate().0 as f64 * MIN_ESTIMATE_SHARE) as u64)
+    }
+
     /// Returns whether the endpoint has confirmed it, in its present life.
     pub fn is_confirmed(&self) -> bool {
         self.answered_at.is_some()
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -26,7 +26,8 @@
 use self::{
     cancelled::CancelledBatches,
     probe::Probe,
-    speeds::Waits, //
+    speeds::Waits,
+    unsettled::Doubt, //
 };
 pub use self::{
     probe::Availability,
@@ -177,6 +178,8 @@
     failed_on: Option<Endpoint>,
     /// Runs that were taken for lost, with their endpoints. They may have ended as done.
     lost_runs: Vec<(Endpoint, Run)>,
+    /// Endpoints that have barred a start of it that may still be on its way.
+    doubts: Vec<Doubt>,
 }
 
 impl Default for TaskState {
@@ -188,6 +191,7 @@
             suspicion: Suspicion::default(),
             failed_on: None,
             lost_runs: Vec::new(),
+            doubts: Vec::new(),
         }
     }
 }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -339,6 +339,7 @@
                     self.run_locations.remove(&loss.task);
                     self.log_lost(id, &loss, out);
                     self.record_lost_run(id, &loss);
+                    self.record_doubt(id, &loss, false, now);
                     self.requeue(loss.task, loss.batch, loss.run.next(), now);
                 }
                 Event::Ended {
@@ -364,6 +365,7 @@
                     self.run_locations.remove(&loss.task);
                     self.log_lost(id, &loss, out);
                     self.record_lost_run(id, &loss);
+                    self.record_doubt(id, &loss, false, now);
                     let state = self.endpoints.get(id);
                     let refused = state.is_some_and(|state| state.refuses_connections);
                     self.on_run_expired(&loss, refused, now);
@@ -371,6 +373,7 @@
                 Event::Crashed(crash, loss) => {
                     self.run_locations.remove(&crash.task);
                     self.log_lost(id, &loss, out);
+                    self.record_doubt(id, &loss, true, now);
                     self.on_crash(id, crash, loss.run.next(), now, out);
                 }
                 Event::CrashConfirmed(crash) => self.confirm_crash(id, crash, true, now, out),
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -7,7 +7,8 @@
         endpoint::{
             Execution,
             Standing,
-            State, //
+            State,
+            MIN_ESTIMATE_SHARE, //
         },
         id::{
             RackId,
@@ -46,9 +47,6 @@
 /// longer review seldom finds a task that fits.
 const MAX_MISFITS: usize = 24;
 
-/// The least share of its estimate that a task takes: estimates are off by up to 40 %.
-pub(super) const MIN_ESTIMATE_SHARE: f64 = 0.6;
-
 /// The longest time between reviews of a queue while no event lets a task start, so that the ends of ejections
 /// and deadlines are noticed.
 ///
@@ -137,6 +135,7 @@
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
         let mut misfits: Vec<Misfit> = Vec::new();
         let mut hopeless = Vec::new();
+        let mut unsettled = Vec::new();
         let mut poll_needed = false;
         let mut unfit: BTreeMap<Handle, Vec<u32>> = BTreeMap::new();
         let mut waits = Waits::default();
@@ -147,6 +146,13 @@
             };
             let min_duration =
                 Span((assignment.batch.estimate.0 as f64 * MIN_ESTIMATE_SHARE) as u64);
+            let doubts = assignment.tasks.get(&waiting.index);
+            let doubts = doubts.map_or(&[][..], |task_state| &task_state.doubts);
+            let is_in_doubt = self.is_in_doubt(doubts, now);
+            if is_in_doubt && self.is_overdue(waiting.batch, min_duration, now) {
+                unsettled.push((assignment.task_id(waiting.index), waiting.batch));
+                continue;
+            }
             if now + min_duration > assignment.deadline {
                 hopeless.push(waiting.batch);
                 continue;
@@ -156,7 +162,7 @@
             let entry_lost = !self.live_entries.contains(&assignment.entry.name);
             let may_start = !entry_lost && self.may_start(assignment, now);
             let is_running = self.run_locations.contains_key(&task) || self.has_unknown_run(&task);
-            if !may_start || is_running {
+            if !may_start || is_running || is_in_doubt {
                 continue;
             }
             let same = |(n, l, _): &&Misfit| *n == need && l.as_ref() == label;
@@ -213,6 +219,9 @@
         for (handle, tasks) in unfit {
             self.return_tasks(handle, tasks, Cause::Unfit, out);
         }
+        for (task, batch) in unsettled {
+            self.fail_job(task, batch, out);
+        }
         hopeless.dedup();
         for handle in hopeless {
             if let Some(assignment) = self.assignments.get(&handle) {
@@ -314,6 +323,14 @@
             ratio: State::predicted_ratio(state),
             free: state.free.cpu,
         };
+        let doubts = assignment.tasks.get(&index);
+        let doubts = doubts.map_or(&[][..], |task_state| &task_state.doubts);
+        if !doubts.is_empty() {
+            let is_preferred = |state: &&State| doubts.iter().any(|d| d.prefers(&state.listing.id));
+            if let Some(state) = with_room.clone().find(is_preferred) {
+                return Some(Choice::Start(state.listing.id.clone()));
+            }
+        }
         let mut candidates: Vec<Candidate<&State>> = Vec::with_capacity(states.len());
         candidates.extend(with_room.map(candidate));
         let slowness = |state: &State| state.preference(batch.estimate, assignment.due, now);
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -3,14 +3,13 @@
 use super::{
     super::{
         endpoint::{
-            Execution,
+            Loss,
             Standing,
-            State, //
-        },
-        id::{
-            Run,
-            TaskId, //
+            State,
+            MAX_CALL_DELAY,
+            UNLISTED_SILENCE, //
         },
+        id::TaskId,
         message::{
             CallId,
             LogRecord,
@@ -19,7 +18,6 @@
         },
         queue::Handle, //
     },
-    place::MIN_ESTIMATE_SHARE,
     Effects,
     Owner,
     Purpose, //
@@ -30,48 +28,85 @@
 /// start of it is in doubt.
 const REPORT_TIME: Span = Span::millis(50);
 
+/// A start that may still be on its way to an endpoint, whose run was given up.
+#[derive(Debug, Clone)]
+pub(super) struct Doubt {
+    /// The endpoint. It has barred the start in its present life.
+    endpoint: Endpoint,
+    /// When the run was given up.
+    since: Time,
+    /// Whether the endpoint has restarted after the start was sent.
+    restarted: bool,
+}
+
 impl Owner {
+    /// Records that a run is given up of which a start may still be on its way.
+    pub(super) fn record_doubt(&mut self, id: &Endpoint, loss: &Loss, restarted: bool, now: Time) {
+        let assignment = self.assignments.get_mut(&loss.batch);
+        let task_state = assignment.and_then(|a| a.tasks.get_mut(&loss.task.index));
+        if let Some(task_state) = task_state.filter(|_| !loss.answered) {
+            task_state.doubts.push(Doubt {
+                endpoint: id.clone(),
+                since: now,
+                restarted,
+            });
+        }
+    }
+
+    /// Returns whether a task must not start now: an endpoint to which a start of it may be on its way is silent, and may come back in a
+    /// later life that hasn't barred it.
+    pub(super) fn is_in_doubt(&self, doubts: &[Doubt], now: Time) -> bool {
+        doubts.iter().any(|doubt| {
+            let age = now.since(doubt.since);
+            match self.endpoints.get(&doubt.endpoint) {
+                Some(state) => age <= MAX_CALL_DELAY && state.may_restart_unnoticed(now),
+                None => age <= UNLISTED_SILENCE,
+            }
+        })
+    }
+
     /// Fails the jobs of callers that wait, if a task of theirs can neither start elsewhere nor end in time.
     pub(super) fn fail_unsettled(&mut self, now: Time, out: &mut Effects) {
         let silent = self
             .endpoints
             .iter()
             .filter(|(_, state)| state.standing != Standing::Open && !state.executions.is_empty());
-        let mut overdue: Vec<(Endpoint, TaskId, Run, Handle)> = Vec::new();
-        for (id, state) in silent {
+        let mut overdue: Vec<(TaskId, Handle)> = Vec::new();
+        for (_, state) in silent {
             for (task, execution) in state.unsettled_runs(now) {
-                if self.is_overdue(execution, now) {
-                    overdue.push((id.clone(), *task, execution.run, execution.batch));
+                // A run that was confirmed may still end in time; any other has to begin first.
+                let duration = match execution.is_confirmed() {
+                    true => Span(0),
+                    false => execution.min_duration(),
+                };
+                if self.is_overdue(execution.batch, duration, now) {
+                    overdue.push((*task, execution.batch));
                 }
             }
         }
-        for (id, task, run, batch) in overdue {
-            let record = LogRecord::new("start_unsettled").job(task.job);
-            let record = record.with("task", task.to_string()).with("run", run.0);
-            out.log(record.with("endpoint", id.as_str()));
-            self.finish(batch, Outcome::Failed, out);
+        for (task, batch) in overdue {
+            self.fail_job(task, batch, out);
         }
     }
 
+    /// Fails the job of a task that is in doubt for as long as its caller waits.
+    pub(super) fn fail_job(&mut self, task: TaskId, batch: Handle, out: &mut Effects) {
+        let record = LogRecord::new("start_unsettled").job(task.job);
+        out.log(record.with("task", task.to_string()));
+        self.finish(batch, Outcome::Failed, out);
+    }
+
     /// Returns the number of runs on silent endpoints whose tasks can't start elsewhere.
     pub fn count_unsettled_runs(&self, now: Time) -> usize {
         let states = self.endpoints.values();
         states.map(|state| state.unsettled_runs(now).count()).sum()
     }
 
-    /// Returns whether a caller waits for the batch of a run, and the task can't end in time: a run that was confirmed may still do so
-    /// until the caller stops waiting, any other has to begin first.
-    fn is_overdue(&self, execution: &Execution, now: Time) -> bool {
-        let assignment = self.assignments.get(&execution.batch);
+    /// Returns whether a caller waits for a batch, and would stop before a task of it that takes `duration` can end.
+    pub(super) fn is_overdue(&self, batch: Handle, duration: Span, now: Time) -> bool {
+        let assignment = self.assignments.get(&batch);
         let awaited = assignment.filter(|assignment| !assignment.batch.stored);
-        awaited.is_some_and(|assignment| {
-            let estimate = assignment.batch.estimate.0 as f64;
-            let duration = match execution.is_confirmed() {
-                true => Span(0),
-                false => Span((estimate * MIN_ESTIMATE_SHARE) as u64),
-            };
-            now + duration + REPORT_TIME > assignment.deadline
-        })
+        awaited.is_some_and(|assignment| now + duration + REPORT_TIME > assignment.deadline)
     }
 
     /// Updates the tasks of unknown runs that an endpoint lists.
@@ -143,3 +178,11 @@
         }
     }
 }
+
+impl Doubt {
+    /// Returns whether its endpoint is the best place for the task's next run: if it restarts once more, that run ends with it, and the
+    /// start that is on its way can't begin beside it.
+    pub(super) fn prefers(&self, id: &Endpoint) -> bool {
+        self.restarted && self.endpoint == *id
+    }
+}
