Tests of owners of endpoints that restart while starts are held

The tests fix the order of events around restarts: the owner is lost, cut off or hands its rack over, an endpoint is lost for good or listed again, restarts follow each other, and late polls and stops reach the next life.

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -25,6 +25,8 @@
 mod overlap;
 #[path = "dispatch/overload.rs"]
 mod overload;
+#[path = "dispatch/owners_of_restarted.rs"]
+mod owners_of_restarted;
 #[path = "dispatch/placement.rs"]
 mod placement;
 #[path = "dispatch/rows.rs"]
--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -47,6 +47,14 @@
     pub forgotten_early: bool,
     /// When its owner let the endpoint forget its end.
     pub forgotten_at: Option<Time>,
+    /// The fencing token of its start.
+    pub token: Token,
+    /// When the life of the endpoint began that started it.
+    pub life_from: Time,
+    /// Whether its start was the first order to that life.
+    pub is_first_order: bool,
+    /// Whether its start was late: its owner had given up waiting for the answer.
+    pub is_late: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -76,6 +84,10 @@
     origin: u64,
     /// The value that its clock was set to, in milliseconds.
     ahead: u64,
+    /// When its life began.
+    life_from: Time,
+    /// Whether an order has reached its life.
+    has_orders: bool,
     pub running: BTreeMap<TaskId, ActiveRun>,
     pub history: Vec<RunRecord>,
     pub up: bool,
@@ -119,6 +131,8 @@
             report_step: 1,
             origin: 0,
             ahead: 5_000,
+            life_from: Time::default(),
+            has_orders: false,
             running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
@@ -200,6 +214,7 @@
             enforces_capacity: self.enforces_capacity,
             origin: now.0 / 1_000,
             ahead,
+            life_from: now,
             ..Self::new(listing, self.clock_lag)
         };
     }
@@ -247,6 +262,7 @@
         let (Order::Start { token, .. } | Order::Stop { token, .. } | Order::Poll { token, .. }) =
             order;
         let refuse = |refusal| Reply::Refused { clock, refusal };
+        let is_first_order = !std::mem::replace(&mut self.has_orders, true);
         if *token < self.token {
             return refuse(Refusal::Fenced);
         }
@@ -291,6 +307,10 @@
                     crashed: false,
                     forgotten_early: false,
                     forgotten_at: None,
+                    token: *token,
+                    life_from: self.life_from,
+                    is_first_order,
+                    is_late: false,
                 });
                 self.running.insert(*task, ActiveRun(active));
                 Reply::Done { clock }
