Late acknowledgements and leases meet runs that their owner can't hear

The tests of late polls passed whatever an endpoint made of them: ends were heard at once, and the runs were elsewhere. Now the ends and the leases fall into a time in which the owner can't reach the endpoint.

--- a/tests/dispatch/owners_of_restarted.rs
+++ b/tests/dispatch/owners_of_restarted.rs
@@ -486,11 +486,12 @@
         for n in 0..24 {
             site.submit(Span::millis(20 + 35 * n), Span::millis(60), WAIT);
         }
-        // The restart is listed by then.
-        for n in 0..90 {
-            let at = CRASH + Span::millis(1_500 + 35 * n);
-            site.submit(at, Span::millis(60), WAIT);
+        // These end in the next life, while their owner can't hear it, and the held polls arrive after that.
+        for n in 0..JOBS {
+            let at = CRASH + Span::millis(2_000 + 10 * n);
+            site.submit(at, Span::millis(400), WAIT);
         }
+        site.cut_rack(CRASH + Span::millis(2_200), Span::millis(1_000));
         site.world.run(WATCH);
         site.world.finish_and_check();
         site.world.check_no_overlaps();
@@ -506,10 +507,16 @@
         let mut site = Site::new(seed);
         site.restart_rack(CRASH, Span::millis(300));
         site.hold_orders(CRASH - Span::millis(100), Span::millis(100), HELD);
+        // One on each endpoint, so that polls with leases are held.
+        for n in 0..4 {
+            let at = Span::millis(100 + 10 * n);
+            let job = (1, 3_500, Span::millis(950));
+            let shape = Shape::default();
+            site.world.submit_at(at, site.entry, job, shape);
+        }
         for n in 0..JOBS {
-            site.submit(Span::millis(100 + 10 * n), Span::seconds(4), WAIT);
-            let at = Span::millis(2_200 + 10 * n);
-            site.submit(at, Span::millis(4_000), WAIT);
+            let at = Span::millis(2_500 + 10 * n);
+            site.submit(at, Span::seconds(4), WAIT);
         }
         // The held polls arrive before the leases of the new life are over, from 3.9 to 4.0 s.
         site.cut_rack(Span::millis(3_300), Span::seconds(6));
@@ -613,6 +620,9 @@
     BarredByAFormerLife,
     /// The same under another claim, or another rack's.
     BarredByAFormerLifeForAnotherOwner,
+    /// A late start was carried out by a life that began before the task's other run, as the first order to that life, under the same claim:
+    /// the other run was started while the endpoint was silent, or its restart known.
+    FirstOrderToASilentLife,
     /// A late start was carried out by a life that was there when the other run started, under the same claim.
     NotBarred,
     /// The same under another claim, or another rack's.
@@ -634,6 +644,7 @@
                 false => Self::BarredByAFormerLifeForAnotherOwner,
             },
             (true, _) => match is_of_one_claim {
+                true if overlap.later.1.is_first_order => Self::FirstOrderToASilentLife,
                 true => Self::NotBarred,
                 false => Self::NotBarredForAnotherOwner,
             },
@@ -705,6 +716,9 @@
         match result {
             Ok(overlaps) => {
                 for overlap in &overlaps {
+                    if count == 1 {
+                        println!("SWEEP {overlap:#?}");
+                    }
                     let longest = found.entry(Finding::of(overlap)).or_default();
                     *longest = overlap.span.as_millis().max(*longest);
                 }
