--- a/tests/dispatch/owners_of_restarted.rs
+++ b/tests/dispatch/owners_of_restarted.rs
@@ -171,6 +171,46 @@
     }
 }
 
+/// The same, where no instance reaches the endpoints before the starts arrive: no next owner bars these.
+#[test]
+fn owner_that_dies_at_the_return_of_its_endpoints_behind_a_cut_runs_no_task_twice() {
+    for seed in 0..8 {
+        let mut site = Site::with_held_starts(seed, DOWN, HELD);
+        site.world.kill_at(CRASH + DOWN, site.owner, KILLED);
+        site.cut_rack(CRASH + DOWN, Span::seconds(5));
+        site.finish_and_check();
+    }
+}
+
+/// The same, where only one endpoint restarts behind a cut: the rack has a next owner, who can't reach that endpoint.
+#[test]
+fn next_owner_that_cant_reach_a_restarted_endpoint_runs_no_task_twice() {
+    for seed in 0..8 {
+        let mut site = Site::new(seed);
+        site.world.crash_and_restart_at(CRASH, 0, DOWN, 0);
+        site.world.hold_orders_at(CRASH, 0, DOWN, HELD);
+        site.world
+            .isolate_endpoint_at(CRASH + DOWN, 0, Span::seconds(5));
+        for n in 0..JOBS {
+            site.submit(CRASH + Span::millis(10 + 12 * n), Span::seconds(4), WAIT);
+        }
+        site.world.kill_at(CRASH + DOWN, site.owner, KILLED);
+        site.finish_and_check();
+    }
+}
+
+/// The owner is lost while its endpoints are down, and they are back, with the held starts, when the tasks run elsewhere.
+#[test]
+fn owner_that_dies_while_its_endpoints_are_down_runs_no_task_twice() {
+    for seed in 0..8 {
+        let down = Span::millis(3_500);
+        let mut site = Site::with_held_starts(seed, down, down);
+        let kill = CRASH + Span::millis(300);
+        site.world.kill_at(kill, site.owner, KILLED);
+        site.finish_and_check();
+    }
+}
+
 /// The owner is cut off from the other instances while its endpoints are down. It still reaches them when they are back, and bars the held
 /// starts, though their tasks are no longer its own.
 #[test]
@@ -184,6 +224,19 @@
     }
 }
 
+/// The same, where the owner doesn't reach its endpoints either.
+#[test]
+fn owner_that_is_cut_off_from_entries_and_endpoints_runs_no_task_twice() {
+    for seed in 0..8 {
+        let mut site = Site::with_held_starts(seed, DOWN, HELD);
+        site.use_other_rack();
+        let cut = CRASH + Span::millis(300);
+        site.world.partition_at(cut, &[site.owner], KILLED);
+        site.cut_rack(CRASH + DOWN, Span::seconds(5));
+        site.finish_and_check();
+    }
+}
+
 /// The entry is lost while starts are held, and its callers submit their jobs elsewhere. The owner reaches its endpoints, and bars the
 /// starts though nobody wants their tasks any more.
 #[test]
@@ -196,6 +249,18 @@
     }
 }
 
+/// The same, where the endpoints can't be reached before the starts arrive.
+#[test]
+fn lost_entry_of_held_starts_behind_a_cut_runs_no_task_twice() {
+    for seed in 0..8 {
+        let mut site = Site::with_held_starts(seed, DOWN, HELD);
+        let kill = CRASH + Span::millis(300);
+        site.world.kill_at(kill, site.entry, KILLED);
+        site.cut_rack(CRASH + DOWN, Span::seconds(5));
+        site.finish_and_check();
+    }
+}
+
 /// The rack is handed over while its endpoints are down: the next owner must know that starts may be on their way.
 #[test]
 fn rack_handed_over_while_its_endpoints_are_down_runs_no_task_twice() {
@@ -290,6 +355,28 @@
     }
 }
 
+/// The same, where another endpoint of the rack is down: each probe waits for it.
+#[test]
+fn rack_with_a_raised_token_and_a_lost_endpoint_gets_a_next_owner_in_time() {
+    for seed in 0..8 {
+        let kill = Span::seconds(6);
+        let lost = |site: &mut Site| {
+            submit_for_seconds(site);
+            let at = Span::millis(5_900);
+            site.world.isolate_endpoint_at(at, 1, Span::seconds(9));
+        };
+        let calm = time_without_owner(seed, kill, lost);
+        let raised = time_without_owner(seed, kill, |site| {
+            lost(site);
+            for n in 0..6 {
+                let at = Span::millis(700 + 800 * n);
+                site.world.isolate_endpoint_at(at, 0, Span::millis(400));
+            }
+        });
+        assert!(raised <= calm + PROBE_INTERVAL, "{raised:?}, {calm:?}");
+    }
+}
+
 /// An owner that is cut off from the others goes on with the runs of its own callers. Probes that follow its raised tokens must not
 /// exceed these, or they would fence it off and stop the runs.
 #[test]
@@ -474,6 +561,16 @@
     }
 }
 
+/// The same, where the endpoint was idle for some seconds before the start: it isn't polled then, and its last answer is old. That doesn't
+/// mean that it's gone with what was sent to it just now.
+#[test]
+fn idle_endpoint_doesnt_count_as_gone_when_a_start_is_in_doubt() {
+    for seed in 0..8 {
+        let site = site_with_removed_endpoints(seed, Span::seconds(1));
+        site.finish_and_check();
+    }
+}
+
 /// A poll that acknowledges ends of the former life arrives in the next one, which counts its ends anew: ends that nobody has heard would
 /// be forgotten, and their tasks would run again.
 #[test]
@@ -499,6 +596,29 @@
     }
 }
 
+/// An endpoint restarts while a poll waits there, and answers starts before the poll times out. The next poll acknowledges ends of the
+/// former life: the ends of the new runs would be forgotten unheard, and their tasks would run again.
+#[test]
+fn acknowledgements_after_an_unnoticed_restart_lose_no_end() {
+    for seed in 0..8 {
+        let mut site = Site::new(seed);
+        site.submit(Span::millis(10), Span::seconds(4), WAIT);
+        for n in 0..24 {
+            site.submit(Span::millis(20 + 35 * n), Span::millis(60), WAIT);
+        }
+        let down = Span::millis(20);
+        site.restart_rack(CRASH, down);
+        for n in 0..JOBS {
+            let at = CRASH + down + Span::millis(5 + 10 * n);
+            site.submit(at, Span::millis(20), WAIT);
+        }
+        site.world.run(WATCH);
+        site.world.finish_and_check();
+        site.world.check_no_overlaps();
+        site.check_done_once();
+    }
+}
+
 /// A poll with a lease for the former life arrives in the next one, whose owner can't reach it: the runs there would go on beside those
 /// that the owner starts elsewhere when the leases that it knows of are over.
 #[test]
@@ -580,6 +700,36 @@
     }
 }
 
+/// A start is barred by a life that crashes afterwards, and its task runs elsewhere. The next life must not carry the start out before the
+/// owner's first call reaches it.
+#[test]
+fn start_that_arrives_before_the_first_call_to_a_third_life_runs_no_task_twice() {
+    for seed in 0..8 {
+        // The third life begins 1.2 s after the crash.
+        let mut site = Site::with_held_starts(seed, Span::millis(200), Span::millis(1_192));
+        site.restart_rack(CRASH + Span::seconds(1), Span::millis(200));
+        site.finish_and_check();
+    }
+}
+
+/// The owner finds a run of its own task under a lower number, from a start that a former life had barred, and its stops are lost. The task
+/// must not start elsewhere while that run goes on.
+#[test]
+fn listed_run_of_a_lower_number_keeps_its_task_from_starting_elsewhere() {
+    for seed in 0..8 {
+        let mut site = Site::with_held_starts(seed, Span::millis(200), Span::millis(2_500));
+        let crash = Span::millis(3_000);
+        let down = Span::millis(400);
+        site.restart_rack(crash, down);
+        // The third life carries the held starts out before a call reaches it.
+        site.cut_rack(crash + down, Span::millis(350));
+        for w in RACK {
+            site.world.lose_stops_at(crash, w, Span::seconds(3));
+        }
+        site.finish_and_check();
+    }
+}
+
 /// A fault beside the restarts of a sweep.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
