--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -51,8 +51,6 @@
     pub token: Token,
     /// When the life of the endpoint began that started it.
     pub life_from: Time,
-    /// Whether its start was the first order to that life.
-    pub is_first_order: bool,
     /// Whether its start was late: its owner had given up waiting for the answer.
     pub is_late: bool,
 }
@@ -86,8 +84,8 @@
     ahead: u64,
     /// When its life began.
     life_from: Time,
-    /// Whether an order has reached its life.
-    has_orders: bool,
+    /// The rising tokens that each of its lives has received, and when.
+    pub tokens: Vec<(Time, Token)>,
     pub running: BTreeMap<TaskId, ActiveRun>,
     pub history: Vec<RunRecord>,
     pub up: bool,
@@ -132,7 +130,7 @@
             origin: 0,
             ahead: 5_000,
             life_from: Time::default(),
-            has_orders: false,
+            tokens: Vec::new(),
             running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
@@ -207,10 +205,12 @@
     /// Restarts it under the same name, with all state lost and the clock at `ahead` milliseconds.
     pub(crate) fn restart(&mut self, now: Time, ahead: u64) {
         let history = std::mem::take(&mut self.history);
+        let tokens = std::mem::take(&mut self.tokens);
         let mut listing = self.listing.clone();
         listing.life = Life(now.0 / 1_000);
         *self = Self {
             history,
+            tokens,
             enforces_capacity: self.enforces_capacity,
             origin: now.0 / 1_000,
             ahead,
@@ -262,11 +262,13 @@
         let (Order::Start { token, .. } | Order::Stop { token, .. } | Order::Poll { token, .. }) =
             order;
         let refuse = |refusal| Reply::Refused { clock, refusal };
-        let is_first_order = !std::mem::replace(&mut self.has_orders, true);
         if *token < self.token {
             return refuse(Refusal::Fenced);
         }
-        self.token = *token;
+        if *token > self.token {
+            self.token = *token;
+            self.tokens.push((now, *token));
+        }
         match order {
             Order::Start {
                 task, run, lease, ..
@@ -309,7 +311,6 @@
                     forgotten_at: None,
                     token: *token,
                     life_from: self.life_from,
-                    is_first_order,
                     is_late: false,
                 });
                 self.running.insert(*task, ActiveRun(active));
@@ -350,6 +351,12 @@
         self.ended.retain(|end| end.serial > acknowledged);
     }
 
+    /// Returns whether one of its lives had received a higher token than this one by a time.
+    pub(crate) fn had_barred(&self, token: Token, by: Time) -> bool {
+        let mut tokens = self.tokens.iter();
+        tokens.any(|(at, other)| *at <= by && *other > token)
+    }
+
     pub(crate) fn has_unacknowledged_ends(&self) -> bool {
         !self.ended.is_empty()
     }
--- a/tests/dispatch/owners_of_restarted.rs
+++ b/tests/dispatch/owners_of_restarted.rs
@@ -104,10 +104,10 @@
     /// Keeps a run on the other rack, so that an instance that is cut off from its owner doesn't take it over.
     fn use_other_rack(&mut self) {
         let shape = Shape {
-            wait: Span::seconds(30),
+            wait: Span::seconds(60),
             ..Shape::default()
         };
-        let job = (1, 500, Span::seconds(20));
+        let job = (1, 500, Span::seconds(40));
         self.world.submit_at(Span(0), self.other, job, shape);
     }
 
@@ -765,48 +765,56 @@
 /// What a world of a sweep showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Finding {
-    /// A late start was carried out by a life that began after the task's other run, under the same claim of the rack: the life before had
-    /// barred it.
-    BarredByAFormerLife,
-    /// The same under another claim, or another rack's.
-    BarredByAFormerLifeForAnotherOwner,
-    /// A late start was carried out by a life that began before the task's other run, as the first order to that life, under the same claim:
-    /// the other run was started while the endpoint was silent, or its restart known.
-    FirstOrderToASilentLife,
-    /// A late start was carried out by a life that was there when the other run started, under the same claim.
-    NotBarred,
-    /// The same under another claim, or another rack's.
-    NotBarredForAnotherOwner,
-    /// A task was started while a late start of it was being carried out.
-    StartedBesideALateRun,
+    /// A late start was carried out while the task ran elsewhere.
+    LateStartBesideARun(Bar),
+    /// A task was started elsewhere while a late start of it was being carried out.
+    RunBesideALateStart(Bar),
     /// An overlap without a late start.
     NoLateStart,
-    /// A check of the world failed.
+    /// A task was started again after its end was acknowledged.
+    StartedAgain,
+    /// A task of an accepted job was never done.
+    NeverDone,
+    /// Another check of the world failed.
     FailedCheck,
 }
 
+/// What had barred a late start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Bar {
+    /// Whether the other run was started under the same claim of the same rack.
+    is_of_one_claim: bool,
+    /// Whether a former life of the endpoint had received a higher token than the late start's before the later one of the two runs began.
+    is_by_a_former_life: bool,
+}
+
 impl Finding {
-    fn of(overlap: &Overlap) -> Self {
-        let is_of_one_claim = overlap.is_of_one_claim();
+    fn of(overlap: &Overlap, world: &World) -> Self {
+        let bar = |(w, record): (usize, RunRecord)| Bar {
+            is_of_one_claim: overlap.is_of_one_claim(),
+            is_by_a_former_life: world.endpoints[w].had_barred(record.token, overlap.later.1.from),
+        };
         match (overlap.later.1.is_late, overlap.earlier.1.is_late) {
-            (true, _) if overlap.is_by_a_life_that_began_later() => match is_of_one_claim {
-                true => Self::BarredByAFormerLife,
-                false => Self::BarredByAFormerLifeForAnotherOwner,
-            },
-            (true, _) => match is_of_one_claim {
-                true if overlap.later.1.is_first_order => Self::FirstOrderToASilentLife,
-                true => Self::NotBarred,
-                false => Self::NotBarredForAnotherOwner,
-            },
-            (false, true) => Self::StartedBesideALateRun,
+            (true, _) => Self::LateStartBesideARun(bar(overlap.later)),
+            (false, true) => Self::RunBesideALateStart(bar(overlap.earlier)),
             (false, false) => Self::NoLateStart,
         }
     }
+
+    /// Returns the finding of a check that failed with a message.
+    fn of_failure(message: &str) -> Self {
+        let is_about = |text: &str| message.contains(text);
+        match (is_about("started again"), is_about("never done")) {
+            (true, _) => Self::StartedAgain,
+            (_, true) => Self::NeverDone,
+            _ => Self::FailedCheck,
+        }
+    }
 }
 
 impl Sweep {
-    /// Runs the world of [`super::former_lives`] with late orders around restarts, and returns its overlaps.
-    fn run(&self, seed: u64) -> Vec<Overlap> {
+    /// Runs the world of [`super::former_lives`] with late orders around restarts, and returns it.
+    fn run(&self, seed: u64) -> World {
         let faults = Faults {
             late_orders: self.late,
             ..NO_FAULTS
@@ -836,7 +844,7 @@
             true => drop(world.finish_and_check_stored()),
             false => world.finish_and_check(),
         }
-        world.overlaps()
+        world
     }
 }
 
@@ -864,16 +872,20 @@
         let result = panic::catch_unwind(|| sweep.run(seed));
         let mut found: BTreeMap<Finding, u64> = BTreeMap::new();
         match result {
-            Ok(overlaps) => {
-                for overlap in &overlaps {
+            Ok(world) => {
+                for overlap in &world.overlaps() {
                     if count == 1 {
                         println!("SWEEP {overlap:#?}");
                     }
-                    let longest = found.entry(Finding::of(overlap)).or_default();
+                    let longest = found.entry(Finding::of(overlap, &world)).or_default();
                     *longest = overlap.span.as_millis().max(*longest);
                 }
             }
-            Err(_) => drop(found.insert(Finding::FailedCheck, 0)),
+            Err(failure) => {
+                let message = failure.downcast_ref::<String>();
+                let finding = Finding::of_failure(message.map_or("", |text| text));
+                found.insert(finding, 0);
+            }
         }
         bad += usize::from(!found.is_empty());
         for (finding, longest) in found {
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -219,12 +219,6 @@
         let (one, other) = (self.earlier.1.token.0, self.later.1.token.0);
         one.abs_diff(other) < MAX_RAISES
     }
-
-    /// Returns whether the later run was started by a life of its endpoint that began after the earlier run did: whatever was confirmed
-    /// there before that start is forgotten.
-    pub(crate) fn is_by_a_life_that_began_later(&self) -> bool {
-        self.later.1.is_late && self.later.1.life_from > self.earlier.1.from
-    }
 }
 
 /// How often an owner raises the token of an endpoint at most, in a simulation.
