Test of probes with outdated leads, which fence off a live owner

An instance keeps how far an endpoint's token was above the announced one for the next cut, when the owner has announced a higher one. The sum exceeds the owner's token, so the probe bars the owner's calls and its runs stop.

--- a/tests/dispatch/owners_of_restarted.rs
+++ b/tests/dispatch/owners_of_restarted.rs
@@ -418,6 +418,45 @@
     }
 }
 
+/// The same for an owner that is cut off twice, and has announced a higher token in between: what an instance learned in the first cut of
+/// how far tokens are above the announced one is out of date.
+#[test]
+fn probes_in_a_second_cut_change_nothing_for_a_live_owner() {
+    for seed in 0..8 {
+        let mut site = Site::new(seed);
+        let owner = site.owner;
+        // One task on each endpoint at a time, so that each token is used.
+        for n in 0..60 {
+            let job = (4, 3_000, Span::millis(100));
+            let at = Span::millis(100 + 320 * n);
+            site.world.submit_at(at, site.entry, job, Shape::default());
+        }
+        for n in (0..5).chain(10..13) {
+            let at = Span::millis(700 + 1_000 * n);
+            site.world.crash_and_restart_at(at, 0, Span::millis(100), 0);
+        }
+        site.use_other_rack();
+        let (first, second) = (Span::millis(6_000), Span::millis(20_000));
+        let shape = Shape {
+            wait: Span::seconds(12),
+            ..Shape::default()
+        };
+        for cut in [first, second] {
+            site.world.partition_at(cut, &[owner], Span::seconds(2));
+            for _ in 0..4 {
+                let job = (1, 900, Span::seconds(4));
+                let at = cut - Span::millis(300);
+                site.world.submit_at(at, owner, job, shape);
+            }
+        }
+        site.world.run(second + WATCH);
+        site.world.finish_and_check();
+        site.world.check_no_overlaps();
+        let yields = site.world.log_count("rack_yielded");
+        assert_eq!(yields, 0, "seed {seed}");
+    }
+}
+
 /// Returns whether a run that began before a time since the start of the test went on until two seconds later at least.
 fn is_long(record: &RunRecord, at: Span) -> bool {
     let at = Time(3_000_000) + at;
