--- a/tests/dispatch/endpoint.rs
+++ b/tests/dispatch/endpoint.rs
@@ -47,6 +47,12 @@
     pub forgotten_early: bool,
     /// When its owner let the endpoint forget its end.
     pub forgotten_at: Option<Time>,
+    /// The fencing token of its start.
+    pub token: Token,
+    /// When the life of the endpoint began that started it.
+    pub life_from: Time,
+    /// Whether its start was late: its owner had given up waiting for the answer.
+    pub is_late: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -76,6 +82,12 @@
     origin: u64,
     /// The value that its clock was set to, in milliseconds.
     ahead: u64,
+    /// When its life began.
+    life_from: Time,
+    /// The rising tokens that each of its lives has received, and when.
+    tokens: Vec<(Time, Token)>,
+    /// The runs that each of its lives was told to stop, and when.
+    stops: Vec<(Time, TaskId, Run)>,
     pub running: BTreeMap<TaskId, ActiveRun>,
     pub history: Vec<RunRecord>,
     pub up: bool,
@@ -119,6 +131,9 @@
             report_step: 1,
             origin: 0,
             ahead: 5_000,
+            life_from: Time::default(),
+            tokens: Vec::new(),
+            stops: Vec::new(),
             running: BTreeMap::new(),
             history: Vec::new(),
             up: true,
@@ -193,13 +208,18 @@
     /// Restarts it under the same name, with all state lost and the clock at `ahead` milliseconds.
     pub(crate) fn restart(&mut self, now: Time, ahead: u64) {
         let history = std::mem::take(&mut self.history);
+        let tokens = std::mem::take(&mut self.tokens);
+        let stops = std::mem::take(&mut self.stops);
         let mut listing = self.listing.clone();
         listing.life = Life(now.0 / 1_000);
         *self = Self {
             history,
+            tokens,
+            stops,
             enforces_capacity: self.enforces_capacity,
             origin: now.0 / 1_000,
             ahead,
+            life_from: now,
             ..Self::new(listing, self.clock_lag)
         };
     }
@@ -250,7 +270,10 @@
         if *token < self.token {
             return refuse(Refusal::Fenced);
         }
-        self.token = *token;
+        if *token > self.token {
+            self.token = *token;
+            self.tokens.push((now, *token));
+        }
         match order {
             Order::Start {
                 task, run, lease, ..
@@ -291,6 +314,9 @@
                     crashed: false,
                     forgotten_early: false,
                     forgotten_at: None,
+                    token: *token,
+                    life_from: self.life_from,
+                    is_late: false,
                 });
                 self.running.insert(*task, ActiveRun(active));
                 Reply::Done { clock }
@@ -305,6 +331,7 @@
                         self.end(*task, End::Stopped, now);
                     }
                     self.bar(*task, *run);
+                    self.stops.push((now, *task, *run));
                 }
                 Reply::Done { clock }
             }
@@ -330,6 +357,20 @@
         self.ended.retain(|end| end.serial > acknowledged);
     }
 
+    /// Returns whether one of its lives would have refused a run's start by a time: it had received a higher token or a stop of that run,
+    /// or the run had ended.
+    pub(crate) fn had_barred(&self, record: &RunRecord, by: Time) -> bool {
+        let is_same = |task: TaskId, run: Run| task == record.task && run >= record.run;
+        let mut tokens = self.tokens.iter();
+        let mut stops = self.stops.iter();
+        let mut runs = self.history.iter();
+        tokens.any(|(at, token)| *at <= by && *token > record.token)
+            || stops.any(|(at, task, run)| *at <= by && is_same(*task, *run))
+            || runs.any(|other| {
+                is_same(other.task, other.run) && other.until.is_some_and(|at| at < record.from)
+            })
+    }
+
     pub(crate) fn has_unacknowledged_ends(&self) -> bool {
         !self.ended.is_empty()
     }
