An endpoint counts as gone by the time since the last start that is in doubt

What callers could see: two runs of a task at a time. The silence of an idle endpoint was counted from its last answer, which may be seconds before a start was sent, so that it counted as gone 2 s after that start.

Evidence: idle_endpoint_doesnt_count_as_gone_when_a_start_is_in_doubt failed without this.

--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -105,7 +105,9 @@
             true => UNLISTED_SILENCE,
             false => LISTED_SILENCE,
         };
-        self.silence(now) > limit
+        // An idle endpoint may have been silent for long before the start was sent.
+        let last_start = Time(self.late_starts_until.0.saturating_sub(MAX_CALL_DELAY.0));
+        self.silence(now).min(now.since(last_start)) > limit
     }
 
     /// Returns the delay before the next poll of an endpoint that doesn't answer.
