Real processes whose endpoints restart while orders to former lives are on the way

The stand-in of an endpoint holds calls and carries them out late by the process that is there by then, crashes and starts again with its clock at zero, can be cut off, and keeps several runs of one task apart.

--- a/tests/platform/endpoint.rs
+++ b/tests/platform/endpoint.rs
@@ -1,10 +1,10 @@
 //! A stand-in for an endpoint of the platform: runs leased tasks that sleep, and keeps a history of them.
 
+#[path = "endpoint/transit.rs"]
+mod transit;
+
 use std::{
-    collections::{
-        BTreeMap,
-        HashMap, //
-    },
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -25,6 +25,14 @@
     }, //
 };
 
+use transit::Passage;
+#[allow(unused_imports)] // Not used by every test.
+pub(crate) use transit::{
+    Holding,
+    LateCall,
+    Reach, //
+};
+
 use super::store::Store;
 use crate::support::{
     proxy::Proxy,
@@ -49,17 +57,26 @@
 /// The time for which an endpoint is down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_500);
 
-/// The time on an endpoint's clock when it starts, in milliseconds.
-const INITIAL_CLOCK_MS: u64 = 5_000;
+/// The time on the clock of an endpoint's first process at the start of the test, in milliseconds. Later processes start at zero.
+const INITIAL_CLOCK_MS: u64 = 3_600_000;
 
 /// The start of an endpoint's first process, in milliseconds since 1970.
 const FIRST_BORN_MS: u64 = 1_700_000_000_000;
 
+/// The paths of calls.
+const START_PATH: &str = "/api/run-start";
+const STOP_PATH: &str = "/api/run-stop";
+const POLL_PATH: &str = "/api/hold";
+
 /// A run of a task, with its start and end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Execution {
     pub(crate) task: String,
     pub(crate) run: u64,
+    /// When the process started that ran it.
+    pub(crate) life: u64,
+    /// Whether its start was carried out late.
+    pub(crate) late: bool,
     pub(crate) started_at: Instant,
     pub(crate) ended_at: Option<Instant>,
     pub(crate) outcome: &'static str,
@@ -78,7 +95,6 @@
 }
 
 struct ActiveRun {
-    run: u64,
     started_at: Instant,
     ends_at: Instant,
     history_index: usize,
@@ -101,7 +117,8 @@
 
 #[derive(Default)]
 struct State {
-    running: HashMap<String, ActiveRun>,
+    /// By task and run: late starts may make several runs of one task.
+    running: BTreeMap<(String, u64), ActiveRun>,
     /// Ended runs that no instance has acknowledged: serial, task, run and outcome.
     finished: Vec<(u64, String, u64, &'static str)>,
     /// The last run of each task that must not start.
@@ -118,6 +135,8 @@
     /// When the process started, in milliseconds since 1970 and on the test's clock.
     born: u64,
     started_at: Option<Instant>,
+    /// The time on its clock by then, in milliseconds.
+    initial_clock: u64,
     /// The end of the downtime after a crash: until then the endpoint answers nothing, then it restarts.
     down_until: Option<Instant>,
     /// Whether it starts tasks beyond its capacity.
@@ -134,6 +153,21 @@
     lost_stops: Vec<(String, Instant)>,
     /// Which of its runs fail: every one that is a multiple of this, or none if zero.
     failure_interval: usize,
+    /// Whether calls reach it.
+    reach: Reach,
+    /// Which calls are held, if any.
+    holding: Option<Holding>,
+    /// The number of calls that are held.
+    held_calls: usize,
+    /// The calls that were carried out late.
+    late_calls: Vec<LateCall>,
+}
+
+/// How a call is answered.
+enum Reply {
+    Now(Response),
+    /// At the next end of a run, or when the wait of the poll is over.
+    AfterWait,
 }
 
 /// A running endpoint; stopped when dropped.
@@ -157,6 +191,7 @@
             slots,
             born: FIRST_BORN_MS,
             started_at: Some(Instant::now()),
+            initial_clock: INITIAL_CLOCK_MS,
             ..State::default()
         }));
         let ended = Arc::new(Notify::new());
@@ -170,7 +205,7 @@
             "service": "cells", "address": address, "zone": centre, "version": "v1",
             "slots": slots, "state": "ready", "cold_remaining_ms": 0,
             "capacity": {"cpu": slots * 1000, "mem_mb": 32768, "gpu": 0},
-            "labels": ["a", rack], "clock_ms": 5000, "sequence": 1, "born": FIRST_BORN_MS,
+            "labels": ["a", rack], "clock_ms": INITIAL_CLOCK_MS, "sequence": 1, "born": FIRST_BORN_MS,
         });
         Ok(Self {
             id: id.to_owned(),
@@ -191,11 +226,19 @@
     }
 
     pub(crate) fn register(&self, store: &Store) {
-        store.set("servers", &self.id, &self.row);
+        store.set("servers", &self.id, &self.current_row());
     }
 
-    pub(crate) fn start_draining(&self, store: &Store) {
+    /// Returns its row, with the start of its current process.
+    fn current_row(&self) -> Value {
         let mut row = self.row.clone();
+        let state = self.state.lock().unwrap();
+        (row["born"], row["clock_ms"]) = (json!(state.born), json!(state.clock()));
+        row
+    }
+
+    pub(crate) fn start_draining(&self, store: &Store) {
+        let mut row = self.current_row();
         row["state"] = json!("draining");
         store.set("servers", &self.id, &row);
     }
@@ -244,12 +287,59 @@
     }
 
     /// Restarts the endpoint under its name, and writes its new start time to its row.
-    pub(crate) fn restart(&mut self, store: &Store) {
+    pub(crate) fn restart(&self, store: &Store) {
+        self.start_again(Reach::Up);
+        self.register(store);
+    }
+
+    /// Restarts the endpoint under its name, or starts it after [`Self::crash`]. The new process knows nothing of the former one, and
+    /// its row isn't written yet.
+    pub(crate) fn start_again(&self, reach: Reach) {
         let mut state = self.state.lock().unwrap();
         state.restart();
-        self.row["born"] = json!(state.born);
-        drop(state);
-        self.register(store);
+        state.reach = reach;
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Ends the process with all its runs. Open calls get no answer, and their connections stay open.
+    pub(crate) fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.crash();
+        state.reach = Reach::Down;
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Cuts the endpoint off, so that calls get no answer, or connects it again. Runs go on; one that is down stays so.
+    pub(crate) fn set_cut(&self, cut: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.reach = match (state.reach, cut) {
+            (Reach::Down, _) => Reach::Down,
+            (_, true) => Reach::Cut,
+            (_, false) => Reach::Up,
+        };
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    pub(crate) fn reach(&self) -> Reach {
+        self.state.lock().unwrap().reach
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Sets which of the next calls are held.
+    pub(crate) fn set_holding(&self, holding: Option<Holding>) {
+        self.state.lock().unwrap().holding = holding;
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Returns the number of calls that are held.
+    pub(crate) fn count_held_calls(&self) -> usize {
+        self.state.lock().unwrap().held_calls
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Returns the calls that were carried out late.
+    pub(crate) fn late_calls(&self) -> Vec<LateCall> {
+        self.state.lock().unwrap().late_calls.clone()
     }
 
     /// Changes the capacity in the row, and makes the endpoint accept tasks beyond it.
@@ -280,6 +370,7 @@
 impl State {
     /// Ends all runs without reporting them.
     fn crash(&mut self) {
+        self.end_due_runs();
         for run in std::mem::take(&mut self.running).into_values() {
             (
                 self.history[run.history_index].ended_at,
@@ -300,6 +391,9 @@
             failure_interval: self.failure_interval,
             history: std::mem::take(&mut self.history),
             orders_while_down: std::mem::take(&mut self.orders_while_down),
+            holding: self.holding.take(),
+            held_calls: self.held_calls,
+            late_calls: std::mem::take(&mut self.late_calls),
             ..Self::default()
         };
     }
@@ -319,7 +413,7 @@
         let uptime = self
             .started_at
             .map_or(Duration::ZERO, |start| start.elapsed());
-        INITIAL_CLOCK_MS + uptime.as_millis() as u64
+        self.initial_clock + uptime.as_millis() as u64
     }
 
     /// Ends the runs that are due: at their own end, or earlier at that of the lease.
@@ -327,33 +421,34 @@
         let now = Instant::now();
         let started_at = self.started_at.unwrap_or(now);
         let lease_end =
-            started_at + Duration::from_millis(self.lease.saturating_sub(INITIAL_CLOCK_MS));
-        let due: Vec<(String, Instant)> = self
+            started_at + Duration::from_millis(self.lease.saturating_sub(self.initial_clock));
+        let due: Vec<((String, u64), Instant)> = self
             .running
             .iter()
-            .map(|(task, run)| (task.clone(), run.ends_at.min(lease_end)))
+            .map(|(key, run)| (key.clone(), run.ends_at.min(lease_end)))
             .filter(|(_, end)| *end <= now)
             .collect();
-        for (task, end) in due {
-            let run = &self.running[&task];
+        for (key, end) in due {
+            let run = &self.running[&key];
             let outcome = match (run.ends_at <= lease_end, run.fails) {
                 (true, false) => "done",
                 (true, true) => "failed",
                 (false, _) => "lapsed",
             };
-            self.end(&task, outcome, end);
+            self.end(key, outcome, end);
         }
     }
 
-    fn end(&mut self, task: &str, outcome: &'static str, at: Instant) {
-        let Some(run) = self.running.remove(task) else {
+    fn end(&mut self, key: (String, u64), outcome: &'static str, at: Instant) {
+        let Some(run) = self.running.remove(&key) else {
             return;
         };
+        let (task, number) = key;
         self.serial += 1;
         let execution = &mut self.history[run.history_index];
         (execution.ended_at, execution.outcome) = (Some(at), outcome);
-        self.forbid_run(task, run.run);
-        let row = (self.serial, task.to_owned(), run.run, outcome);
+        self.forbid_run(&task, number);
+        let row = (self.serial, task, number, outcome);
         self.finished.push(row);
     }
 
@@ -388,7 +483,7 @@
         *last_forbidden = (*last_forbidden).max(run);
     }
 
-    fn start(&mut self, body: &Value) -> Result<(), &'static str> {
+    fn start(&mut self, body: &Value, late: bool) -> Result<(), &'static str> {
         let clock = self.clock();
         let (Some(task), Some(run), Some(lease)) = (
             body["task"].as_str(),
@@ -397,11 +492,8 @@
         ) else {
             return Err("malformed");
         };
-        if self
-            .running
-            .get(task)
-            .is_some_and(|active| active.run == run)
-        {
+        let key = (task.to_owned(), run);
+        if self.running.contains_key(&key) {
             return Ok(());
         }
         if self
@@ -422,7 +514,6 @@
         let told = body["spec"].as_str().and_then(|s| s.strip_prefix(RUN_FOR));
         let told = told.and_then(|time| time.parse().ok().map(Duration::from_millis));
         let active = ActiveRun {
-            run,
             started_at: now,
             ends_at: now + told.unwrap_or(self.task_duration),
             history_index: self.history.len(),
@@ -432,19 +523,76 @@
         self.history.push(Execution {
             task: task.to_owned(),
             run,
+            life: self.born,
+            late,
             started_at: now,
             ended_at: None,
             outcome: "",
             forgotten_at: None,
         });
-        self.running.insert(task.to_owned(), active);
+        self.running.insert(key, active);
         Ok(())
     }
 
+    /// Returns whether the token of a call is high enough, and remembers it.
+    fn accept_token(&mut self, body: &Value) -> bool {
+        let token = body["fencing_token"].as_u64().unwrap_or(0);
+        let accepted = token >= self.token;
+        self.token = self.token.max(token);
+        accepted
+    }
+
+    /// Carries a call out whose token was accepted.
+    fn carry_out(&mut self, path: &str, body: &Value, late: bool) -> Reply {
+        let response = match path {
+            START_PATH => self.on_start(body, late),
+            STOP_PATH => self.on_stop(body),
+            POLL_PATH => {
+                self.on_poll(body);
+                return Reply::AfterWait;
+            }
+            _ => json_response(404, &json!({})),
+        };
+        Reply::Now(response)
+    }
+
+    fn on_start(&mut self, body: &Value, late: bool) -> Response {
+        let started = self.start(body, late);
+        if started.is_ok() && body["spec"] == CRASH {
+            self.crash();
+            self.down_until = Some(Instant::now() + CRASH_DOWNTIME);
+            return None;
+        }
+        let clock = self.clock();
+        match started {
+            Ok(()) => json_response(200, &json!({"clock_ms": clock})),
+            Err(reason) => json_response(409, &json!({"clock_ms": clock, "reason": reason})),
+        }
+    }
+
+    fn on_stop(&mut self, body: &Value) -> Response {
+        let (task, run) = (body["task"].as_str()?, body["run"].as_u64()?);
+        let runs = (task.to_owned(), 0)..=(task.to_owned(), run);
+        let stopped: Vec<(String, u64)> =
+            self.running.range(runs).map(|(k, _)| k.clone()).collect();
+        for key in stopped {
+            self.end(key, "stopped", Instant::now());
+        }
+        self.forbid_run(task, run);
+        json_response(200, &json!({"clock_ms": self.clock()}))
+    }
+
+    fn on_poll(&mut self, body: &Value) {
+        if let Some(lease) = body["deadline_ms"].as_u64() {
+            self.lease = self.lease.max(lease.min(self.clock() + 1_000));
+        }
+        self.forget_ends(body["last_seen"].as_u64().unwrap_or(0));
+    }
+
     fn lists(&self) -> Value {
         let running = self.running.iter();
         let running: Vec<Value> = running
-            .map(|(t, r)| json!([t, r.run, "", r.percent()]))
+            .map(|((task, run), active)| json!([task, run, "", active.percent()]))
             .collect();
         let finished = self.finished.iter();
         let finished: Vec<Value> = finished
@@ -455,8 +603,8 @@
 }
 
 async fn handle_request(
-    state: &Mutex<State>,
-    ended: &Notify,
+    shared: &Arc<Mutex<State>>,
+    ended: &Arc<Notify>,
     name: &str,
     request: Request,
 ) -> Response {
@@ -465,12 +613,19 @@
     if expected.is_some_and(|expected| expected != name) {
         return json_response(421, &json!({}));
     }
-    if request.path == "/api/run-stop" && state.lock().unwrap().loses_stop(&body) {
+    let passage = shared.lock().unwrap().pass(&request.path);
+    if let Passage::Unanswered(delay) = passage {
+        if let Some(delay) = delay {
+            transit::hold(shared.clone(), ended.clone(), (request.path, body), delay);
+        }
         // The sender closes the connection when the call times out.
         return std::future::pending().await;
     }
-    let response = {
-        let mut state = state.lock().unwrap();
+    if request.path == STOP_PATH && shared.lock().unwrap().loses_stop(&body) {
+        return std::future::pending().await;
+    }
+    let (reply, life) = {
+        let mut state = shared.lock().unwrap();
         if state.is_down() {
             if let Some(task) = body["task"].as_str() {
                 state
@@ -480,64 +635,30 @@
             return None;
         }
         state.end_due_runs();
-        let token = body["fencing_token"].as_u64().unwrap_or(0);
-        if token < state.token {
+        if !state.accept_token(&body) {
             return json_response(409, &json!({"clock_ms": state.clock(), "reason": "fence"}));
         }
-        state.token = token;
-        let response = match request.path.as_str() {
-            "/api/run-start" => {
-                let started = state.start(&body);
-                if started.is_ok() && body["spec"] == CRASH {
-                    state.crash();
-                    state.down_until = Some(Instant::now() + CRASH_DOWNTIME);
-                    return None;
-                }
-                let clock = state.clock();
-                Some(match started {
-                    Ok(()) => json_response(200, &json!({"clock_ms": clock})),
-                    Err(reason) => {
-                        json_response(409, &json!({"clock_ms": clock, "reason": reason}))
-                    }
-                })
-            }
-            "/api/run-stop" => {
-                let (task, run) = (body["task"].as_str()?, body["run"].as_u64()?);
-                if state
-                    .running
-                    .get(task)
-                    .is_some_and(|active| active.run <= run)
-                {
-                    state.end(task, "stopped", Instant::now());
-                    ended.notify_waiters();
-                }
-                state.forbid_run(task, run);
-                Some(json_response(200, &json!({"clock_ms": state.clock()})))
-            }
-            "/api/hold" => {
-                if let Some(lease) = body["deadline_ms"].as_u64() {
-                    state.lease = state.lease.max(lease.min(state.clock() + 1_000));
-                }
-                let seen = body["last_seen"].as_u64().unwrap_or(0);
-                state.forget_ends(seen);
-                None
-            }
-            _ => return json_response(404, &json!({})),
-        };
-        if response.is_some() && state.responses_to_drop > 0 {
+        let reply = state.carry_out(&request.path, &body, false);
+        if matches!(reply, Reply::Now(Some(_))) && state.responses_to_drop > 0 {
             state.responses_to_drop -= 1;
             return None;
         }
-        response
+        (reply, state.born)
     };
-    match response {
-        Some(response) => response,
-        None => long_poll(state, ended, body["wait_ms"].as_u64().unwrap_or(0)).await,
+    match reply {
+        Reply::Now(response) => {
+            ended.notify_waiters();
+            response
+        }
+        Reply::AfterWait => {
+            let wait = body["wait_ms"].as_u64().unwrap_or(0);
+            long_poll(shared, ended, life, wait).await
+        }
     }
 }
 
-/// Answers a long poll at the next end of a run, or when its wait is over.
-async fn long_poll(state: &Mutex<State>, ended: &Notify, wait: u64) -> Response {
+/// Answers a long poll at the next end of a run, or when its wait is over, if the process that got it still runs and is reachable.
+async fn long_poll(state: &Mutex<State>, ended: &Notify, life: u64, wait: u64) -> Response {
     let until = Instant::now() + Duration::from_millis(wait);
     loop {
         let notified = ended.notified();
@@ -546,12 +667,19 @@
             if state.is_down() {
                 return None;
             }
-            state.end_due_runs();
-            if !state.finished.is_empty() || Instant::now() >= until {
-                return json_response(200, &state.lists());
+            if state.born == life && state.reach == Reach::Up {
+                state.end_due_runs();
+                if !state.finished.is_empty() || Instant::now() >= until {
+                    return json_response(200, &state.lists());
+                }
+                state.running.values().map(|run| run.ends_at).min()
+            } else {
+                None
             }
-            state.running.values().map(|run| run.ends_at).min()
         };
+        if Instant::now() >= until {
+            return std::future::pending().await;
+        }
         let wake = next.map_or(until, |next| next.min(until));
         let _ = timeout(wake.saturating_duration_since(Instant::now()), notified).await;
     }
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -349,6 +349,7 @@
             endpoints,
             task_duration,
             Proxied::Nothing,
+            None,
         )
         .await
     }
@@ -367,6 +368,27 @@
             endpoints,
             task_duration,
             Proxied::Servers,
+            None,
+        )
+        .await
+    }
+
+    #[allow(dead_code)] // Not used by every test.
+    /// Starts a fleet with several racks in each data centre, and half as many racks as instances.
+    pub(crate) async fn start_in_racks(
+        program: &Path,
+        instances: usize,
+        endpoints: usize,
+        task_duration: Duration,
+    ) -> Result<Self> {
+        let racks = Some(instances / 4);
+        Self::assemble(
+            program,
+            instances,
+            endpoints,
+            task_duration,
+            Proxied::Nothing,
+            racks,
         )
         .await
     }
@@ -379,15 +401,27 @@
         endpoints: usize,
         task_duration: Duration,
     ) -> Result<Self> {
-        Self::assemble(program, instances, endpoints, task_duration, Proxied::All).await
+        // Half as many racks as instances, so that jobs enter at owners and at others.
+        let racks = Some(instances / 4);
+        Self::assemble(
+            program,
+            instances,
+            endpoints,
+            task_duration,
+            Proxied::All,
+            racks,
+        )
+        .await
     }
 
+    /// Starts a fleet with a number of racks in each data centre, or with one.
     async fn assemble(
         program: &Path,
         instances: usize,
         endpoints: usize,
         task_duration: Duration,
         proxied: Proxied,
+        racks: Option<usize>,
     ) -> Result<Self> {
         let store = Store::start()?;
         write_configuration(&store, 7, 4_000);
@@ -400,10 +434,9 @@
         };
         for i in 0..endpoints {
             let id = format!("i-{i}");
-            let rack = match proxied {
-                // Half as many racks as instances, so that jobs enter at owners and at others.
-                Proxied::All => format!("r{}", i / 2 % (instances / 4).max(1)),
-                _ => format!("r{}", i % 2),
+            let rack = match racks {
+                Some(racks) => format!("r{}", i / 2 % racks.max(1)),
+                None => format!("r{}", i % 2),
             };
             let mut endpoint = Endpoint::start(&id, centre(i), &rack, 4, task_duration)?;
             if proxied != Proxied::Nothing {
