A clock that went back shows a restart of its endpoint

Callers may see a task that must run once run on two endpoints at a time, where an endpoint restarts under its name unnoticed, answers a start, and then can't be reached.

Cause: a deadline on the clock of the former life is far ahead on the new one, so that the endpoint grants the longest lease, 1 s. The owner went by the former clock, on which the start's lease is over after 400 ms, and took its run for lost while it went on for 0.6 s. A poll with a lease in between hides this; polls carry none while a stop isn't confirmed.

Now an answer to a start or a stop, refusals included, and an answer to a poll that doesn't tell its life show a restart if the clock is behind what it must show, even if it is 2 % slow. The endpoint then counts as restarted. What was sent before and is answered later doesn't count for the new life, unless it tells a later one, and a start among it stays in doubt until it's barred: calls that are still on their way to the former life may extend its lease. An endpoint whose clock was only set back is open again after its next poll.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -583,11 +583,14 @@
     }
 
     /// Handles an answer to a start or a stop; `clock` is the endpoint's, in ms. Ignored if the call was sent to
-    /// a former life.
-    pub fn on_answer(&mut self, clock: u64, sent: Time, now: Time) {
-        if sent >= self.life_since {
-            self.record_answer(clock, sent, now);
+    /// a former life. Returns the events of a restart if the clock shows one.
+    pub fn on_answer(&mut self, clock: u64, sent: Time, now: Time) -> Option<Vec<Event>> {
+        if !self.is_current(sent) {
+            return None;
         }
+        let events = self.detect_restart(clock, sent, now);
+        self.record_answer(clock, sent, now);
+        events
     }
 
     fn record_answer(&mut self, clock: u64, sent: Time, now: Time) {
@@ -614,14 +617,20 @@
         now: Time,
     ) -> (Vec<Event>, Vec<(Name, Run)>) {
         let token = self.take_pending_poll(call);
-        if lists.life.is_before(self.life) {
+        if self.is_former(lists.life, sent) {
             self.next_poll = now;
             return (Vec::new(), Vec::new());
         }
-        let mut events = match lists.life == self.life {
-            true => self.rule_out_crashes(),
-            false => self.update_life(lists.life, now),
+        let is_same = lists.life == self.life;
+        let mut events = match lists.life.is_known() {
+            true => self.update_life(lists.life, now),
+            false => self
+                .detect_restart(lists.clock, sent, now)
+                .unwrap_or_default(),
         };
+        if is_same {
+            events.extend(self.rule_out_crashes());
+        }
         self.record_answer(lists.clock, sent, now);
         let Lists { running, ended, .. } = lists;
         for end in ended {
@@ -848,10 +857,12 @@
         self.free = free;
     }
 
-    /// Records that a start was confirmed.
-    pub fn on_started(&mut self, task: &TaskId, run: Run, now: Time) {
+    /// Records that a start was confirmed. One that was sent to a former life is still in doubt: the lease that this one granted for it
+    /// isn't known, and calls to the former one may extend it.
+    pub fn on_started(&mut self, task: &TaskId, run: Run, sent: Time, now: Time) {
+        let is_current = self.is_current(sent);
         if let Some(execution) = self.executions.get_mut(task) {
-            if execution.run == run && !execution.duplicate_possible {
+            if execution.run == run && !execution.duplicate_possible && is_current {
                 execution.unsettled = None;
             }
             if execution.run == run && execution.phase == Phase::Starting {
@@ -909,7 +920,7 @@
     /// Records that a stop was confirmed: the endpoint won't start the run any more, and the next poll doesn't
     /// list it. What a former life confirmed bars nothing in this one.
     pub fn on_stopped(&mut self, task: &TaskId, run: Run, sent: Time, now: Time) {
-        let is_current = sent >= self.life_since;
+        let is_current = self.is_current(sent);
         if let Some(execution) = self.executions.get_mut(task) {
             if execution.run != run || execution.phase != Phase::Stopping {
                 return;
--- a/src/dispatch/endpoint/clock.rs
+++ b/src/dispatch/endpoint/clock.rs
@@ -29,6 +29,19 @@
         Some(self.clock + millis)
     }
 
+    /// Returns whether the clock went back: it showed less in an answer to a call that was sent at a time than it must have shown then,
+    /// even if it is slow. Any other answer leaves [`Reading::expiry`] right, whichever life it comes from.
+    pub(super) fn is_ahead_of(&self, clock: u64, sent: Time) -> bool {
+        let earliest = match self.deadline_before(sent) {
+            Some(passed) => passed,
+            // The clock isn't fast, so that it showed this at least before the reading was received.
+            None => self
+                .clock
+                .saturating_sub(self.received.since(sent).as_millis() + 1),
+        };
+        clock < earliest
+    }
+
     /// Returns when a deadline on the clock, in milliseconds, has passed for certain, even if the clock is slow.
     pub(super) fn expiry(&self, deadline: u64) -> Time {
         let remaining =
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -49,6 +49,30 @@
         }
     }
 
+    /// Detects a restart by the clock in an answer that doesn't tell its life: if it went back, a later life answers. That one grants
+    /// longer leases than ordered, as deadlines on the former clock are far ahead on its own.
+    pub(super) fn detect_restart(
+        &mut self,
+        clock: u64,
+        sent: Time,
+        now: Time,
+    ) -> Option<Vec<Event>> {
+        self.reading
+            .filter(|reading| reading.is_ahead_of(clock, sent))?;
+        Some(self.start_new_life(now))
+    }
+
+    /// Returns whether a call that was sent at a time can't have been sent to a former life.
+    pub(super) fn is_current(&self, sent: Time) -> bool {
+        sent >= self.life_since
+    }
+
+    /// Returns whether an answer may come from a former life: it tells that one, or its call was sent to a former life and it tells no
+    /// later one than is known.
+    pub(super) fn is_former(&self, life: Life, sent: Time) -> bool {
+        life.is_before(self.life) || (!self.is_current(sent) && !self.life.is_before(life))
+    }
+
     /// Resets the state for a restarted endpoint.
     ///
     /// A run whose start was in transit may belong to the new life. So runs are removed only after the first
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -446,10 +446,7 @@
             rack.endpoints.push(listing.id.clone());
         }
         for (id, former, events) in life_events {
-            self.publish_token(&id);
-            self.log_restart(&id, former, out);
-            self.learn_speed(&id, now);
-            self.handle_events(&id, events, now, out);
+            self.on_life_update(&id, former, events, now, out);
         }
         let idle = |state: &State| state.delisted && state.executions.is_empty();
         let removed: Vec<Endpoint> = self
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -60,7 +60,13 @@
         };
         match &reply {
             Reply::Done { clock } | Reply::Refused { clock, .. } => {
-                state.on_answer(*clock, sent, now);
+                let life = state.life();
+                if let Some(events) = state.on_answer(*clock, sent, now) {
+                    let record = LogRecord::new("endpoint_clock_reset");
+                    let record = record.with("endpoint", id.as_str());
+                    out.log(record.with("former_life", life.0));
+                    self.on_life_update(&id, life, events, now, out);
+                }
             }
             Reply::Looked(_) => {}
             _ => {
@@ -70,6 +76,9 @@
                 return self.on_unanswered(call, &id, purpose, reply, now, out);
             }
         }
+        let Some(state) = self.endpoints.get_mut(&id) else {
+            return;
+        };
         let is_fenced =
             matches!(&reply, Reply::Refused { refusal, .. } if *refusal == Refusal::Fenced);
         if is_fenced && state.is_outdated(token) {
@@ -103,7 +112,7 @@
                 return self.on_start_refused(&id, task, run, refusal, now, out);
             }
             (Purpose::Start(task, run), _) => {
-                state.on_started(&task, run, now);
+                state.on_started(&task, run, sent, now);
                 Vec::new()
             }
             (Purpose::Stop(_, _), Reply::Refused { refusal, .. }) if refusal == Refusal::Fenced => {
@@ -404,6 +413,22 @@
         out.log(record.with("life", life.0));
     }
 
+    /// Handles news of the life of an endpoint, which was `former` before, and the events of a restart.
+    pub(super) fn on_life_update(
+        &mut self,
+        id: &Endpoint,
+        former: Life,
+        events: Vec<Event>,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        self.publish_token(id);
+        self.log_restart(id, former, out);
+        self.learn_speed(id, now);
+        self.mark_changed(id);
+        self.handle_events(id, events, now, out);
+    }
+
     /// Logs that an endpoint has restarted under its name, if it has since `former`.
     pub(super) fn log_restart(&self, id: &Endpoint, former: Life, out: &mut Effects) {
         let Some(state) = self.endpoints.get(id) else {
--- a/tests/barrier.rs
+++ b/tests/barrier.rs
@@ -95,16 +95,17 @@
 
 impl View {
     fn new() -> Self {
-        let listing = Listing {
-            life: LIFE,
-            ..listing(4)
-        };
+        Self::of_life(LIFE)
+    }
+
+    fn of_life(life: Life) -> Self {
+        let listing = Listing { life, ..listing(4) };
         let mut view = Self {
             state: State::new(listing, TOKEN, START),
             last_call: 0,
         };
         let poll = view.poll(START);
-        view.answer(&poll, LIFE, &[], START);
+        view.answer(&poll, life, &[], START);
         view
     }
 
@@ -150,7 +151,7 @@
     }
 
     fn confirm_start(&mut self, task: TaskId, now: Time) {
-        self.state.on_started(&task, Run::FIRST, now);
+        self.state.on_started(&task, Run::FIRST, now, now);
     }
 
     /// Marks a start as sent twice, so that one copy of it stays unanswered.
@@ -740,3 +741,197 @@
         assert_eq!(tokens.last(), Some(&current));
     }
 }
+
+/// The longest lease that an endpoint grants, if its clock is as slow as it may be.
+const LONGEST_LEASE: Span = Span::millis(1_021);
+
+/// The clock of an endpoint that has just restarted, in ms.
+const NEW_CLOCK: u64 = 5;
+
+/// A view of an endpoint whose clock was read in its first life, with the start of a task that the next life gets unnoticed.
+fn view_before_an_unnoticed_restart() -> (View, TaskId, Token) {
+    let mut view = View::new();
+    let task = task_of(1, 0);
+    let token = view.start(task, START + Span::millis(1));
+    (view, task, token)
+}
+
+/// An endpoint restarts unnoticed, grants a start the longest lease since its clock began again, and is cut off. Its run goes on for
+/// 600 ms after the start's lease by the former clock.
+#[test]
+fn start_that_an_unnoticed_life_answers_outlasts_the_former_lease() {
+    let mut script = Script::new(&["w-1"]);
+    script.listings[0].capacity.cpu = 2_000;
+    script.list(START);
+    script.submit(1);
+    let first = script.process_due(START);
+    for call in &first {
+        match call.is_poll() {
+            true => script.answer_poll(call, LIFE, &[], START),
+            false => drop(script.reply(call, done(clock(START)), START)),
+        }
+    }
+    // Polls carry no lease while a stop isn't confirmed.
+    let cancelled = START + Span::millis(600);
+    let own = contact("own");
+    let mut out = Effects::default();
+    script
+        .owner
+        .cancel(&own, 1, START + Span::millis(1), &mut out);
+    let mut now = START;
+    while now < cancelled {
+        now = now + Span::millis(10);
+        for call in script.process_due(now) {
+            if call.is_poll() {
+                script.answer_poll(&call, LIFE, &[(task_of(1, 0), Run::FIRST)], now);
+            }
+        }
+    }
+    script.submit(2);
+    let sent = script.process_due(now);
+    let start = sent.iter().find(|call| call.is_start()).unwrap();
+    let answered = now + Span::millis(1);
+    script.reply(start, done(NEW_CLOCK), answered);
+    let mut other = script.listings[0].clone();
+    other.id = "w-2".parse().unwrap();
+    script.listings.push(other);
+    script.list(answered);
+    now = answered + Span::millis(60);
+    for poll in sent.iter().filter(|call| call.is_poll()) {
+        script.reply(poll, Reply::Silent, now);
+    }
+    while now < answered + LONGEST_LEASE {
+        for call in script.process_due(now) {
+            assert!(!call.is_start(), "{:?}: {call:?}", now.since(answered));
+            match call.endpoint == start.endpoint {
+                true => drop(script.reply(&call, Reply::Silent, now)),
+                false => script.answer_poll(&call, LIFE, &[], now),
+            }
+        }
+        now = now + Span::millis(10);
+    }
+    let poll = script.await_call(
+        |call| call.is_poll() && call.endpoint == start.endpoint,
+        now,
+    );
+    assert!(poll.token() > start.token());
+    script.answer_poll(&poll, Life(2_000), &[], poll.sent + Span::millis(1));
+    script.await_call(Call::is_start, poll.sent + Span::millis(1));
+}
+
+fn done(clock: u64) -> Reply {
+    Reply::Done { clock }
+}
+
+/// Calls that the former life was granted by its clock are carried out after the answer of an unnoticed life, unless a token bars them.
+#[test]
+fn clock_that_went_back_shows_a_restart() {
+    let answers: [fn() -> Reply; 3] = [
+        || done(NEW_CLOCK),
+        || refused(Refusal::Full),
+        || refused(Refusal::Late),
+    ];
+    for answer in answers {
+        let (mut script, start, former) = Script::with_start();
+        let now = START + Span::millis(10);
+        script.reply(&start, answer(), now);
+        // What the former life has answered before is received after it.
+        script.answer_poll(&former, LIFE, &[], now);
+        let next = script.await_call(Call::is_poll, now);
+        assert_eq!(next.sent, now);
+        assert!(next.token() > start.token(), "{next:?}");
+        assert!(matches!(next.order, Order::Poll { lease: None, .. }));
+    }
+}
+
+fn refused(refusal: Refusal) -> Reply {
+    let clock = NEW_CLOCK;
+    Reply::Refused { clock, refusal }
+}
+
+/// A stop that an unnoticed life confirms counts, and a copy of the start that is carried out by the next life isn't stopped.
+#[test]
+fn stop_that_an_unnoticed_life_confirms_is_sent_again() {
+    let (mut view, task, token) = view_before_an_unnoticed_restart();
+    view.state.stop(task, Fate::Restart).unwrap();
+    let (sent, now) = (START + Span::millis(5), START + Span::millis(10));
+    view.state.on_answer(NEW_CLOCK, sent, now);
+    view.state.on_stopped(&task, Run::FIRST, sent, now);
+    assert_eq!(view.state.take_due_retries(now), [task]);
+    assert!(view.state.stop_order(Name::Known(task), Run::FIRST).token() > token);
+}
+
+/// A poll to the former life extends the lease of a run that an unnoticed life began, when the owner takes the run for lost.
+#[test]
+fn start_that_an_unnoticed_life_answers_is_in_doubt() {
+    let (mut view, first, _) = view_before_an_unnoticed_restart();
+    let second = task_of(2, 0);
+    let sent = START + Span::millis(1);
+    view.start(second, sent);
+    for (task, millis) in [(first, 10), (second, 20)] {
+        let now = START + Span::millis(millis);
+        view.state.on_answer(NEW_CLOCK + millis, sent, now);
+        view.state.on_started(&task, Run::FIRST, sent, now);
+    }
+    let poll = view.poll(START + Span::millis(20));
+    view.fail(&poll, START + SILENCE);
+    assert!(view.expire(START + Span::seconds(4)).is_empty());
+    let poll = view.retry_poll();
+    let lost = view.answer(&poll, Life(2_000), &[(first, Run::FIRST)], poll.sent);
+    assert_eq!(lost, [second]);
+}
+
+/// The life of an endpoint isn't known, and a deadline on its former clock is hours ahead on the new one.
+#[test]
+fn poll_of_an_unknown_life_shows_a_restart_by_its_clock() {
+    let mut view = View::of_life(Life::default());
+    let task = task_of(1, 0);
+    let start = view.start(task, START);
+    let poll = view.poll(START + Span::millis(1));
+    let now = START + Span::millis(130);
+    let lists = Lists {
+        clock: NEW_CLOCK,
+        ..lists(Life::default(), &[(task, Run::FIRST)], now)
+    };
+    view.state.on_poll_answer(poll.call, poll.sent, lists, now);
+    let next = view.poll(now);
+    assert!(next.token > start, "{:?}", next.token);
+    assert!(view.state.leases_end() >= now + LONGEST_LEASE);
+}
+
+/// An endpoint whose clock is set back without a restart never gets a task again, as its answers count as those of a former life.
+#[test]
+fn endpoint_whose_clock_is_set_back_is_open_again() {
+    let (mut view, task, _) = view_before_an_unnoticed_restart();
+    let (sent, now) = (START + Span::millis(5), START + Span::millis(10));
+    assert!(view.state.on_answer(NEW_CLOCK, sent, now).is_some());
+    assert_eq!(view.state.standing, Standing::Claimed);
+    let poll = view.poll(now);
+    let running = [(task, Run::FIRST)];
+    assert!(view
+        .answer(&poll, LIFE, &running, now + Span(100))
+        .is_empty());
+    assert_eq!(view.state.standing, Standing::Open);
+    assert!(view.has(task));
+}
+
+/// An endpoint whose clock is 2 % slow, or whose answers overtake each other, is taken for restarted, and its runs for lost.
+#[test]
+fn slow_clock_and_late_answer_show_no_restart() {
+    let mut view = View::new();
+    view.start(task_of(1, 0), START);
+    let token = view.poll(START).token;
+    for seconds in [1, 10, 100] {
+        let (sent, now) = (
+            START + Span::seconds(seconds),
+            START + Span::seconds(seconds),
+        );
+        let slow = clock(START) + 980 * seconds;
+        view.state.on_answer(slow, sent, now);
+        // The next answer comes from a call that was sent 40 ms before.
+        let sent = Time(sent.0 - 40_000);
+        view.state.on_answer(slow - 40, sent, now + Span(100));
+        assert_eq!(view.state.standing, Standing::Open, "{seconds} s");
+        assert_eq!(view.state.barring_token(), token.next());
+    }
+}
--- a/tests/dispatch/former_lives.rs
+++ b/tests/dispatch/former_lives.rs
@@ -1,6 +1,9 @@
 //! Orders that are carried out by a later life of the endpoint than the one that they were sent to.
 
-use poplarknot::prelude::*;
+use poplarknot::{
+    dispatch::id::JobId,
+    prelude::*, //
+};
 
 use super::{
     world::{
@@ -100,3 +103,37 @@
         world.finish_and_check();
     }
 }
+
+/// Endpoints restart unnoticed while they have an unconfirmed stop, so that polls grant no lease. They answer starts, to which they grant
+/// the longest lease since their clocks start again, and are cut off: the runs outlast the leases by the former clock.
+#[test]
+fn starts_that_an_unnoticed_life_answers_run_no_task_twice() {
+    let cancel = Span::millis(300);
+    let restart = cancel + Span::millis(400);
+    let shape = Shape {
+        wait: Span::seconds(8),
+        ..Shape::default()
+    };
+    for seed in 0..8 {
+        let mut world = World::new(seed, 2, 2, NO_FAULTS);
+        world.crash_silently();
+        world.set_row_lag(Span::seconds(4));
+        for n in 0..12 {
+            let job = (1, 1_000, Span::seconds(4));
+            world.submit_at(Span::millis(10 * n), n as usize % 2, job, shape);
+            world.break_caller_at(cancel, JobId(1 + n));
+        }
+        for w in FIRST_RACK.take(2) {
+            world.lose_stops_at(cancel, w, Span::seconds(4));
+            world.crash_and_restart_at(restart, w, Span::millis(5), 0);
+            world.isolate_endpoint_at(restart + Span::millis(30), w, Span::millis(3_000));
+        }
+        for n in 0..8 {
+            let at = restart + Span::millis(6 + n);
+            let job = (1, 1_000, Span::seconds(4));
+            world.submit_at(at, n as usize % 2, job, shape);
+        }
+        world.run(Span::seconds(10));
+        world.finish_and_check();
+    }
+}
