--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -56,6 +56,7 @@
 
 use self::fixture::{
     batch,
+    confirm_entries,
     contact,
     listing,
     starts,
