Tasks of a lost owner go back to their rack, whose next owner bars its starts first

What callers could see: two runs of a task at a time, where an owner dies while starts of it are on their way to endpoints that restart and can't be reached.

Now they go to the next owner of the same rack, which starts them once each endpoint there has answered it, or counts as gone.

--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -99,8 +99,13 @@
         self.standing != Standing::Open && self.silence(now) > Span(0) && !self.is_gone(now)
     }
 
+    /// Returns whether it has answered this owner, and so knows its token.
+    pub fn has_answered(&self) -> bool {
+        self.last_answer >= self.claimed_at
+    }
+
     /// Returns whether it has been silent for so long that it counts as gone, with all calls that were sent to it.
-    pub(super) fn is_gone(&self, now: Time) -> bool {
+    pub fn is_gone(&self, now: Time) -> bool {
         let limit = match self.delisted {
             true => UNLISTED_SILENCE,
             false => LISTED_SILENCE,
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -162,12 +162,15 @@
     not_before: Time,
     /// A rack that has asked for tasks.
     preferred_rack: Option<RackId>,
+    /// The rack whose owner was lost while it had them. Starts of them may be on their way to its endpoints.
+    lost_on: Option<RackId>,
 }
 
 /// A batch that was sent to an owner.
 #[derive(Debug)]
 struct SentBatch {
     owner: Instance,
+    rack: RackId,
     step: u32,
     tasks: Vec<u32>,
     /// When it was sent, or was last heard to have moved.
@@ -655,23 +658,56 @@
                 tasks: unplaced,
                 not_before: now,
                 preferred_rack: None,
+                lost_on: None,
             });
         }
         job.committed |= starts;
         let is_split = shares.len() > 1;
         for (rack, tasks) in shares {
-            self.send_batch(id, step, tasks, (rack, is_split), now, out);
+            self.send_batch(id, step, tasks, (rack, is_split), 0, now, out);
+        }
+    }
+
+    /// Gives tasks of a lost owner to the next owner of their rack, which knows when no start of the lost one can arrive there any more.
+    /// Places them anywhere if the rack can't run them.
+    fn place_lost(
+        &mut self,
+        id: JobId,
+        step: u32,
+        tasks: Vec<u32>,
+        lost_on: RackId,
+        now: Time,
+        out: &mut Effects,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.given_up) else {
+            return;
+        };
+        let wanted = &job.submission.steps[step as usize];
+        let rack = self.racks.get(&lost_on);
+        let rack = rack.filter(|rack| !rack.evacuated && rack.can_run(wanted));
+        match rack.map(|rack| rack.owner.is_some()) {
+            Some(true) => self.send_batch(id, step, tasks, (lost_on, false), 1, now, out),
+            Some(false) => job.unplaced.push(UnplacedTasks {
+                step,
+                tasks,
+                not_before: now + RETURNED_TASK_DELAY,
+                preferred_rack: None,
+                lost_on: Some(lost_on),
+            }),
+            None => self.place(id, step, tasks, None, now, out),
         }
     }
 
     /// Sends tasks of one step to a rack's owner as a batch. `is_split` says whether tasks that are placed at the same time go
-    /// elsewhere.
+    /// elsewhere, and `moves` how often they have moved to another owner of the rack.
+    #[expect(clippy::too_many_arguments, reason = "the tasks and their place")]
     fn send_batch(
         &mut self,
         id: JobId,
         step: u32,
         tasks: Vec<u32>,
         (to, is_split): (RackId, bool),
+        moves: u32,
         now: Time,
         out: &mut Effects,
     ) {
@@ -700,7 +736,7 @@
             job: id,
             step,
             tasks: tasks.clone(),
-            moves: 0,
+            moves,
             need: wanted.need,
             estimate: wanted.estimate,
             label: wanted.label.clone(),
@@ -727,10 +763,11 @@
             .push(Output::Log(record.with("tasks", tasks.len())));
         let sent = SentBatch {
             owner: owner.name.clone(),
+            rack: to,
             step,
             tasks,
             sent_at: now,
-            moves: 0,
+            moves,
             withdrawn: Vec::new(),
         };
         job.batches.insert(serial, sent);
@@ -779,11 +816,13 @@
                 step,
                 tasks,
                 preferred_rack,
+                lost_on,
                 ..
             } = unplaced;
-            match self.is_unrunnable(id, step) {
-                true => self.give_up(id, "no endpoint can run it", now, out),
-                false => self.place(id, step, tasks, preferred_rack, now, out),
+            match (self.is_unrunnable(id, step), lost_on) {
+                (true, _) => self.give_up(id, "no endpoint can run it", now, out),
+                (false, Some(rack)) => self.place_lost(id, step, tasks, rack, now, out),
+                (false, None) => self.place(id, step, tasks, preferred_rack, now, out),
             }
         }
     }
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -65,6 +65,7 @@
                         tasks,
                         not_before,
                         preferred_rack: None,
+                        lost_on: None,
                     });
                 }
                 match job.given_up {
@@ -89,6 +90,7 @@
                     tasks: sent.tasks,
                     not_before: now + RETURNED_TASK_DELAY,
                     preferred_rack: None,
+                    lost_on: None,
                 });
             }
             Outcome::Hopeless => self.give_up(id, "its time can't be met", now, out),
@@ -134,7 +136,7 @@
         if tasks.is_empty() {
             return;
         }
-        let step = sent.step;
+        let (step, rack) = (sent.step, sent.rack);
         if sent.tasks.is_empty() {
             job.batches.remove(&serial);
             self.by_serial.remove(&serial);
@@ -145,16 +147,17 @@
         }
         // A rack that changed its owner may still have runs, until the next owner stops them. In the other cases
         // the delay lets the owner's next heartbeat arrive, or the tasks could go to the same owner over and over.
-        let (not_before, preferred_rack) = match (cause, started) {
-            (Cause::Lost, true) => (now + LOST_BATCH_DELAY, None),
-            (Cause::Lost, false) | (Cause::Unfit, _) => (now + RETURNED_TASK_DELAY, None),
-            (Cause::Room(rack), _) => (now, Some(rack)),
+        let (not_before, preferred_rack, lost_on) = match (cause, started) {
+            (Cause::Lost, true) => (now + LOST_BATCH_DELAY, None, Some(rack)),
+            (Cause::Lost, false) | (Cause::Unfit, _) => (now + RETURNED_TASK_DELAY, None, None),
+            (Cause::Room(rack), _) => (now, Some(rack), None),
         };
         job.unplaced.push(UnplacedTasks {
             step,
             tasks,
             not_before,
             preferred_rack,
+            lost_on,
         });
     }
 
@@ -273,6 +276,7 @@
                     tasks: sent.tasks,
                     not_before: not_before.max(now),
                     preferred_rack: None,
+                    lost_on: Some(sent.rack),
                 });
                 affected.push(*id);
             }
--- a/src/dispatch/entry/stored.rs
+++ b/src/dispatch/entry/stored.rs
@@ -137,6 +137,7 @@
                 tasks: vec![task.index],
                 not_before: now,
                 preferred_rack: None,
+                lost_on: None,
             });
         }
     }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -158,6 +158,8 @@
     done: Vec<u32>,
     /// Whether a start of one of its tasks may have been sent.
     started: bool,
+    /// Whether starts of a lost owner of the rack may be on their way to an endpoint that hasn't answered this owner yet.
+    in_doubt: bool,
     /// The number of messages that the entry must have handled for its confirmations to count, if the batch came with a rack: the
     /// entry learns from one of them that the batch is here.
     confirmed_after: u64,
@@ -528,7 +530,11 @@
         }
         let unstarted = |index: &u32| (*index, TaskState::default());
         let tasks = batch.tasks.iter().map(unstarted).collect();
-        let handle = self.add_assignment(entry, batch, tasks, false, now);
+        let was_lost = batch.moves > 0;
+        let handle = self.add_assignment(entry, batch, tasks, was_lost, now);
+        if let Some(assignment) = self.assignments.get_mut(&handle) {
+            assignment.in_doubt = was_lost;
+        }
         self.withdraw_unstored(handle, out);
     }
 
@@ -556,6 +562,7 @@
             tasks,
             done: Vec::new(),
             started,
+            in_doubt: false,
             confirmed_after: 0,
         };
         if let Some(rack) = self.racks.get_mut(&assignment.batch.rack) {
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -133,6 +133,7 @@
         let by_speed = rack.places_by_speed(now);
         rack.queue.update(now);
         let waiting: Vec<Waiting> = rack.queue.iter().collect();
+        self.settle_lost_batches(id, &waiting, now);
         let mut misfits: Vec<Misfit> = Vec::new();
         let mut hopeless = Vec::new();
         let mut unsettled = Vec::new();
@@ -148,7 +149,7 @@
                 Span((assignment.batch.estimate.0 as f64 * MIN_ESTIMATE_SHARE) as u64);
             let doubts = assignment.tasks.get(&waiting.index);
             let doubts = doubts.map_or(&[][..], |task_state| &task_state.doubts);
-            let is_in_doubt = self.is_in_doubt(doubts, now);
+            let is_in_doubt = assignment.in_doubt || self.is_in_doubt(doubts, now);
             if is_in_doubt && self.is_overdue(waiting.batch, min_duration, now) {
                 unsettled.push((assignment.task_id(waiting.index), waiting.batch));
                 continue;
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -136,7 +136,7 @@
         let movable = |w: &Waiting| {
             let assignment = self.assignments.get(&w.batch);
             let waits = rack.waits.contains(w.batch, w.index);
-            !waits && assignment.is_some_and(|l| !l.batch.tied)
+            !waits && assignment.is_some_and(|l| !l.batch.tied && !l.in_doubt)
         };
         Vacancy {
             rack: id,
@@ -235,6 +235,7 @@
             // Evidence of crashes under a task would be lost with a new placement. One that waits for a faster endpoint doesn't
             // lack room, and a rack that asks for tasks may have room on slow endpoints only.
             let pinned = assignment.batch.tied
+                || assignment.in_doubt
                 || assignment.suspicion(waiting.index).is_present()
                 || rack.waits.contains(waiting.batch, waiting.index);
             if pinned || self.run_locations.contains_key(&task) {
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -9,14 +9,20 @@
             MAX_CALL_DELAY,
             UNLISTED_SILENCE, //
         },
-        id::TaskId,
+        id::{
+            RackId,
+            TaskId, //
+        },
         message::{
             CallId,
             LogRecord,
             Name,
             Outcome, //
         },
-        queue::Handle, //
+        queue::{
+            Handle,
+            Waiting, //
+        }, //
     },
     Effects,
     Owner,
@@ -65,6 +71,34 @@
         })
     }
 
+    /// Lets the waiting tasks of a lost owner start once each endpoint of the rack has answered this owner, and so bars the other's calls,
+    /// or counts as gone.
+    pub(super) fn settle_lost_batches(&mut self, id: RackId, waiting: &[Waiting], now: Time) {
+        let is_lost = |waiting: &&Waiting| {
+            let assignment = self.assignments.get(&waiting.batch);
+            assignment.is_some_and(|assignment| assignment.in_doubt)
+        };
+        let lost: Vec<Handle> = waiting.iter().filter(is_lost).map(|w| w.batch).collect();
+        if lost.is_empty() || !self.is_settled(id, now) {
+            return;
+        }
+        for batch in lost {
+            if let Some(assignment) = self.assignments.get_mut(&batch) {
+                assignment.in_doubt = false;
+            }
+        }
+    }
+
+    /// Returns whether each endpoint of a rack has answered this owner or counts as gone.
+    fn is_settled(&self, id: RackId, now: Time) -> bool {
+        let endpoints = self.racks.get(&id).map(|rack| rack.endpoints.iter());
+        let mut states = endpoints
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.endpoints.get(id));
+        states.all(|state| state.has_answered() || state.is_gone(now))
+    }
+
     /// Fails the jobs of callers that wait, if a task of theirs can neither start elsewhere nor end in time.
     pub(super) fn fail_unsettled(&mut self, now: Time, out: &mut Effects) {
         let silent = self
