--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -62,6 +62,9 @@
 /// within another second; the rest allows for the endpoints' clocks. Tasks placed earlier could run twice.
 const LOST_BATCH_DELAY: Span = Span::millis(1_700);
 
+/// How long the next owner of a rack is awaited to give tasks of its lost owner to it: it may be one that this instance doesn't hear.
+const NEXT_OWNER_TIMEOUT: Span = Span::seconds(5);
+
 /// Delay before returned tasks are placed again: the owner's next heartbeat, which announces its racks, must
 /// arrive first, or the tasks would go to the same owner over and over.
 const RETURNED_TASK_DELAY: Span = Span::millis(10);
@@ -162,8 +165,9 @@
     not_before: Time,
     /// A rack that has asked for tasks.
     preferred_rack: Option<RackId>,
-    /// The rack whose owner was lost while it had them. Starts of them may be on their way to its endpoints.
-    lost_on: Option<RackId>,
+    /// The rack whose owner was lost while it had them, as starts of them may be on their way to its endpoints, and until when its next
+    /// owner is awaited.
+    lost_on: Option<(RackId, Time)>,
 }
 
 /// A batch that was sent to an owner.
@@ -675,7 +679,7 @@
         id: JobId,
         step: u32,
         tasks: Vec<u32>,
-        lost_on: RackId,
+        (lost_on, until): (RackId, Time),
         now: Time,
         out: &mut Effects,
     ) {
@@ -687,14 +691,14 @@
         let rack = rack.filter(|rack| !rack.evacuated && rack.can_run(wanted));
         match rack.map(|rack| rack.owner.is_some()) {
             Some(true) => self.send_batch(id, step, tasks, (lost_on, false), 1, now, out),
-            Some(false) => job.unplaced.push(UnplacedTasks {
+            Some(false) if now < until => job.unplaced.push(UnplacedTasks {
                 step,
                 tasks,
                 not_before: now + RETURNED_TASK_DELAY,
                 preferred_rack: None,
-                lost_on: Some(lost_on),
+                lost_on: Some((lost_on, until)),
             }),
-            None => self.place(id, step, tasks, None, now, out),
+            _ => self.place(id, step, tasks, None, now, out),
         }
     }
 
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -22,6 +22,7 @@
     UnplacedTasks,
     BATCH_AUDIT_AGE,
     LOST_BATCH_DELAY,
+    NEXT_OWNER_TIMEOUT,
     RETURNED_TASK_DELAY, //
 };
 use crate::prelude::*;
@@ -148,7 +149,10 @@
         // A rack that changed its owner may still have runs, until the next owner stops them. In the other cases
         // the delay lets the owner's next heartbeat arrive, or the tasks could go to the same owner over and over.
         let (not_before, preferred_rack, lost_on) = match (cause, started) {
-            (Cause::Lost, true) => (now + LOST_BATCH_DELAY, None, Some(rack)),
+            (Cause::Lost, true) => {
+                let until = now + LOST_BATCH_DELAY + NEXT_OWNER_TIMEOUT;
+                (now + LOST_BATCH_DELAY, None, Some((rack, until)))
+            }
             (Cause::Lost, false) | (Cause::Unfit, _) => (now + RETURNED_TASK_DELAY, None, None),
             (Cause::Room(rack), _) => (now, Some(rack), None),
         };
@@ -276,7 +280,7 @@
                     tasks: sent.tasks,
                     not_before: not_before.max(now),
                     preferred_rack: None,
-                    lost_on: Some(sent.rack),
+                    lost_on: Some((sent.rack, not_before.max(now) + NEXT_OWNER_TIMEOUT)),
                 });
                 affected.push(*id);
             }
