Starts that fell into a restart are sent again, and don't count as crashes

Cause: a run whose start was barred was taken for lost in the crash, so that its task became a suspect and ran alone on an endpoint, while the others waited until their callers' time was over. Now a barred start that nobody confirmed is sent again to the same endpoint, where its run ends with a further crash, and only starts that were sent with the first unanswered one count as a cause of the crash. A run that is handed over with an endpoint that has left the list leaves its task in doubt rather than nowhere.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -785,9 +785,10 @@
         token: Token,
         events: &mut Vec<Event>,
     ) {
+        self.retry_barred_starts(listed, token);
         let unlisted = |(task, execution): (&TaskId, &Execution)| {
             let confirmed = execution.answered_at.is_some_and(|at| at < sent);
-            let over = confirmed || execution.is_barred_by(token);
+            let over = confirmed || execution.is_barred_by(token) && !execution.may_be_resent();
             (over && !listed.contains(task)).then_some(*task)
         };
         let unlisted: Vec<TaskId> = self.executions.iter().filter_map(unlisted).collect();
--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -147,6 +147,15 @@
         now < self.late_starts_until
     }
 
+    /// Schedules the start of runs that an answer to a poll with this token doesn't list, and of which all copies so far are barred.
+    pub(super) fn retry_barred_starts(&mut self, listed: &HashSet<TaskId>, token: Token) {
+        for (task, run) in &mut self.executions {
+            if run.may_be_resent() && run.is_barred_by(token) && !listed.contains(task) {
+                run.retry_at = Some(Time::default());
+            }
+        }
+    }
+
     /// Settles runs that an answer to a poll with this token lists: copies of their starts are barred.
     pub(super) fn settle_listed(&mut self, listed: &HashSet<TaskId>, token: Token, now: Time) {
         for (task, run) in &mut self.executions {
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -121,6 +121,11 @@
         self.answered_at.is_some()
     }
 
+    /// Returns whether its start may be sent again: it wasn't answered, and didn't crash the endpoint.
+    pub(super) fn may_be_resent(&self) -> bool {
+        self.phase == Phase::Starting && self.lost_in_crash.is_none()
+    }
+
     /// Returns whether none of its starts can be carried out any more after a call with this token was answered.
     pub(super) fn is_barred_by(&self, token: Token) -> bool {
         self.unsettled.is_some_and(|unsettled| unsettled < token)
--- a/src/dispatch/endpoint/life.rs
+++ b/src/dispatch/endpoint/life.rs
@@ -19,6 +19,7 @@
     Event,
     Execution,
     Fate,
+    Phase,
     Reason,
     Standing,
     State,
@@ -30,6 +31,9 @@
 /// Margin after the last lease of a life, by which all of its runs have ended.
 pub(super) const LEASE_MARGIN: Span = Span::millis(50);
 
+/// The time within which a start reaches its endpoint and may crash it.
+const START_TRANSIT: Span = Span::millis(10);
+
 impl State {
     /// Returns the latest known life.
     pub fn life(&self) -> Life {
@@ -136,11 +140,17 @@
         events
     }
 
-    /// Marks all runs as lost in a crash.
+    /// Marks all runs as lost in a crash, but for those whose start was sent when an earlier one was unanswered already: these didn't
+    /// reach the life that crashed.
     fn mark_crashed(&mut self) {
         let suspects = self.sole_suspects();
+        let starting = self.executions.values();
+        let starting = starting.filter(|run| run.phase == Phase::Starting);
+        let first = starting.filter_map(|run| run.started_at).min();
+        let crashed_by = first.map(|at| at + START_TRANSIT);
         for (task, execution) in &mut self.executions {
-            execution.lost_in_crash = Some(suspects.contains(task));
+            let too_late = execution.phase == Phase::Starting && execution.started_at > crashed_by;
+            execution.lost_in_crash = (!too_late).then(|| suspects.contains(task));
         }
     }
 
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -150,10 +150,13 @@
             );
             execution.stored = assignment.batch.stored;
             execution.suspicion = assignment.suspicion(run.task.index);
-            if let Some(state) = self.endpoints.get_mut(&run.endpoint) {
-                state.adopt(run.task, execution, former_token);
-                self.run_locations.insert(run.task, run.endpoint.clone());
-            }
+            let Some(state) = self.endpoints.get_mut(&run.endpoint) else {
+                // The endpoint has left the list, and may still run the task.
+                self.add_doubt(handle, run.task, run.endpoint, now);
+                continue;
+            };
+            state.adopt(run.task, execution, former_token);
+            self.run_locations.insert(run.task, run.endpoint.clone());
             if let Some(rack) = self.racks.get_mut(&handover.rack) {
                 rack.queue.remove(Waiting {
                     batch: handle,
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -59,6 +59,19 @@
         }
     }
 
+    /// Records that a task may run, or may be about to, on an endpoint that isn't listed any more.
+    pub(super) fn add_doubt(&mut self, batch: Handle, task: TaskId, endpoint: Endpoint, now: Time) {
+        let assignment = self.assignments.get_mut(&batch);
+        let task_state = assignment.and_then(|a| a.tasks.get_mut(&task.index));
+        if let Some(task_state) = task_state {
+            task_state.doubts.push(Doubt {
+                endpoint,
+                since: now,
+                restarted: false,
+            });
+        }
+    }
+
     /// Returns whether a task must not start now: an endpoint to which a start of it may be on its way is silent, and may come back in a
     /// later life that hasn't barred it.
     pub(super) fn is_in_doubt(&self, doubts: &[Doubt], now: Time) -> bool {
--- a/tests/dispatch/former_lives.rs
+++ b/tests/dispatch/former_lives.rs
@@ -137,3 +137,15 @@
         world.finish_and_check();
     }
 }
+
+/// Starts that fall into the silence of a restarting rack would count as crashes under their tasks, each of which then runs alone on an
+/// endpoint while the others wait until their callers' time is over.
+#[test]
+fn starts_that_fall_into_a_restart_are_sent_again() {
+    for seed in 0..4 {
+        let mut world = world_with_a_restarted_rack(seed);
+        world.run(Span::seconds(10));
+        world.finish_and_check();
+        assert_eq!(world.count(super::completed), 24, "seed {seed}");
+    }
+}
