An acknowledgement of ends belongs to the life that listed them

Cause: every poll of an open endpoint carried the number up to which it may forget ends, whether the endpoint had confirmed that number before or not. An endpoint that restarts within the time-out of a poll stays open as long as it answers starts. It then forgot its first ends by the number of its former life, before anybody had seen them, and their tasks were taken for lost in the crash.

Now an acknowledgement carries its life. It's sent until that life has confirmed it, and not while a call has failed since the last poll that was answered: the endpoint lists its runs and its life first. An unanswered acknowledgement raises the token, so that it's refused when it is carried out late.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -1,5 +1,6 @@
 //! An owner's view of an endpoint: its runs, the expiry of its leases, and whether it answers.
 
+mod acknowledgement;
 mod backoff;
 mod barrier;
 mod clock;
@@ -21,6 +22,10 @@
     Phase, //
 };
 use self::{
+    acknowledgement::{
+        Acknowledgement,
+        PendingPoll, //
+    },
     backoff::Backoff,
     clock::Reading, //
 };
@@ -280,11 +285,16 @@
     /// Late ends among these: their tasks were placed again before the ends were heard. The endpoint may forget them
     /// once its lease has expired.
     late_ends: BTreeSet<u64>,
+    /// The last end that the current life has confirmed to have forgotten.
     acknowledged_end: u64,
     /// Whether a poll is needed although no run is known.
     poll_wanted: bool,
-    /// The poll that wasn't answered yet, and its token.
-    pending_poll: Option<(CallId, Token)>,
+    /// The poll that wasn't answered yet.
+    pending_poll: Option<PendingPoll>,
+    /// When the last poll was sent that the current life has answered.
+    listed_at: Time,
+    /// When a call last failed.
+    failed_at: Time,
     backoff: Backoff,
     next_poll: Time,
     last_answer: Time,
@@ -328,6 +338,8 @@
             acknowledged_end: 0,
             poll_wanted: false,
             pending_poll: None,
+            listed_at: Time::default(),
+            failed_at: Time::default(),
             backoff: Backoff::default(),
             next_poll: now,
             last_answer: Time::default(),
@@ -524,18 +536,17 @@
             false => Span(0),
         };
         self.poll_wanted = false;
-        self.pending_poll = Some((call, self.token));
-        // A restarted endpoint counts its ends anew, and would forget some that nobody has heard of.
-        let acknowledged = match self.standing {
-            Standing::Open => self.last_forgettable_end(),
-            _ => 0,
-        };
-        self.acknowledged_end = self.acknowledged_end.max(acknowledged);
-        self.token_used |= lease.is_some() || acknowledged > 0;
+        let acknowledgement = self.next_acknowledgement();
+        self.pending_poll = Some(PendingPoll {
+            call,
+            token: self.token,
+            acknowledgement,
+        });
+        self.token_used |= lease.is_some() || acknowledgement.is_some();
         Some(Order::Poll {
             lease,
             token: self.token,
-            acknowledged,
+            acknowledged: acknowledgement.map_or(0, Acknowledgement::serial),
             wait,
         })
     }
@@ -613,7 +624,7 @@
         lists: Lists,
         now: Time,
     ) -> (Vec<Event>, Vec<(Name, Run)>) {
-        let token = self.take_pending_poll(call);
+        let poll = self.take_pending_poll(call);
         if lists.life.is_before(self.life) {
             self.next_poll = now;
             return (Vec::new(), Vec::new());
@@ -623,6 +634,10 @@
             false => self.update_life(lists.life, now),
         };
         self.record_answer(lists.clock, sent, now);
+        self.listed_at = self.listed_at.max(sent);
+        if let Some(acknowledgement) = poll.and_then(|poll| poll.acknowledgement) {
+            self.on_acknowledged(acknowledgement);
+        }
         let Lists { running, ended, .. } = lists;
         for end in ended {
             if end.serial > self.last_end {
@@ -644,7 +659,8 @@
                 }
             }
         }
-        self.remove_unlisted(&listed, sent, token.unwrap_or_default(), &mut events);
+        let token = poll.map(|poll| poll.token).unwrap_or_default();
+        self.remove_unlisted(&listed, sent, token, &mut events);
         let runs = self.executions.iter();
         let runs = runs.filter(|(_, run)| run.phase == Phase::Running);
         let runs = runs.map(|(task, run)| (task.job, &run.pace));
@@ -923,7 +939,8 @@
     }
 
     /// Records a call without an answer, or with a malformed one.
-    pub fn on_unanswered(&mut self, reply: &Reply) {
+    pub fn on_unanswered(&mut self, reply: &Reply, now: Time) {
+        self.failed_at = now;
         self.refuses_connections = *reply == Reply::Unsent;
         self.backoff.record_failure();
     }
@@ -950,7 +967,7 @@
 
     /// Handles a poll without an answer. The endpoint becomes silent unless it answered another call recently.
     pub fn on_poll_unanswered(&mut self, call: CallId, now: Time) {
-        if self.take_pending_poll(call).is_some() {
+        if let Some(poll) = self.take_pending_poll(call) {
             self.next_poll = match self.standing {
                 Standing::Open if self.backoff.is_first() => now,
                 _ => now + self.backoff.delay(&self.listing.id),
@@ -960,16 +977,16 @@
                 Standing::Open if !answered => Standing::Silent,
                 other => other,
             };
-            if self.standing != Standing::Open {
+            // The acknowledgement may still be carried out, by a later life too.
+            if self.standing != Standing::Open || poll.acknowledgement.is_some() {
                 self.raise_token();
             }
         }
     }
 
-    /// Returns the token of the pending poll if it's this one, which is no longer pending then.
-    fn take_pending_poll(&mut self, call: CallId) -> Option<Token> {
-        let (_, token) = self.pending_poll.take_if(|(pending, _)| *pending == call)?;
-        Some(token)
+    /// Returns the pending poll if it's this one, which is no longer pending then.
+    fn take_pending_poll(&mut self, call: CallId) -> Option<PendingPoll> {
+        self.pending_poll.take_if(|pending| pending.call == call)
     }
 
     /// Handles a refused poll.
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -188,7 +188,7 @@
             return self.handle_events(id, vec![Event::Replaced], now, out);
         }
         if reply != Reply::Unwell {
-            state.on_unanswered(&reply);
+            state.on_unanswered(&reply, now);
         }
         if let Reply::Malformed(fault) = &reply {
             let record = LogRecord::new("endpoint_malformed").with("endpoint", id.as_str());
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -27,6 +27,8 @@
 mod overload;
 #[path = "dispatch/placement.rs"]
 mod placement;
+#[path = "dispatch/renewed.rs"]
+mod renewed;
 #[path = "dispatch/rows.rs"]
 mod rows;
 #[path = "dispatch/speed.rs"]
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -254,7 +254,7 @@
         let now = START + Span::millis(n);
         if state.next_poll() <= now && state.poll(CallId(n + 2), now).is_some() {
             polls += 1;
-            state.on_unanswered(&Reply::Silent);
+            state.on_unanswered(&Reply::Silent, now);
             state.on_poll_unanswered(CallId(n + 2), now);
         }
     }
