A task with a label starts on no restarted endpoint whose labels aren't known

Callers saw tasks run on endpoints without the label that they ask for, after an endpoint had started again under its name as another kind.

Cause: the owner learnt of the new life from the list of runs and opened the endpoint at once, while the labels were those of the platform's entry for the former life, until the platform's list was read again. A start without an answer was sent again to the new life without a look at its labels.

Now a task with a label starts on an endpoint, or is sent to it again, only if the platform's entry is of the life that answers. Tasks without a label start there as before. Capacity may be that of the former life for as long as the list is old; an endpoint that shrinks is seen as late.

Evidence: restarted_endpoint_gets_no_task_by_its_former_kind and start_is_not_sent_again_to_another_kind fail without this and pass with it.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -365,8 +365,18 @@
 
     /// Returns whether a task with this need and label could ever run here.
     pub fn can_run(&self, need: &Resources, label: Option<&String>) -> bool {
-        let labelled = label.is_none_or(|label| self.listing.labels.contains(label));
-        self.is_in_service() && labelled && self.listing.capacity.fits(need)
+        self.is_in_service() && self.has_label(label) && self.listing.capacity.fits(need)
+    }
+
+    /// Returns whether it has the label, according to the platform's entry.
+    pub fn has_label(&self, label: Option<&String>) -> bool {
+        label.is_none_or(|label| self.listing.labels.contains(label))
+    }
+
+    /// Returns whether its labels are known, if there is one that it must have: the platform's entry is of the current life. A later
+    /// life may be of another kind.
+    pub fn is_label_known(&self, label: Option<&String>) -> bool {
+        label.is_none() || !self.listing.life.is_before(self.life)
     }
 
     /// Returns whether it answered any call recently.
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -274,6 +274,7 @@
             let runnable = state.can_run(&batch.need, batch.label.as_ref());
             let reachable = !suspicion.is_present() || state.has_answered_recently(now);
             reachable
+                && state.is_label_known(batch.label.as_ref())
                 && state.accepts_tasks(now)
                 && state.free.fits(&batch.need)
                 && runnable
@@ -325,7 +326,8 @@
         }
         let usable = |state: &State| {
             let runnable = state.can_run(&batch.need, batch.label.as_ref());
-            runnable && state.accepts_tasks(now) && !is_avoided(state)
+            let label_known = state.is_label_known(batch.label.as_ref());
+            runnable && label_known && state.accepts_tasks(now) && !is_avoided(state)
         };
         candidates.retain(|c| slowness(c.endpoint) == preference);
         let usable = states.iter().copied().filter(|state| usable(state));
--- a/src/dispatch/owner/retry.rs
+++ b/src/dispatch/owner/retry.rs
@@ -51,10 +51,15 @@
             // A copy that no life of the endpoint answers would only be carried out late.
             Phase::Starting if !state.takes_starts() => return state.schedule_retry(task, now),
             Phase::Starting => {
-                let spec = self
-                    .assignments
-                    .get(&batch)
-                    .map(|assignment| assignment.batch.spec.clone());
+                let assignment = self.assignments.get(&batch);
+                let batch = assignment.map(|assignment| &assignment.batch);
+                let label = batch.and_then(|batch| batch.label.as_ref());
+                if !state.is_label_known(label) {
+                    return state.schedule_retry(task, now);
+                }
+                // It may have restarted as another kind since the last copy was sent.
+                let batch = batch.filter(|_| state.has_label(label));
+                let spec = batch.map(|batch| batch.spec.clone());
                 let order = spec.and_then(|spec| state.start_order(task, run, spec, now));
                 (order, Purpose::Start(task, run))
             }
--- a/tests/dispatch/renewed.rs
+++ b/tests/dispatch/renewed.rs
@@ -1,6 +1,32 @@
 //! What one life of an endpoint was sent, or has confirmed, doesn't hold for the next one under the same name.
 
-use poplarknot::prelude::*;
+use poplarknot::{
+    dispatch::{
+        id::{
+            Epoch,
+            JobId,
+            Life,
+            Token, //
+        },
+        license::Confirmation,
+        message::{
+            Batch,
+            CallId,
+            Contact,
+            Listing,
+            Lists,
+            Order,
+            Output,
+            Reply, //
+        },
+        owner::{
+            Effects,
+            Owner, //
+        },
+        task::Resources, //
+    },
+    prelude::*, //
+};
 
 use super::{
     world::{
@@ -31,3 +57,213 @@
         world.finish_and_check_stored();
     }
 }
+
+/// The lives of the endpoint: when its rack was claimed, and after a restart.
+const LIVES: [Life; 2] = [Life(1_000), Life(9_000)];
+
+/// An owner of a rack with one endpoint.
+struct OwnerOfOne {
+    owner: Owner,
+    now: Time,
+    /// Calls that wait for a reply.
+    calls: Vec<(CallId, Order)>,
+}
+
+impl OwnerOfOne {
+    /// Returns an owner that has polled the endpoint in its first life, of kind `a`.
+    fn new() -> Self {
+        let entry = contact();
+        let mut owner = Owner::new(&entry.name);
+        let mut out = Effects::default();
+        let listing = listing(LIVES[0], "a");
+        owner.claim(listing.rack_id(), Token::new(Epoch(1), 1), &mut out);
+        let mut new = Self {
+            owner,
+            now: Time(10_000_000),
+            calls: Vec::new(),
+        };
+        new.list(listing);
+        new.step(Span::millis(1));
+        new.answer_polls(LIVES[0]);
+        new
+    }
+
+    /// Lets the next poll of the idle endpoint find its second life.
+    fn restart(&mut self) {
+        self.step(Span::seconds(6));
+        self.answer_polls(LIVES[1]);
+    }
+
+    /// Reads the platform's list.
+    fn list(&mut self, listing: Listing) {
+        let mut out = Effects::default();
+        self.owner.update_endpoints(&[listing], self.now, &mut out);
+        self.collect(out);
+    }
+
+    /// Submits a task that needs kind `a`.
+    fn submit(&mut self) {
+        let mut out = Effects::default();
+        let rack = listing(LIVES[0], "a").rack_id();
+        let batch = Batch {
+            serial: 1,
+            rack,
+            job: JobId(1),
+            step: 0,
+            tasks: vec![0],
+            moves: 0,
+            need: Resources {
+                cpu: 1_000,
+                memory: 1,
+                gpu: 0,
+            },
+            estimate: Span::millis(60),
+            label: Some("a".to_owned()),
+            per_endpoint: None,
+            spec: String::new(),
+            attempts: 2,
+            priority: 0,
+            work: 60,
+            tied: true,
+            stored: true,
+            slack: Some(Span::seconds(1)),
+            useful: Span::seconds(20),
+            time_left: Span::seconds(30),
+        };
+        self.owner.accept(&contact(), batch, self.now, &mut out);
+        self.collect(out);
+    }
+
+    /// Lets time pass, and returns the number of starts that are sent.
+    fn step(&mut self, span: Span) -> usize {
+        self.now = self.now + span;
+        let mut out = Effects::default();
+        let confirmation = Confirmation::of_self(self.now);
+        self.owner.confirm_entry(&contact().name, confirmation);
+        self.owner.process_due(self.now, &mut out);
+        self.collect(out)
+    }
+
+    fn collect(&mut self, out: Effects) -> usize {
+        let before = self.starts();
+        for output in out.outputs {
+            if let Output::Call { call, order, .. } = output {
+                self.calls.push((call, order));
+            }
+        }
+        self.starts() - before
+    }
+
+    fn starts(&self) -> usize {
+        let is_start = |(_, order): &&(CallId, Order)| matches!(order, Order::Start { .. });
+        self.calls.iter().filter(is_start).count()
+    }
+
+    /// Answers the polls as a life without runs does.
+    fn answer_polls(&mut self, life: Life) {
+        let is_poll = |(_, order): &(CallId, Order)| matches!(order, Order::Poll { .. });
+        let (polls, others) = std::mem::take(&mut self.calls)
+            .into_iter()
+            .partition(is_poll);
+        self.calls = others;
+        let polls: Vec<(CallId, Order)> = polls;
+        for (call, _) in polls {
+            let lists = Lists {
+                clock: self.now.0 / 1_000,
+                life,
+                ..Lists::default()
+            };
+            self.reply(call, Reply::Looked(lists));
+        }
+    }
+
+    /// Lets all calls time out.
+    fn time_out(&mut self) {
+        for (call, _) in std::mem::take(&mut self.calls) {
+            self.reply(call, Reply::Silent);
+        }
+    }
+
+    fn reply(&mut self, call: CallId, reply: Reply) {
+        let mut out = Effects::default();
+        self.owner
+            .on_reply(call, self.now, reply, self.now, &mut out);
+        self.collect(out);
+    }
+}
+
+fn contact() -> Contact {
+    Contact {
+        name: "own".parse().unwrap(),
+        address: "own:1".to_owned(),
+    }
+}
+
+fn listing(life: Life, kind: &str) -> Listing {
+    Listing {
+        id: "w-1".parse().unwrap(),
+        life,
+        service: "cells".to_owned(),
+        address: "w-1:80".to_owned(),
+        centre: "a".to_owned(),
+        rack: "r".to_owned(),
+        labels: vec![kind.to_owned(), "r".to_owned()],
+        capacity: Resources {
+            cpu: 4_000,
+            memory: 4_000,
+            gpu: 0,
+        },
+        draining: false,
+    }
+}
+
+/// An endpoint restarts as another kind. By the row of its former life it would be given tasks without their label.
+#[test]
+fn restarted_endpoint_gets_no_task_by_its_former_kind() {
+    let mut test = OwnerOfOne::new();
+    test.restart();
+    test.submit();
+    for _ in 0..10 {
+        assert_eq!(test.step(Span::millis(30)), 0, "the former row is in force");
+        test.answer_polls(LIVES[1]);
+    }
+    test.list(listing(LIVES[1], "b"));
+    for _ in 0..10 {
+        assert_eq!(test.step(Span::millis(30)), 0, "the new kind has no label");
+        test.answer_polls(LIVES[1]);
+    }
+}
+
+/// The same with a start that got no answer in the former life, and is due to be sent again in the next.
+#[test]
+fn start_is_not_sent_again_to_another_kind() {
+    let mut test = OwnerOfOne::new();
+    test.submit();
+    assert_eq!(test.step(Span::millis(1)), 1);
+    test.time_out();
+    test.calls.clear();
+    for _ in 0..20 {
+        assert_eq!(test.step(Span::millis(30)), 0, "the former row is in force");
+        test.answer_polls(LIVES[1]);
+    }
+    test.list(listing(LIVES[1], "b"));
+    for _ in 0..20 {
+        assert_eq!(test.step(Span::millis(30)), 0, "the new kind has no label");
+        test.answer_polls(LIVES[1]);
+    }
+}
+
+/// A restarted endpoint of the same kind gets tasks again once its row is read.
+#[test]
+fn restarted_endpoint_of_the_same_kind_gets_tasks_again() {
+    let mut test = OwnerOfOne::new();
+    test.restart();
+    test.submit();
+    test.list(listing(LIVES[1], "a"));
+    let mut starts = 0;
+    for _ in 0..5 {
+        starts += test.step(Span::millis(30));
+        test.answer_polls(LIVES[1]);
+    }
+    assert_eq!(starts, 1);
+}
