Requests of an instance are numbered by its incarnation

Callers who asked for the state of a job were told the state of another one: jobs that nobody had cancelled were shown as cancelled.

Cause: each incarnation of an instance numbered the requests that it forwards to coordinators from one. An answer that a coordinator could give only once the store was back went to the next incarnation, which took it for the answer to a request of its own with that number.

Now the numbers begin with the incarnation, as those of batches do, and have a type of their own. The wire format stays as it is: during an upgrade, an instance of the former build has the fault until it is replaced.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -134,7 +134,7 @@
 /// without the claim the next owner would take the rack as unowned and stop what runs there.
 const HANDED_OVER_CLAIM_PERIOD: Span = Span::millis(700);
 
-/// Low bits of a batch's serial number that count within one incarnation; the incarnation, a time in
+/// Low bits of the serial number of a batch or a request that count within one incarnation; the incarnation, a time in
 /// milliseconds, takes the bits above them.
 const SERIAL_BITS: u32 = 22;
 
@@ -271,7 +271,7 @@
                 "{} {}",
                 identity.contact.name, identity.incarnation
             )),
-            requests: Requests::default(),
+            requests: Requests::new(identity.incarnation),
             documents: Documents::default(),
             members: Members::new(&identity.contact.name, identity.centre.as_str()),
             member_search: None,
--- a/src/dispatch/durable.rs
+++ b/src/dispatch/durable.rs
@@ -26,6 +26,7 @@
 use super::{
     id::{
         JobId,
+        RequestSerial,
         ShardId,
         TaskId, //
     },
@@ -181,7 +182,7 @@
     pub fn on_request(
         &mut self,
         from: &Contact,
-        serial: u64,
+        serial: RequestSerial,
         job: JobId,
         question: Question,
         now: Time,
--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -11,6 +11,7 @@
         id::{
             JobId,
             Life,
+            RequestSerial,
             ShardId, //
         },
         message::{
@@ -105,7 +106,7 @@
 #[derive(Debug)]
 pub(super) struct Waiting {
     pub(super) from: Contact,
-    pub(super) serial: u64,
+    pub(super) serial: RequestSerial,
     pub(super) job: JobId,
     pub(super) record: Box<AcceptedJob>,
     /// When it was submitted.
@@ -148,16 +149,21 @@
 pub(super) struct Change {
     /// The state of the job that is written.
     pub(super) state: State,
-    pub(super) accept_requests: Vec<(Contact, u64)>,
-    pub(super) cancel_requests: Vec<(Contact, u64)>,
-    pub(super) state_requests: Vec<(Contact, u64)>,
+    pub(super) accept_requests: Vec<(Contact, RequestSerial)>,
+    pub(super) cancel_requests: Vec<(Contact, RequestSerial)>,
+    pub(super) state_requests: Vec<(Contact, RequestSerial)>,
     pub(super) end_replies: Vec<(Contact, Message)>,
     /// Whether the job's last row, its progress, is removed: its state needn't be kept any longer.
     pub(super) delete: bool,
 }
 
 /// Sends a verdict as the answer to a request.
-pub(super) fn send_verdict(to: &Contact, serial: u64, verdict: Verdict, out: &mut Effects) {
+pub(super) fn send_verdict(
+    to: &Contact,
+    serial: RequestSerial,
+    verdict: Verdict,
+    out: &mut Effects,
+) {
     let message = Message::Verdict { serial, verdict };
     out.messages.push((to.clone(), message));
 }
@@ -198,7 +204,7 @@
     pub(super) fn accept(
         &mut self,
         from: &Contact,
-        serial: u64,
+        serial: RequestSerial,
         job: JobId,
         record: Box<AcceptedJob>,
         now: Time,
@@ -250,7 +256,7 @@
     pub(super) fn cancel(
         &mut self,
         from: &Contact,
-        serial: u64,
+        serial: RequestSerial,
         id: JobId,
         out: &mut Effects,
     ) -> Option<Action> {
@@ -283,7 +289,13 @@
     }
 
     /// Answers a query for the state of a job whose current state isn't stored yet.
-    pub(super) fn send_state(&mut self, from: &Contact, serial: u64, id: JobId, out: &mut Effects) {
+    pub(super) fn send_state(
+        &mut self,
+        from: &Contact,
+        serial: RequestSerial,
+        id: JobId,
+        out: &mut Effects,
+    ) {
         match self.jobs.get(&id) {
             // Its end is being stored. The answer follows when that's done.
             Some(job) if job.progress.state != State::Open => {
@@ -301,7 +313,7 @@
     pub(super) fn send_unknown(
         &mut self,
         from: &Contact,
-        serial: u64,
+        serial: RequestSerial,
         id: JobId,
         out: &mut Effects,
     ) {
--- a/src/dispatch/id.rs
+++ b/src/dispatch/id.rs
@@ -10,6 +10,8 @@
     Serialize, //
 };
 
+use super::SERIAL_BITS;
+
 /// The number of hexadecimal digits in a job's identifier.
 const JOB_DIGITS: usize = 16;
 
@@ -152,6 +154,24 @@
     }
 }
 
+/// The serial number of an instance's request to another one about a stored job. It begins with the incarnation of the instance, so that
+/// an answer for a former incarnation answers none of the later requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestSerial(pub u64);
+
+impl RequestSerial {
+    /// Returns the number before the first one of an incarnation.
+    pub fn before(incarnation: u64) -> Self {
+        Self(incarnation << SERIAL_BITS)
+    }
+
+    /// Returns the next number.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// A number that orders claims of racks: each claim takes one above the highest that its claimant has heard.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -64,6 +64,7 @@
         JobId,
         Life,
         RackId,
+        RequestSerial,
         Run,
         TaskId, //
     },
@@ -396,7 +397,7 @@
     /// Forwards a caller's request about a stored job to the coordinator of its shard.
     Request {
         /// The serial number of the request at its sender.
-        serial: u64,
+        serial: RequestSerial,
         /// The job.
         job: JobId,
         /// The request.
@@ -405,7 +406,7 @@
     /// Answers a request.
     Verdict {
         /// The request.
-        serial: u64,
+        serial: RequestSerial,
         /// The answer.
         verdict: Verdict,
     },
--- a/src/dispatch/requests.rs
+++ b/src/dispatch/requests.rs
@@ -13,7 +13,10 @@
         UNLIMITED,
         USEFUL_FACTOR, //
     },
-    id::JobId,
+    id::{
+        JobId,
+        RequestSerial, //
+    },
     message::{
         Answer,
         Contact,
@@ -71,14 +74,22 @@
 }
 
 /// Requests that wait for an answer, by serial number.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Requests {
-    open: BTreeMap<u64, Request>,
+    open: BTreeMap<RequestSerial, Request>,
     /// The serial number of the last request.
-    last_serial: u64,
+    last_serial: RequestSerial,
 }
 
 impl Requests {
+    /// Returns no requests, of an incarnation of this instance.
+    pub(super) fn new(incarnation: u64) -> Self {
+        Self {
+            open: BTreeMap::new(),
+            last_serial: RequestSerial::before(incarnation),
+        }
+    }
+
     /// Drops the request of a caller that disconnected.
     pub(super) fn on_caller_gone(&mut self, ticket: Ticket) {
         self.open.retain(|_, request| request.ticket != ticket);
@@ -138,8 +149,8 @@
             deadline: now + limit,
             unconfirmed: 0,
         };
-        self.requests.last_serial += 1;
-        let serial = self.requests.last_serial;
+        let serial = self.requests.last_serial.next();
+        self.requests.last_serial = serial;
         self.requests.open.insert(serial, request);
     }
 
@@ -194,7 +205,7 @@
     /// Handles the coordinator's answer to a request: answers the caller, or sends the request again later.
     pub(super) fn on_verdict(
         &mut self,
-        serial: u64,
+        serial: RequestSerial,
         verdict: Verdict,
         now: Time,
         out: &mut Effects,
@@ -222,7 +233,7 @@
     pub(super) fn on_request(
         &mut self,
         from: &Contact,
-        serial: u64,
+        serial: RequestSerial,
         job: JobId,
         question: Question,
         now: Time,
--- a/tests/dispatch/renewed.rs
+++ b/tests/dispatch/renewed.rs
@@ -10,9 +10,11 @@
         },
         license::Confirmation,
         message::{
+            Answer,
             Batch,
             CallId,
             Contact,
+            JobState,
             Listing,
             Lists,
             Order,
@@ -267,3 +269,34 @@
     }
     assert_eq!(starts, 1);
 }
+
+/// An instance restarts while the store is down. The answers to cancellations that its former incarnation forwarded would reach callers
+/// who ask the next one for the states of other jobs.
+#[test]
+fn answers_for_a_former_incarnation_reach_no_other_caller() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, 3, 4, NO_FAULTS);
+        world.store_jobs();
+        let (long, short) = (1..=40, 41..=70);
+        for n in 0..70 {
+            let duration = Span::millis(if n < 40 { 6_000 } else { 350 });
+            let (at, i) = (Span::millis(3 * n), 1 + n as usize % 2);
+            world.submit_at(at, i, (1, 200, duration), Shape::default());
+        }
+        let down = Span::millis(3_400);
+        world.store_outage_at(Span::millis(500), down);
+        for n in long.clone() {
+            world.cancel_at(Span::millis(600 + n), JobId(n));
+        }
+        world.kill_at(Span::millis(900), 0, Span::millis(300));
+        for n in short.clone() {
+            world.query_at(Span::millis(2_300 + n), JobId(n));
+        }
+        world.run(Span::seconds(6));
+        for n in short {
+            let answer = world.jobs[&JobId(n)].answer;
+            let cancelled = Some(Answer::Standing(JobState::Cancelled));
+            assert_ne!(answer, cancelled, "job {n} of seed {seed}");
+        }
+    }
+}
--- a/tests/dispatch/withdrawals.rs
+++ b/tests/dispatch/withdrawals.rs
@@ -11,6 +11,7 @@
         id::{
             JobId,
             Life,
+            RequestSerial,
             Run,
             TaskId, //
         },
@@ -158,8 +159,8 @@
 }
 
 impl Coordination {
-    const SUBMISSION: u64 = 1;
-    const CANCELLATION: u64 = 2;
+    const SUBMISSION: RequestSerial = RequestSerial(1);
+    const CANCELLATION: RequestSerial = RequestSerial(2);
 
     /// Returns the coordinator after the job was submitted, before anything is read or stored.
     fn new() -> Self {
@@ -185,7 +186,7 @@
         }
     }
 
-    fn ask(&mut self, serial: u64, question: Question) {
+    fn ask(&mut self, serial: RequestSerial, question: Question) {
         let (caller, mut out) = (Self::caller(), Effects::default());
         self.coordinator
             .on_request(&caller, serial, CUT_JOB, question, self.now, &mut out);
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -138,7 +138,7 @@
     HoldOrders(usize, Option<Span>),
     BreakCaller(JobId),
     BreakCallers(usize),
-    Cancel(JobId),
+    Ask(JobId, Question),
     Abandoned(usize, u64, Ticket),
 }
 
@@ -932,7 +932,7 @@
                 jobs.sort_unstable();
                 jobs.into_iter().for_each(|job| self.break_caller(job));
             }
-            Event::Cancel(job) => self.ask(job, Question::Cancel),
+            Event::Ask(job, question) => self.ask(job, question),
             Event::Abandoned(i, incarnation, ticket) => {
                 if self.instances[i].incarnation != incarnation {
                     return;
@@ -1214,7 +1214,12 @@
 
     /// Cancels a stored job.
     pub(crate) fn cancel_at(&mut self, after: Span, job: JobId) {
-        self.schedule(after, Event::Cancel(job));
+        self.schedule(after, Event::Ask(job, Question::Cancel));
+    }
+
+    /// Asks for the state of a stored job.
+    pub(crate) fn query_at(&mut self, after: Span, job: JobId) {
+        self.schedule(after, Event::Ask(job, Question::State));
     }
 
     /// Returns whether a job was completed within its objective.
