A test of starts that a former life has barred

A run whose start is unanswered is taken for lost once its endpoint has answered a call with a higher token, and its task starts elsewhere. If the endpoint crashes then, its next life knows that token no longer, and carries the start out when it arrives before the first call of the owner: the task runs twice at a time.

--- a/tests/dispatch/renewed.rs
+++ b/tests/dispatch/renewed.rs
@@ -60,6 +60,36 @@
     }
 }
 
+/// Starts are held on their way while their endpoints are silent. These then answer with a higher token, and the tasks start elsewhere.
+/// When the endpoints restart, they know that token no longer, and carry the starts out.
+#[test]
+fn starts_that_a_former_life_barred_run_no_task_twice() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, 2, 2, NO_FAULTS);
+        world.crash_silently();
+        world.set_row_lag(Span::seconds(1));
+        for w in 0..4 {
+            world.hold_orders_at(
+                Span::millis(1_000),
+                w,
+                Span::millis(300),
+                Span::millis(2_100),
+            );
+            world.crash_and_restart_at(Span::millis(2_400), w, Span::millis(690), 0);
+        }
+        let shape = Shape {
+            wait: Span::seconds(8),
+            ..Shape::default()
+        };
+        for n in 0..12 {
+            let job = (1, 1_000, Span::seconds(4));
+            world.submit_at(Span::millis(1_010 + 20 * n), n as usize % 2, job, shape);
+        }
+        world.run(Span::seconds(10));
+        world.finish_and_check();
+    }
+}
+
 /// The lives of the endpoint: when its rack was claimed, and after a restart.
 const LIVES: [Life; 2] = [Life(1_000), Life(9_000)];
 
