--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -1,5 +1,6 @@
 //! An owner's view of an endpoint: its runs, the expiry of its leases, and whether it answers.
 
+mod acknowledgement;
 mod backoff;
 mod barrier;
 mod clock;
@@ -16,6 +17,10 @@
 };
 
 use self::{
+    acknowledgement::{
+        Acknowledgement,
+        PendingPoll, //
+    },
     backoff::Backoff,
     clock::Reading, //
 };
@@ -289,11 +294,16 @@
     /// Late ends among these: their tasks were placed again before the ends were heard. The endpoint may forget them
     /// once its lease has expired.
     late_ends: BTreeSet<u64>,
+    /// The last end that the current life has confirmed to have forgotten.
     acknowledged_end: u64,
     /// Whether a poll is needed although no run is known.
     poll_wanted: bool,
-    /// The poll that wasn't answered yet, and its token.
-    pending_poll: Option<(CallId, Token)>,
+    /// The poll that wasn't answered yet.
+    pending_poll: Option<PendingPoll>,
+    /// When the last poll was sent that the current life has answered.
+    listed_at: Time,
+    /// When a call last failed.
+    failed_at: Time,
     backoff: Backoff,
     next_poll: Time,
     last_answer: Time,
@@ -338,6 +348,8 @@
             acknowledged_end: 0,
             poll_wanted: false,
             pending_poll: None,
+            listed_at: Time::default(),
+            failed_at: Time::default(),
             backoff: Backoff::default(),
             next_poll: now,
             last_answer: Time::default(),
@@ -363,8 +375,18 @@
 
     /// Returns whether a task with this need and label could ever run here.
     pub fn can_run(&self, need: &Resources, label: Option<&String>) -> bool {
-        let labelled = label.is_none_or(|label| self.listing.labels.contains(label));
-        self.is_in_service() && labelled && self.listing.capacity.fits(need)
+        self.is_in_service() && self.has_label(label) && self.listing.capacity.fits(need)
+    }
+
+    /// Returns whether it has the label, according to the platform's entry.
+    pub fn has_label(&self, label: Option<&String>) -> bool {
+        label.is_none_or(|label| self.listing.labels.contains(label))
+    }
+
+    /// Returns whether its labels are known, if there is one that it must have: the platform's entry is of the current life. A later
+    /// life may be of another kind.
+    pub fn is_label_known(&self, label: Option<&String>) -> bool {
+        label.is_none() || !self.listing.life.is_before(self.life)
     }
 
     /// Returns whether it answered any call recently.
@@ -535,18 +557,17 @@
             false => Span(0),
         };
         self.poll_wanted = false;
-        self.pending_poll = Some((call, self.token));
-        // A restarted endpoint counts its ends anew, and would forget some that nobody has heard of.
-        let acknowledged = match self.standing {
-            Standing::Open => self.last_forgettable_end(),
-            _ => 0,
-        };
-        self.acknowledged_end = self.acknowledged_end.max(acknowledged);
-        self.token_used |= lease.is_some() || acknowledged > 0;
+        let acknowledgement = self.next_acknowledgement();
+        self.pending_poll = Some(PendingPoll {
+            call,
+            token: self.token,
+            acknowledgement,
+        });
+        self.token_used |= lease.is_some() || acknowledgement.is_some();
         Some(Order::Poll {
             lease,
             token: self.token,
-            acknowledged,
+            acknowledged: acknowledgement.map_or(0, Acknowledgement::serial),
             wait,
         })
     }
@@ -633,7 +654,7 @@
         lists: Lists,
         now: Time,
     ) -> (Vec<Event>, Vec<(Name, Run)>) {
-        let token = self.take_pending_poll(call);
+        let poll = self.take_pending_poll(call);
         if self.is_former(lists.life, sent) {
             self.next_poll = now;
             return (Vec::new(), Vec::new());
@@ -649,6 +670,10 @@
             events.extend(self.rule_out_crashes());
         }
         self.record_answer(lists.clock, sent, now);
+        self.listed_at = self.listed_at.max(sent);
+        if let Some(acknowledgement) = poll.and_then(|poll| poll.acknowledgement) {
+            self.on_acknowledged(acknowledgement);
+        }
         let Lists { running, ended, .. } = lists;
         for end in ended {
             if end.serial > self.last_end {
@@ -670,10 +695,11 @@
                 }
             }
         }
-        self.settle_listed(&listed, token.unwrap_or_default(), now);
+        let token = poll.map(|poll| poll.token).unwrap_or_default();
+        self.settle_listed(&listed, token, now);
         // A task with an unknown run here counts as listed: it must not start elsewhere beside that run.
         listed.extend(unknown.iter().filter_map(|(name, _)| name.known()));
-        self.remove_unlisted(&listed, sent, token.unwrap_or_default(), &mut events);
+        self.remove_unlisted(&listed, sent, token, &mut events);
         let runs = self.executions.iter();
         let runs = runs.filter(|(_, run)| run.phase == Phase::Running);
         let runs = runs.map(|(task, run)| (task.job, &run.pace));
@@ -955,7 +981,8 @@
     }
 
     /// Records a call without an answer, or with a malformed one.
-    pub fn on_unanswered(&mut self, reply: &Reply) {
+    pub fn on_unanswered(&mut self, reply: &Reply, now: Time) {
+        self.failed_at = now;
         self.refuses_connections = *reply == Reply::Unsent;
         self.backoff.record_failure();
     }
@@ -982,7 +1009,7 @@
 
     /// Handles a poll without an answer. The endpoint becomes silent unless it answered another call recently.
     pub fn on_poll_unanswered(&mut self, call: CallId, now: Time) {
-        if self.take_pending_poll(call).is_some() {
+        if let Some(poll) = self.take_pending_poll(call) {
             self.next_poll = match self.standing {
                 Standing::Open if self.backoff.is_first() => now,
                 _ => now + self.poll_delay(now),
@@ -992,16 +1019,16 @@
                 Standing::Open if !answered => Standing::Silent,
                 other => other,
             };
-            if self.standing != Standing::Open {
+            // The acknowledgement may still be carried out, by a later life too.
+            if self.standing != Standing::Open || poll.acknowledgement.is_some() {
                 self.raise_token();
             }
         }
     }
 
-    /// Returns the token of the pending poll if it's this one, which is no longer pending then.
-    fn take_pending_poll(&mut self, call: CallId) -> Option<Token> {
-        let (_, token) = self.pending_poll.take_if(|(pending, _)| *pending == call)?;
-        Some(token)
+    /// Returns the pending poll if it's this one, which is no longer pending then.
+    fn take_pending_poll(&mut self, call: CallId) -> Option<PendingPoll> {
+        self.pending_poll.take_if(|pending| pending.call == call)
     }
 
     /// Handles a refused poll.
--- a/tests/barrier.rs
+++ b/tests/barrier.rs
@@ -171,7 +171,7 @@
     }
 
     fn fail(&mut self, poll: &Poll, now: Time) {
-        self.state.on_unanswered(&Reply::Silent);
+        self.state.on_unanswered(&Reply::Silent, now);
         self.state.on_poll_unanswered(poll.call, now);
     }
 
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -29,6 +29,8 @@
 mod owners_of_restarted;
 #[path = "dispatch/placement.rs"]
 mod placement;
+#[path = "dispatch/renewed.rs"]
+mod renewed;
 #[path = "dispatch/review_restarts.rs"]
 mod review_restarts;
 #[path = "dispatch/rows.rs"]
