--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -248,7 +248,7 @@
     life_since: Time,
     /// Runs that expired while it is silent: whether it crashed under them isn't known yet.
     unconfirmed_crashes: Vec<Crash>,
-    /// The token of the next call: the owner's fencing token, or a higher one of the same claim, see [`State::raise_token`].
+    /// The token of the next call: the owner's fencing token, or a higher one of the same claim.
     pub token: Token,
     /// Whether a start, a lease or an acknowledgement was sent with that token.
     token_used: bool,
