--- a/src/dispatch/durable/shard.rs
+++ b/src/dispatch/durable/shard.rs
@@ -59,7 +59,8 @@
 
 /// How long a new coordinator waits before it runs the open jobs of a shard. By then runs of the former coordinator have ended:
 /// owners stop them after the heartbeat timeout, or when it releases the shard after [`super::LOCK_VALIDITY`]. The rest is a
-/// margin for stop orders and for clocks of endpoints. Without the wait a task could run twice.
+/// margin for stop orders and for clocks of endpoints. Without the wait a task could run twice. A start without an answer that a
+/// later life of an endpoint carries out isn't bounded by it.
 const TAKEOVER_DELAY: Span = Span::millis(1_700);
 
 /// The interval between checks of the lock while they're required and nothing is written.
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -77,8 +77,8 @@
 /// A longer lease would outlive a dead owner by more, a shorter one would lose runs whenever the owner is slow.
 pub const LEASE: Span = Span::millis(1_000);
 
-/// The lease that a start carries. An endpoint refuses a start that arrives after its expiry, so that this bounds
-/// how long an unanswered start is in doubt. The poll that follows extends the lease.
+/// The lease that a start carries. The life of an endpoint that it was sent to refuses a start that arrives after its expiry; a later
+/// life has another clock, and may carry it out. The poll that follows extends the lease.
 pub const START_LEASE: Span = Span::millis(400);
 
 /// How long a poll waits at the endpoint for a run to end: an eighth of [`LEASE`]. Ends are lost with a lost answer, so a longer
@@ -135,7 +135,7 @@
 pub enum Reason {
     /// The endpoint doesn't list it.
     Unlisted,
-    /// The endpoint is silent, and all leases have expired.
+    /// The endpoint is silent, all leases have expired, and no start of the run is in doubt any more.
     Silent,
     /// Another endpoint answers at the address.
     Replaced,
--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -2,7 +2,9 @@
 //!
 //! A restarted endpoint knows neither the stops nor the tokens of its former life, and the deadline in a start is far ahead on its new
 //! clock. So the task of such a start may start elsewhere only once the endpoint has answered a call with a higher token than the start's:
-//! it refuses the start from then on. The token rises whenever calls may be on their way to a former life.
+//! that life refuses the start from then on. The token rises whenever calls may be on their way to a former life. A start that one life
+//! has barred may still be carried out by the next one, before the owner's first call to it: until it can't be on its way any more the
+//! endpoint is polled as if it had runs, and its task doesn't start while the endpoint is silent.
 
 use std::collections::HashSet;
 
@@ -57,7 +59,7 @@
         }
     }
 
-    /// Bars what was sent to the former life, and makes void what that life has confirmed of starts that may still be carried out.
+    /// Bars what was sent to the former life, and clears what that life has confirmed of starts that may still be carried out.
     pub(super) fn bar_former_orders(&mut self, now: Time) {
         self.raise_token();
         for execution in self.executions.values_mut() {
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -59,7 +59,8 @@
 
 /// How long an instance may still have runs of a batch after it was lost, or was found without the batch. It
 /// starts nothing once it hasn't heard the entry for 600 ms, and its runs are stopped or their leases expire
-/// within another second; the rest allows for the endpoints' clocks. Tasks placed earlier could run twice.
+/// within another second; the rest allows for the endpoints' clocks. Tasks placed earlier could run twice. Starts that a later life
+/// of an endpoint carries out know no such bound, so the tasks go to the next owner of the rack, which bars them.
 const LOST_BATCH_DELAY: Span = Span::millis(1_700);
 
 /// How long the next owner of a rack is awaited to give tasks of its lost owner to it: it may be one that this instance doesn't hear.
@@ -77,7 +78,7 @@
 const RETRY_DELAY_RANGE: (Span, Span) = (Span::seconds(1), Span::seconds(4));
 
 /// The answer to a job that was given up after it may have started. Its runs have ended by the time at which the caller may retry,
-/// whatever becomes of their stops.
+/// whatever becomes of their stops, unless a later life of an endpoint carries out a start without an answer.
 const GIVEN_UP: Answer = Answer::GivenUp { again: RETRY_DELAY };
 
 /// The time limit of a stored job, about 30 years: it runs to its end, however late.
--- a/src/dispatch/id.rs
+++ b/src/dispatch/id.rs
@@ -15,7 +15,7 @@
 /// The number of hexadecimal digits in a job's identifier.
 const JOB_DIGITS: usize = 16;
 
-/// Low bits of a fencing token that distinguish claimants with the same epoch. With the epoch above them a token
+/// Low bits of a fencing token that distinguish claimants with the same epoch, and count how often one has raised its token. With the epoch above them a token
 /// stays below 2^53, so parsers that read numbers as floating point keep it exact.
 const CLAIMANT_BITS: u32 = 20;
 
--- a/src/dispatch/license.rs
+++ b/src/dispatch/license.rs
@@ -4,7 +4,8 @@
 //! the former runs must have ended, whatever became of their entry, of its cancellation or of the order to stop them. What an owner
 //! believes about an entry can't guarantee that: its own thread may be late, and a heartbeat may arrive while the cancellation that
 //! was sent before it waits in a stalled connection. Therefore each lease that an owner grants ends at most [`LICENSE`] after the
-//! entry's last confirmation, see [`Channel`], on the endpoint itself.
+//! entry's last confirmation, see [`Channel`], on the endpoint itself. A restarted endpoint has another clock, on which the deadline of
+//! a former start is far ahead; there a higher token bars the start.
 
 use std::collections::VecDeque;
 
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -225,7 +225,7 @@
                 if execution.run != run {
                     return;
                 }
-                // A stop is sent until the endpoint answers or its leases have expired.
+                // A stop is sent until the endpoint answers, or the run is given up.
                 execution.sends = execution.sends.saturating_add(1);
                 let sends = execution.sends;
                 let record = LogRecord::new("stop_unanswered").job(task.job);
@@ -243,8 +243,8 @@
         }
     }
 
-    /// Resends a start without an answer. After too many sends the run is stopped, so that no late copy of the start can
-    /// take effect, and its task is queued again.
+    /// Resends a start without an answer. After too many sends the run is stopped, so that this life of the endpoint carries out no late
+    /// copy of the start, and its task is queued again.
     pub(super) fn on_start_unanswered(
         &mut self,
         id: &Endpoint,
