A job with a start in doubt is given up, and not called failed

What callers saw: 200 with the state failed for jobs of which no task has failed.

Cause: the answer was meant to keep callers from submitting the job again while a start of it is in doubt, but it isn't true.

--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -63,7 +63,7 @@
         self.update_speeds(now, out);
         self.expire_silent(now, out);
         self.expire_unknown_runs(now);
-        self.fail_unsettled(now, out);
+        self.give_up_unsettled_batches(now, out);
         self.return_unconfirmed(now, out);
         self.release_due(now);
         self.resend_due(now, out);
@@ -221,7 +221,7 @@
             self.return_tasks(handle, tasks, Cause::Unfit, out);
         }
         for (task, batch) in unsettled {
-            self.fail_job(task, batch, out);
+            self.give_up_unsettled(task, batch, out);
         }
         hopeless.dedup();
         for handle in hopeless {
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -30,8 +30,7 @@
 };
 use crate::prelude::*;
 
-/// The time that the report of a failed job takes to its caller. Later the caller would stop waiting, and submit the job again while a
-/// start of it is in doubt.
+/// The time that the report of a batch that is given up takes to its caller. Later the caller would stop waiting without an answer.
 const REPORT_TIME: Span = Span::millis(50);
 
 /// A start that may still be on its way to an endpoint, whose run was given up.
@@ -112,8 +111,8 @@
         states.all(|state| state.has_answered() || state.is_gone(now))
     }
 
-    /// Fails the jobs of callers that wait, if a task of theirs can neither start elsewhere nor end in time.
-    pub(super) fn fail_unsettled(&mut self, now: Time, out: &mut Effects) {
+    /// Gives up the jobs of callers that wait, if a task of theirs can neither start elsewhere nor end in time.
+    pub(super) fn give_up_unsettled_batches(&mut self, now: Time, out: &mut Effects) {
         let silent = self
             .endpoints
             .iter()
@@ -132,15 +131,15 @@
             }
         }
         for (task, batch) in overdue {
-            self.fail_job(task, batch, out);
+            self.give_up_unsettled(task, batch, out);
         }
     }
 
-    /// Fails the job of a task that is in doubt for as long as its caller waits.
-    pub(super) fn fail_job(&mut self, task: TaskId, batch: Handle, out: &mut Effects) {
+    /// Gives up a batch with a task that is in doubt for as long as its caller waits. The job can't be called failed: no run of it has.
+    pub(super) fn give_up_unsettled(&mut self, task: TaskId, batch: Handle, out: &mut Effects) {
         let record = LogRecord::new("start_unsettled").job(task.job);
         out.log(record.with("task", task.to_string()));
-        self.finish(batch, Outcome::Failed, out);
+        self.finish(batch, Outcome::Hopeless, out);
     }
 
     /// Returns the number of runs on silent endpoints whose tasks can't start elsewhere.
--- a/tests/dispatch/crashes.rs
+++ b/tests/dispatch/crashes.rs
@@ -109,7 +109,7 @@
         }
         failed += usize::from(world.jobs[&CRASHING_JOB].answer == Some(Answer::Failed));
     }
-    // The caller waits for 4 s. It's told that the job was given up if the second endpoint restarts later.
+    // The caller waits for 9 s. It's told that the job was given up if the second endpoint restarts later.
     assert!(
         failed >= 6,
         "only {failed} of 12 jobs were answered as failed"
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -236,6 +236,8 @@
     pub held_starts: usize,
     /// Jobs that their callers submitted again.
     pub resubmitted: HashSet<JobId>,
+    /// Jobs whose callers stopped waiting without an answer.
+    pub timed_out: HashSet<JobId>,
     instances: Vec<SimulatedInstance>,
     events: BinaryHeap<Reverse<(Time, u64)>>,
     /// The scheduled events, by serial number.
@@ -373,6 +375,7 @@
             stopped: 0,
             held_starts: 0,
             resubmitted: HashSet::new(),
+            timed_out: HashSet::new(),
             instances: Vec::new(),
             events: BinaryHeap::new(),
             payloads: HashMap::new(),
@@ -992,6 +995,7 @@
                     // The caller can't know whether anything was run.
                     view.only_refused = false;
                 }
+                self.timed_out.insert(job);
                 self.resubmit(job);
                 self.on_event(Event::Abandoned(i, incarnation, ticket));
             }
@@ -1750,6 +1754,12 @@
         self.crashing_jobs.insert(job);
         let i = self.random.random_range(0..self.instances.len());
         let duration = Span::millis(200);
+        // Each crash is in doubt until the endpoint is back, after 3 s at the most.
+        let shape = Shape {
+            wait: Span::seconds(9),
+            ..Shape::default()
+        };
+        self.shapes.insert(job, shape);
         self.schedule(after, Event::Submit(i, job, tasks, 1_000, duration));
     }
 
