A task that may run on an endpoint of its rack goes to no other rack

Cause: a rack was handed over to an instance that didn't list one of its endpoints yet. Since the task of a run there stays in the queue, in doubt, where it was in no queue before. A rack with room then asked for waiting tasks, and got this one: what keeps a task from starting didn't keep it from moving. Now neither tasks in doubt nor those with an unknown run are returned, and an endpoint that was listed after the handover has to answer first.

Evidence: task_of_a_run_on_an_endpoint_that_is_not_listed_yet_stays fails without this (the task is returned).

--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -238,7 +238,8 @@
                 || assignment.in_doubt
                 || assignment.suspicion(waiting.index).is_present()
                 || rack.waits.contains(waiting.batch, waiting.index);
-            if pinned || self.run_locations.contains_key(&task) {
+            if pinned || self.run_locations.contains_key(&task) || self.may_run(&task, waiting, now)
+            {
                 continue;
             }
             let (need, priority) = (assignment.batch.need, assignment.batch.priority);
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -77,12 +77,23 @@
         doubts.iter().any(|doubt| {
             let age = now.since(doubt.since);
             match self.endpoints.get(&doubt.endpoint) {
-                Some(state) => age <= MAX_CALL_DELAY && state.may_restart_unnoticed(now),
+                Some(state) => {
+                    let is_known = state.has_answered() && !state.may_restart_unnoticed(now);
+                    age <= MAX_CALL_DELAY && !is_known
+                }
                 None => age <= UNLISTED_SILENCE,
             }
         })
     }
 
+    /// Returns whether a waiting task may run, or be about to, on an endpoint of its rack: it must not go to another rack.
+    pub(super) fn may_run(&self, task: &TaskId, waiting: Waiting, now: Time) -> bool {
+        let assignment = self.assignments.get(&waiting.batch);
+        let task_state = assignment.and_then(|assignment| assignment.tasks.get(&waiting.index));
+        let doubts = task_state.map_or(&[][..], |task_state| &task_state.doubts);
+        self.has_unknown_run(task) || self.is_in_doubt(doubts, now)
+    }
+
     /// Lets the waiting tasks of a lost owner start once each endpoint of the rack has answered this owner, and so bars the other's calls,
     /// or counts as gone.
     pub(super) fn settle_lost_batches(&mut self, id: RackId, waiting: &[Waiting], now: Time) {
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -236,6 +236,72 @@
     assert_eq!(poll(&mut state, 4, Vec::new(), Life(2)).len(), 1);
 }
 
+/// A rack is handed over to an instance that doesn't list one of its endpoints yet. The task of a run there must neither start nor move
+/// to another rack before the endpoint has answered without listing the run.
+#[test]
+fn task_of_a_run_on_an_endpoint_that_is_not_listed_yet_stays() {
+    let (mut test, entry, next) = TestOwner::with_batch(vec![0]);
+    test.running = Some(Vec::new());
+    assert_eq!(starts(&test.process_due(START)), 1);
+    let now = START + Span::millis(20);
+    let mut out = Effects::default();
+    let handover = test
+        .owner
+        .hand_over(test.rack, &next, now, &mut out)
+        .unwrap();
+    let mut taker = Owner::new(&next.name);
+    taker.mark_entry_alive(&entry.name);
+    let token = Token::new(Epoch(2), 2);
+    taker.take_over(handover, token, &[], now, &mut out);
+    let spare = Listing {
+        id: "w-2".parse().unwrap(),
+        address: "w-2:80".to_owned(),
+        ..listing(1)
+    };
+    taker.update_endpoints(&[listing(1), spare], now, &mut out);
+    confirm_entries(&mut taker, now);
+    taker.on_move_announced(&entry.name, 1, 0);
+    let later = now + Span::millis(20);
+    let mut out = Effects::default();
+    taker.process_due(later, &mut out);
+    let polls = out.outputs.iter().filter_map(|output| match output {
+        Output::Call { call, endpoint, .. } => Some((endpoint.as_str().to_owned(), *call)),
+        _ => None,
+    });
+    let polls: std::collections::HashMap<String, CallId> = polls.collect();
+    let answer = |running| {
+        Reply::Looked(Lists {
+            clock: later.0 / 1_000,
+            running,
+            ..Lists::default()
+        })
+    };
+    let mut out = Effects::default();
+    taker.on_reply(polls["w-2"], later, answer(Vec::new()), later, &mut out);
+    let other = RackId::of("cells", "a", "other");
+    let room = vec![listing(4).capacity];
+    let is_start = |output: &Output| {
+        let Output::Call { order, .. } = output else {
+            return false;
+        };
+        matches!(order, Order::Start { .. })
+    };
+    let check = |taker: &mut Owner, at: Time| {
+        let mut out = Effects::default();
+        confirm_entries(taker, at);
+        taker.process_due(at, &mut out);
+        taker.reassign_waiting(test.rack, other, room.clone(), at, &mut out);
+        let is_return = |message: &Message| matches!(message, Message::Returned { .. });
+        let returned = out.messages.iter().any(|(_, message)| is_return(message));
+        (out.outputs.iter().any(is_start), returned)
+    };
+    assert_eq!(check(&mut taker, later + Span::millis(20)), (false, false));
+    let run = vec![listed(task_of(1, 0), Run(1))];
+    let at = later + Span::millis(30);
+    taker.on_reply(polls["w-1"], at, answer(run), at, &mut out);
+    assert_eq!(check(&mut taker, at + Span::millis(20)), (false, false));
+}
+
 /// An endpoint that refuses connections does so immediately. Without backoff it would be polled thousands of times a
 /// second.
 #[test]
