--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -19,6 +19,8 @@
 mod headroom;
 #[path = "dispatch/licenses.rs"]
 mod licenses;
+#[path = "dispatch/mixed_faults.rs"]
+mod mixed_faults;
 #[path = "dispatch/orders_of_owners.rs"]
 mod orders_of_owners;
 #[path = "dispatch/overlap.rs"]
