Log lines that tell which owner started a run, and what it knew of others

Whether two runs of a task were started by one owner, by two in turn or for two submissions couldn't be told from the logs: task_started named neither the rack nor the token, a handover neither of its tokens, and a batch that was dropped not whether a start of it was unanswered.

No logic changes.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -141,6 +141,8 @@
     Replaced,
     /// Its start wasn't carried out.
     Unsent,
+    /// The endpoint listed its end.
+    Ended,
 }
 
 impl fmt::Display for Reason {
@@ -150,6 +152,7 @@
             Self::Silent => "silent",
             Self::Replaced => "replaced",
             Self::Unsent => "unsent",
+            Self::Ended => "ended",
         })
     }
 }
@@ -169,6 +172,16 @@
     pub answered: bool,
 }
 
+impl Loss {
+    /// Returns whether its starts were answered, for the log.
+    pub fn start(&self) -> &'static str {
+        match self.answered {
+            true => "answered",
+            false => "unanswered",
+        }
+    }
+}
+
 /// An event that the owner must handle.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -204,7 +217,7 @@
     /// The endpoint was found slow, or no longer counts as slow.
     Pace(Change),
     /// A run that was no longer wanted has ended.
-    Discarded(TaskId),
+    Discarded(Loss),
     /// Another owner has a higher fencing token.
     Fenced,
     /// Another endpoint, or this one under a new name, answers at the address.
@@ -795,7 +808,7 @@
             return;
         }
         events.push(match (end.end, execution.fate) {
-            (_, Fate::Drop) => Event::Discarded(*task),
+            (_, Fate::Drop) => Event::Discarded(execution.loss(*task, Reason::Ended)),
             (End::Done, _) => Event::Done(*task, execution.batch, end.run, end.serial),
             (End::Failed, _) => Event::Failed(*task, execution.batch),
             _ => Event::Lost(execution.loss(*task, Reason::Unlisted)),
@@ -829,7 +842,7 @@
             let batch = execution.batch;
             let loss = execution.loss(task, reason);
             events.push(match (execution.fate, execution.lost_in_crash) {
-                (Fate::Drop, _) => Event::Discarded(task),
+                (Fate::Drop, _) => Event::Discarded(loss),
                 (Fate::Restart, None) => Event::Lost(loss),
                 (Fate::Restart, Some(sole)) => {
                     let crash = Crash { task, batch, sole };
--- a/src/dispatch/endpoint/execution.rs
+++ b/src/dispatch/endpoint/execution.rs
@@ -121,6 +121,11 @@
         self.answered_at.is_some()
     }
 
+    /// Returns whether a start of it wasn't answered, and may still be carried out.
+    pub fn has_unanswered_start(&self) -> bool {
+        self.unsettled.is_some()
+    }
+
     /// Returns whether its start may be sent again: it wasn't answered, and didn't crash the endpoint.
     pub(super) fn may_be_resent(&self) -> bool {
         self.phase == Phase::Starting && self.lost_in_crash.is_none()
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -316,7 +316,8 @@
 
     /// Claims a rack with a fencing token.
     pub fn claim(&mut self, rack: RackId, token: Token, out: &mut Effects) {
-        out.log(LogRecord::new("rack_claimed").with("rack", rack.to_string()));
+        let record = LogRecord::new("rack_claimed").with("rack", rack.to_string());
+        out.log(record.with("token", token.0));
         let new_rack = Rack {
             token,
             joining_token: token,
@@ -639,9 +640,11 @@
             return out.send(entry, Message::Unknown(vec![serial]));
         };
         let job = self.assignments[&handle].batch.job;
+        let unanswered = self.count_unanswered_starts(handle);
         let started = self.drop_assignment(handle, out);
         let record = LogRecord::routine("batch_cancelled").job(job);
         let record = record.with("batch", serial);
+        let record = record.with("unanswered", unanswered);
         let record = record.with("entry", entry.name.as_str());
         out.log(match self.confirmation_age(&entry.name, now) {
             Some(age) => record.with("confirmed_ms", age),
@@ -679,7 +682,8 @@
         for handle in handles {
             let job = self.assignments[&handle].batch.job;
             let record = LogRecord::new("batch_abandoned").job(job);
-            out.log(record.with("entry", entry.as_str()));
+            let record = record.with("entry", entry.as_str());
+            out.log(record.with("unanswered", self.count_unanswered_starts(handle)));
             self.drop_assignment(handle, out);
         }
     }
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -389,11 +389,11 @@
                 Event::CrashRuledOut(task, handle) => self.rule_out_crash(task, handle, now),
                 Event::Stalled(task, handle) => self.restart_stalled(id, task, handle, now, out),
                 Event::Pace(change) => self.log_pace(id, change, out),
-                Event::Discarded(task) => {
-                    self.run_locations.remove(&task);
-                    let record = LogRecord::routine("run_discarded").job(task.job);
-                    let record = record.with("task", task.to_string());
-                    out.log(record.with("endpoint", id.as_str()));
+                Event::Discarded(loss) => {
+                    self.run_locations.remove(&loss.task);
+                    let record = run_record("run_discarded", id, loss.task, loss.run);
+                    let record = record.with("reason", loss.reason.to_string());
+                    out.log(record.with("start", loss.start()));
                 }
                 Event::Fenced => {
                     let state = self.endpoints.get(id);
@@ -414,11 +414,7 @@
         let record = record.with("run", loss.run.0);
         let record = record.with("endpoint", id.as_str());
         let record = record.with("reason", loss.reason.to_string());
-        let start = match loss.answered {
-            true => "answered",
-            false => "unanswered",
-        };
-        let record = record.with("start", start);
+        let record = record.with("start", loss.start());
         let life = self.endpoints.get(id).map(State::life).unwrap_or_default();
         out.log(record.with("life", life.0));
     }
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -83,7 +83,10 @@
             self.remove_endpoint_state(id);
         }
         let record = LogRecord::new("rack_handed_over").with("rack", rack.to_string());
-        out.log(record.with("to", to.name.as_str()));
+        let record = record.with("to", to.name.as_str());
+        let record = record.with("token", token.0);
+        let record = record.with("batches", batches.len());
+        out.log(record.with("runs", runs.len()));
         Some(Handover {
             rack,
             token,
@@ -105,6 +108,11 @@
         out: &mut Effects,
     ) {
         let former_token = handover.token;
+        let record = LogRecord::new("rack_taken_over").with("rack", handover.rack.to_string());
+        let record = record.with("token", token.0);
+        let record = record.with("former_token", former_token.0);
+        let record = record.with("batches", handover.batches.len());
+        out.log(record.with("runs", handover.runs.len()));
         self.claim(handover.rack, token, out);
         self.update_endpoints(listings, now, out);
         let (mut unwanted, mut handles) = (Vec::new(), Vec::new());
@@ -199,7 +207,8 @@
                 continue;
             };
             let record = LogRecord::new("batch_abandoned").job(assignment.batch.job);
-            out.log(record.with("entry", key.0.as_str()));
+            let record = record.with("entry", key.0.as_str());
+            out.log(record.with("unanswered", self.count_unanswered_starts(handle)));
             // The entry may be alive and have only begun a new session with this instance.
             assignment.return_to_entry(out);
             self.drop_assignment(handle, out);
--- a/src/dispatch/owner/licensing.rs
+++ b/src/dispatch/owner/licensing.rs
@@ -83,7 +83,8 @@
             }
             let record = LogRecord::new("batch_unconfirmed").job(assignment.batch.job);
             let record = record.with("batch", assignment.batch.serial);
-            out.log(record.with("entry", assignment.entry.name.as_str()));
+            let record = record.with("entry", assignment.entry.name.as_str());
+            out.log(record.with("unanswered", self.count_unanswered_starts(handle)));
             assignment.return_to_entry(out);
             self.drop_assignment(handle, out);
         }
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -387,9 +387,10 @@
             return;
         };
         let run = task_state.next;
-        let (entry, serial) = (
+        let (entry, serial, moves) = (
             assignment.entry.name.as_str().to_owned(),
             assignment.batch.serial,
+            assignment.batch.moves,
         );
         task_state.next = run.next();
         if (assignment.batch.stored || is_waiting_part) && !assignment.started {
@@ -419,7 +420,10 @@
         let record = LogRecord::routine("task_started").job(task.job);
         let record = record.with("task", task.to_string()).with("run", run.0);
         let record = record.with("endpoint", id.as_str());
-        out.log(record.with("entry", entry).with("batch", serial));
+        let record = record.with("rack", rack.to_string());
+        let record = record.with("token", order.token().0);
+        let record = record.with("entry", entry).with("batch", serial);
+        out.log(record.with("moves", moves));
         let purpose = Purpose::Start(task, run);
         self.call_endpoint(id, order, purpose, false, out);
     }
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -153,6 +153,19 @@
         self.finish(batch, Outcome::Hopeless, out);
     }
 
+    /// Returns the number of a batch's runs of which a start wasn't answered.
+    pub(super) fn count_unanswered_starts(&self, batch: Handle) -> usize {
+        let assignment = self.assignments.get(&batch).into_iter();
+        let tasks = assignment.flat_map(|a| a.tasks.keys().map(|index| a.task_id(*index)));
+        let execution = |task: TaskId| {
+            let state = self.endpoints.get(self.run_locations.get(&task)?)?;
+            state.executions.get(&task)
+        };
+        let runs = tasks.filter_map(execution);
+        let runs = runs.filter(|run| run.batch == batch && run.has_unanswered_start());
+        runs.count()
+    }
+
     /// Returns the number of runs on silent endpoints whose tasks can't start elsewhere.
     pub fn count_unsettled_runs(&self, now: Time) -> usize {
         let states = self.endpoints.values();
