Failing tests of starts in doubt that leave their owner

A caller whose job must run once would see a task of it run twice at a time, where a start of it got no answer, its endpoint started again under its name, and the task has left the owner that knew of the start: it was cancelled, given up or abandoned and submitted again at the same owner or another one, its batch came back, its rack was handed over beside an unwanted run, or its coordinator died.

Cause: the owner alone knows of the start, in the state of the task's batch or as a run that isn't wanted any more. Both end with the batch, with the first answer of the endpoint's next life, or with the rack.

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -43,6 +43,8 @@
 mod stored;
 #[path = "dispatch/straggler.rs"]
 mod straggler;
+#[path = "dispatch/travelling_doubts.rs"]
+mod travelling_doubts;
 #[path = "dispatch/withdrawals.rs"]
 mod withdrawals;
 #[path = "dispatch/world.rs"]
