Failing tests of batches that come back, and of a rack without owner

A batch that its next owner returns unconfirmed comes back to that owner, which counts its endpoints as settled since they have answered it once, and has dropped the start in doubt. A job that is cancelled while its task waits for a doubt has no run that could be told of.

--- a/tests/dispatch/travelling_doubts.rs
+++ b/tests/dispatch/travelling_doubts.rs
@@ -68,9 +68,9 @@
 }
 
 impl Site {
-    /// Returns a site without faults, where endpoints that are down drop calls, and where callers submit jobs again that were given up.
-    fn new(seed: u64) -> Self {
-        let mut world = World::new(seed, 4, 2, NO_FAULTS);
+    /// Returns a site with a given number of instances and without faults, where endpoints that are down drop calls, and where callers submit jobs again that were given up.
+    fn with_instances(seed: u64, instances: usize) -> Self {
+        let mut world = World::new(seed, instances, 2, NO_FAULTS);
         world.crash_silently();
         world.set_row_lag(Span::seconds(1));
         world.resubmit_given_up();
@@ -127,9 +127,14 @@
 
 /// Runs a site with each of some seeds. Checks that a start was held, that each caller has an answer, and that no task ran twice at a time.
 fn check(prepare: impl Fn(&mut Site)) {
+    check_with(4, prepare);
+}
+
+/// Does the same with a given number of instances.
+fn check_with(instances: usize, prepare: impl Fn(&mut Site)) {
     let mut failures = Vec::new();
     for seed in 0..8 {
-        let mut site = Site::new(seed);
+        let mut site = Site::with_instances(seed, instances);
         prepare(&mut site);
         site.world.run(WATCH);
         site.world.finish_and_check();
@@ -189,6 +194,18 @@
     });
 }
 
+/// The same, where the start was barred and its task waits when the job is cancelled: no run of it is left that could be stopped.
+#[test]
+fn job_cancelled_while_it_waits_for_a_doubt_runs_once() {
+    check(|site| {
+        site.hold_start_over_a_hidden_crash();
+        site.world.set_retry_instance(site.entry);
+        // The lease of the second life's run is over by then.
+        let broken = SECOND_CRASH + Span::millis(1_200);
+        site.world.break_caller_at(broken, JOB);
+    });
+}
+
 /// The entry of a start in doubt is lost, and its caller submits the job again at the same owner.
 #[test]
 fn job_of_a_lost_entry_submitted_again_at_its_owner_runs_once() {
@@ -336,6 +353,45 @@
     });
 }
 
+/// A rack is handed over, and messages of its next owner to the entry stall: the batch is returned unconfirmed, and comes back to that
+/// owner, which has dropped a start in doubt of it.
+#[test]
+fn unconfirmed_batch_that_comes_back_runs_no_task_twice() {
+    check_with(6, |site| {
+        site.hold_start_over_two_crashes();
+        let at = CRASH + Span::millis(290);
+        // The first one without a rack is the entry.
+        let (_, idle) = site.world.owners_in("ulemiste");
+        for next in idle.into_iter().skip(1) {
+            let span = Span::millis(800);
+            site.world.stall_at(at, next, site.entry, span);
+        }
+        let drained = at + Span::millis(10);
+        site.world.drain_at(drained, site.owner);
+    });
+}
+
+/// The owner of a start in doubt dies, and no instance reaches the endpoints of its rack for as long as its entry waits for a next owner:
+/// the task goes to another rack.
+#[test]
+fn task_of_a_rack_that_stays_without_owner_runs_once() {
+    check(|site| {
+        let world = &mut site.world;
+        world.crash_and_restart_at(CRASH, HELD_AT, DOWN, 0);
+        world.hold_orders_at(CRASH, HELD_AT, DOWN, Span::seconds(9));
+        let shape = Shape {
+            wait: Span::seconds(16),
+            ..Shape::default()
+        };
+        world.submit_at(SUBMIT, site.entry, (1, 1_000, TASK), shape);
+        for w in 0..4 {
+            world.isolate_endpoint_at(CRASH + DOWN, w, Span::seconds(12));
+        }
+        let span = Span::seconds(12);
+        world.kill_at(CRASH + Span::millis(300), site.owner, span);
+    });
+}
+
 /// The coordinator of stored jobs dies while starts of theirs are in doubt, and the next one starts the tasks on another rack.
 #[test]
 fn stored_tasks_of_a_lost_coordinator_run_once() {
