--- a/tests/dispatch/mixed_faults.rs
+++ b/tests/dispatch/mixed_faults.rs
@@ -221,3 +221,196 @@
     }
     println!("MIXED {seeds}: {bad} seeds with overlaps");
 }
+
+/// Faults as on a platform whose endpoints come back under new names, in addition to those of [`FAULTS`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    Rename,
+    RenameRack,
+    Notice,
+    Join,
+    Roll,
+    CutCentre,
+    Slow,
+    Evacuate,
+    Flap,
+    Kill,
+    LateInstance,
+    HoldOrders,
+    Other(Fault),
+}
+
+const CHANGES: [Change; 18] = [
+    Change::Rename,
+    Change::RenameRack,
+    Change::Notice,
+    Change::Join,
+    Change::Roll,
+    Change::Roll,
+    Change::CutCentre,
+    Change::Slow,
+    Change::Evacuate,
+    Change::Flap,
+    Change::Kill,
+    Change::LateInstance,
+    Change::HoldOrders,
+    Change::Other(Fault::Stall),
+    Change::Other(Fault::SlowEndpoint),
+    Change::Other(Fault::IsolateEndpoints),
+    Change::Other(Fault::DelayStops),
+    Change::Other(Fault::Suspend),
+];
+
+impl Change {
+    /// Adds the change to a world.
+    fn add(self, world: &mut World, plan: &Plan, random: &mut SmallRng) {
+        let at = millis(random, 0, plan.span.as_millis());
+        let i = random.random_range(0..plan.instances);
+        let w = random.random_range(0..plan.racks * PER_RACK);
+        let rename = |world: &mut World, random: &mut SmallRng, at: Span, w: usize| {
+            let down = millis(random, 500, 4_000);
+            let rows = (millis(random, 50, 600), millis(random, 0, 4_000));
+            world.crash_and_rename_at(at, w, down, rows, random.random_range(0..50_000));
+        };
+        match self {
+            Self::Rename => rename(world, random, at, w),
+            Self::RenameRack => {
+                let rack = w / PER_RACK * PER_RACK;
+                (rack..rack + PER_RACK).for_each(|w| rename(world, random, at, w));
+            }
+            Self::Notice => {
+                let row = millis(random, 0, 3_000);
+                world.vanish_at(at, w, millis(random, 1_500, 3_000), row);
+            }
+            Self::Join => world.join_at(at, w, millis(random, 50, 600)),
+            Self::Roll => {
+                let share = random.random_range(0.45..1.0);
+                let count = (plan.instances as f64 * share).round() as usize;
+                let every = millis(random, 1_200, 2_000);
+                let drain = millis(random, 1_500, 6_000);
+                for n in 0..count {
+                    let (i, at) = ((i + n) % plan.instances, at + every.times(n as u64));
+                    world.drain_at(at, i);
+                    world.replace_at(at + drain, i, millis(random, 300, 1_500));
+                }
+            }
+            Self::CutCentre => {
+                let centre = ["ulemiste", "maardu"][i % 2];
+                world.cut_centre_at(at, centre, Span::seconds(5));
+            }
+            Self::Slow => {
+                let pause = (Span::millis(40), millis(random, 50, 70));
+                world.throttle_at(at, i, Span::seconds(5), Span::millis(9), pause);
+            }
+            Self::Evacuate => {
+                let centre = ["ulemiste", "maardu"][i % 2];
+                world.evacuate_at(at, centre, millis(random, 500, 5_500));
+            }
+            Self::Flap => world.unlist_at(at, w, millis(random, 100, 4_000)),
+            Self::Kill => world.kill_at(at, i, millis(random, 500, 3_000)),
+            Self::LateInstance => world.kill_at(Span(1), i, at + Span::millis(500)),
+            Self::HoldOrders => {
+                let held = millis(random, 100, 6_000);
+                world.hold_orders_at(at, w, millis(random, 50, 1_000), held);
+            }
+            Self::Other(fault) => fault.add(world, plan, random),
+        }
+    }
+}
+
+/// Returns a world with the changes of a seed, and these.
+fn world_with_changes(seed: u64, plan: &Plan) -> (World, Vec<Change>) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let faults = Faults {
+        late_orders: [0.0, 0.07, 0.2][random.random_range(0..3)],
+        lost_heartbeats: [0.0, 0.05][random.random_range(0..2)],
+        broken_links: [0.0, 0.02][random.random_range(0..2)],
+        failed_runs: [0.0, 0.02][random.random_range(0..2)],
+        ..NO_FAULTS
+    };
+    let mut world = World::new(seed, plan.instances, plan.racks, faults);
+    world.collect_overlaps();
+    if random.random_bool(0.3) {
+        world.resubmit_given_up();
+        world.time_out_callers();
+    }
+    world.vary_tasks();
+    if random.random_bool(0.7) {
+        world.crash_silently();
+    }
+    let lag = [100, 2_000, 9_000][random.random_range(0..3)];
+    world.lag_rosters(Span(0), Span::millis(lag));
+    if random.random_bool(0.3) {
+        world.deny_list(random.random_range(0..plan.instances));
+    }
+    let share = [0.0, 0.1, 0.5][random.random_range(0..3)];
+    world.slow_calls(share, Span::millis(400));
+    if random.random_bool(0.5) {
+        world.lag_starts(Span::millis(500));
+    }
+    let end = plan.span + Span::seconds(3);
+    let every = millis(&mut random, 15, 80);
+    for n in 0..end.as_millis() / every.as_millis() {
+        let i = random.random_range(0..plan.instances);
+        let duration = Span::millis([60, 200, 900, 1_800, 3_500][random.random_range(0..5)]);
+        let job = (
+            random.random_range(1..6),
+            random.random_range(500..2_000),
+            duration,
+        );
+        let shape = Shape {
+            wait: millis(&mut random, 2_500, 15_000),
+            ..Shape::default()
+        };
+        world.submit_at(every.times(n), i, job, shape);
+    }
+    let kinds: Vec<Change> = (0..plan.faults)
+        .map(|_| CHANGES[random.random_range(0..CHANGES.len())])
+        .collect();
+    for change in &kinds {
+        change.add(&mut world, plan, &mut random);
+    }
+    world.run(end + Span::seconds(6));
+    (world, kinds)
+}
+
+const CHANGES_PLAN: Plan = Plan {
+    instances: 6,
+    racks: 4,
+    faults: 9,
+    span: Span::seconds(9),
+};
+
+/// Counts the seeds with overlaps. Setting: `MIXED_SEEDS=FROM-UNTIL`.
+#[test]
+#[ignore = "a sweep by hand, of some minutes"]
+fn sweep_of_renamed_endpoints() {
+    let seeds = std::env::var("MIXED_SEEDS").unwrap_or("0-100".to_owned());
+    let (from, until) = seeds.split_once('-').unwrap();
+    let (mut bad, mut bad_once) = (0, 0);
+    let (mut runs, mut handed) = (0, 0);
+    for seed in from.parse::<u64>().unwrap()..=until.parse().unwrap() {
+        let (world, changes) = world_with_changes(seed, &CHANGES_PLAN);
+        runs += world
+            .endpoints
+            .iter()
+            .map(|w| w.history.len())
+            .sum::<usize>();
+        handed += world.log_count("rack_handed_over");
+        let overlaps = world.overlaps();
+        let is_again = |job| world.resubmitted.contains(&job);
+        let once = overlaps.iter().find(|o| !is_again(o.earlier.1.task.job));
+        bad += usize::from(!overlaps.is_empty());
+        bad_once += usize::from(once.is_some());
+        if let Some(overlap) = once.or(overlaps.first()) {
+            println!(
+                "RENAMED seed {seed}: {} overlaps, {} ms, resubmitted {}; {changes:?}",
+                overlaps.len(),
+                overlap.span.as_millis(),
+                is_again(overlap.earlier.1.task.job),
+            );
+            println!("RENAMED   {overlap:?}");
+        }
+    }
+    println!("RENAMED {seeds}: {bad} seeds with overlaps, {bad_once} of jobs that were submitted once; {runs} runs, {handed} racks handed over");
+}
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -142,6 +142,14 @@
     Abandoned(usize, u64, Ticket),
     CallerTimeout(usize, u64, Ticket, JobId),
     Unlist(usize, bool),
+    List(usize, u64, Box<Roster>),
+    Replace(usize, Span),
+    CutCentre(String, bool),
+    CrashAndRename(usize, Span, (Span, Span), u64),
+    Rename(usize, (Span, Span), u64),
+    EndRow(usize),
+    Vanish(usize, Span),
+    Join(usize, Span),
 }
 
 #[derive(Debug)]
@@ -312,8 +320,27 @@
     resized: HashMap<usize, (Time, u64)>,
     /// Stored jobs that are shown as cancelled, and since when.
     cancelled: HashMap<JobId, Time>,
+    /// Between which times after a change of the platform's list each instance reads it; at once if there are none.
+    roster_lag: Option<(Span, Span)>,
+    /// Instances that get the platform's list from peers only.
+    unlisted_readers: HashSet<usize>,
+    /// The version of the list that each instance has read last.
+    read_rosters: HashMap<usize, u64>,
+    /// Endpoints that are gone while their row is still there.
+    stale_rows: HashSet<usize>,
+    /// The share of calls and answers that take longer than others, and how long they take at most.
+    slow_calls: (f64, Span),
+    /// How late the heartbeats of an instance are at most within [`START_SPREAD`] after its start.
+    start_lag: Span,
+    /// The data centre that is cut off from the others and from the platform.
+    cut_centre: Option<String>,
+    /// When each instance started.
+    started: HashMap<usize, Time>,
 }
 
+/// How long after its start the heartbeats of an instance may be late.
+const START_SPREAD: Span = Span::seconds(2);
+
 /// A waiting poll: the endpoint, its deadline, the call of an instance, and the order.
 type WaitingPoll = (usize, Time, (usize, u64, CallId, Time), Box<Order>);
 
@@ -418,6 +445,14 @@
             logged: HashMap::new(),
             resized: HashMap::new(),
             cancelled: HashMap::new(),
+            roster_lag: None,
+            unlisted_readers: HashSet::new(),
+            read_rosters: HashMap::new(),
+            stale_rows: HashSet::new(),
+            slow_calls: (0.0, Span(0)),
+            start_lag: Span(0),
+            cut_centre: None,
+            started: HashMap::new(),
         };
         for i in 0..racks * per_rack {
             let listing = Listing {
@@ -464,7 +499,9 @@
     fn update_roster(&mut self) {
         self.roster.version += 1;
         let endpoints = self.endpoints.iter().enumerate();
-        let listed = endpoints.filter(|(w, endpoint)| endpoint.up && !self.unlisted.contains(w));
+        let listed = endpoints.filter(|(w, endpoint)| {
+            (endpoint.up || self.stale_rows.contains(w)) && !self.unlisted.contains(w)
+        });
         let listings = listed.map(|(_, endpoint)| endpoint.listing.clone());
         self.roster.endpoints = listings.collect();
     }
@@ -534,7 +571,12 @@
         if !self.store_denied.contains(&i) {
             self.feed(i, Input::Evacuated(self.evacuation.clone()));
         }
-        self.feed(i, Input::RosterListed(self.roster.clone(), Vec::new()));
+        self.started.insert(i, now);
+        self.read_rosters.remove(&i);
+        match self.roster_lag {
+            Some(_) => self.list_later(i),
+            None => self.feed(i, Input::RosterListed(self.roster.clone(), Vec::new())),
+        }
         self.feed(i, Input::MembersFound(contacts));
         let incarnation = self.instances[i].incarnation;
         self.schedule(TICK, Event::Tick(i, incarnation));
@@ -607,7 +649,11 @@
                         continue;
                     }
                     let sender = self.sender(i, &to.name);
-                    let delay = Span(TRANSIT_MICROS + self.random.random_range(0..400));
+                    let mut delay = Span(TRANSIT_MICROS + self.random.random_range(0..400));
+                    let started = self.started.get(&i).copied().unwrap_or_default();
+                    if self.start_lag > Span(0) && self.now.since(started) < START_SPREAD {
+                        delay = delay + Span(self.random.random_range(0..self.start_lag.0));
+                    }
                     let heartbeat = Heartbeat {
                         receipt: Some(receipt),
                         ..heartbeat.clone()
@@ -688,6 +734,10 @@
         let Some(endpoint) = found else {
             return;
         };
+        if self.is_cut_off(i, endpoint) {
+            let silent = Box::new(Reply::Silent);
+            return self.schedule(timeout, Event::Reply(i, incarnation, call, sent, silent));
+        }
         let late = self.random.random_bool(self.faults.late_orders);
         if late {
             let after = Span(self.random.random_range(2_000_000..6_000_000));
@@ -703,6 +753,7 @@
             return;
         }
         let transit = Span(TRANSIT_MICROS + self.random.random_range(0..300));
+        let transit = transit + self.draw_call_delay();
         let order = Box::new(order);
         self.schedule(
             transit,
@@ -750,6 +801,7 @@
                 self.feed(i, input);
             }
             Event::Order(w, .., false) if self.isolated.contains(&w) => {}
+            Event::Order(w, i, .., false) if self.is_cut_off(i, w) => {}
             Event::Order(w, i, incarnation, call, sent, order, false)
                 if self.held_orders.contains_key(&w) =>
             {
@@ -826,8 +878,9 @@
                         return self.waiting_polls.push((w, until, poll, order));
                     }
                 }
+                let transit = Span(TRANSIT_MICROS) + self.draw_call_delay();
                 self.schedule(
-                    Span(TRANSIT_MICROS),
+                    transit,
                     Event::Reply(i, incarnation, call, sent, Box::new(reply)),
                 );
             }
@@ -1006,7 +1059,169 @@
                 };
                 self.publish_roster();
             }
+            Event::List(i, incarnation, roster) => {
+                if self.instances[i].incarnation != incarnation {
+                    return;
+                }
+                if self.is_suspended(i) {
+                    let rest = Span(self.instances[i].suspended_until.since(self.now).0 + 1);
+                    return self.schedule(rest, Event::List(i, incarnation, roster));
+                }
+                if self.cut_centre.as_ref() == Some(&self.instances[i].centre) {
+                    let again = Span::millis(200);
+                    return self.schedule(again, Event::List(i, incarnation, roster));
+                }
+                let read = self.read_rosters.entry(i).or_default();
+                if roster.version > *read {
+                    *read = roster.version;
+                    self.feed(i, Input::RosterListed(*roster, Vec::new()));
+                }
+            }
+            Event::Replace(i, down) => match self.instances[i].dispatcher.is_some() {
+                true => self.kill(i, down),
+                false => self.schedule(down, Event::Start(i)),
+            },
+            Event::CutCentre(centre, on) => {
+                let inside = |i: &usize| on && self.instances[*i].centre == centre;
+                self.partition = (0..self.instances.len()).filter(inside).collect();
+                self.cut_centre = on.then_some(centre);
+            }
+            Event::CrashAndRename(w, down, rows, ahead) => {
+                let now = self.now;
+                if !self.endpoints[w].up || self.endpoints[w].down {
+                    return;
+                }
+                self.endpoints[w].crash(now);
+                (self.endpoints[w].up, self.endpoints[w].down) = (true, true);
+                self.schedule(down, Event::Rename(w, rows, ahead));
+            }
+            Event::Rename(w, (begin, end), ahead) => {
+                (self.endpoints[w].up, self.endpoints[w].down) = (false, false);
+                self.stale_rows.insert(w);
+                self.schedule(end, Event::EndRow(w));
+                let address = self.endpoints[w].listing.address.clone();
+                self.add_endpoint(w, address, ahead);
+                self.schedule(begin, Event::EndRow(self.endpoints.len() - 1));
+            }
+            Event::EndRow(w) => {
+                match self.endpoints[w].up {
+                    true => self.unlisted.remove(&w),
+                    false => self.stale_rows.remove(&w),
+                };
+                self.publish_roster();
+            }
+            Event::Vanish(w, row) => {
+                let now = self.now;
+                if self.endpoints[w].up && !self.endpoints[w].down {
+                    self.endpoints[w].crash(now);
+                    (self.endpoints[w].up, self.endpoints[w].down) = (true, true);
+                    self.schedule(row, Event::Unlist(w, true));
+                }
+            }
+            Event::Join(w, begin) => {
+                let address = format!("{}", self.endpoints.len() + 1_000);
+                self.add_endpoint(w, address, 0);
+                self.schedule(begin, Event::EndRow(self.endpoints.len() - 1));
+            }
+        }
+    }
+
+    /// Adds an endpoint beside another one that isn't listed yet.
+    fn add_endpoint(&mut self, w: usize, address: String, ahead: u64) {
+        let number = self.endpoints.len();
+        let mut listing = self.endpoints[w].listing.clone();
+        listing.id = format!("w-{number}").parse().unwrap();
+        listing.address = address;
+        listing.draining = false;
+        let mut endpoint = SimulatedEndpoint::new(listing, self.endpoints[w].clock_lag);
+        endpoint.restart(self.now, ahead);
+        self.endpoints.push(endpoint);
+        self.unlisted.insert(number);
+    }
+
+    /// Returns whether an instance and an endpoint are apart by the cut of a data centre.
+    fn is_cut_off(&self, i: usize, w: usize) -> bool {
+        let inside = |centre: &String| self.cut_centre.as_ref() == Some(centre);
+        inside(&self.instances[i].centre) != inside(&self.endpoints[w].listing.centre)
+    }
+
+    /// Draws how much longer than usual a call or an answer takes.
+    fn draw_call_delay(&mut self) -> Span {
+        let (share, most) = self.slow_calls;
+        // Without slow calls nothing is drawn here, which keeps the random sequence of other faults.
+        if share > 0.0 && self.random.random_bool(share) {
+            return Span(self.random.random_range(1_000..most.0));
+        }
+        Span(0)
+    }
+
+    /// Lets an instance read the present list after its lag.
+    fn list_later(&mut self, i: usize) {
+        let Some((from, until)) = self.roster_lag else {
+            return;
+        };
+        if self.unlisted_readers.contains(&i) {
+            return;
         }
+        let lag = Span(self.random.random_range(from.0..=until.0));
+        let incarnation = self.instances[i].incarnation;
+        let roster = Box::new(self.roster.clone());
+        self.schedule(lag, Event::List(i, incarnation, roster));
+    }
+
+    /// Lets each instance read the platform's list at another time after a change.
+    pub(crate) fn lag_rosters(&mut self, from: Span, until: Span) {
+        self.roster_lag = Some((from, until));
+    }
+
+    /// Withholds the platform's list from an instance, which gets it from peers.
+    pub(crate) fn deny_list(&mut self, i: usize) {
+        self.unlisted_readers.insert(i);
+    }
+
+    /// Makes a share of the calls to endpoints and of their answers take up to `most`, so that they overtake each other.
+    pub(crate) fn slow_calls(&mut self, share: f64, most: Span) {
+        self.slow_calls = (share, most);
+    }
+
+    /// Makes the heartbeats of instances that have just started late by up to a span.
+    pub(crate) fn lag_starts(&mut self, most: Span) {
+        self.start_lag = most;
+    }
+
+    /// Kills an instance, or starts it again if it has drained, after `down`.
+    pub(crate) fn replace_at(&mut self, after: Span, i: usize, down: Span) {
+        self.schedule(after, Event::Replace(i, down));
+    }
+
+    /// Cuts a data centre off from the others and from the platform for a span.
+    pub(crate) fn cut_centre_at(&mut self, after: Span, centre: &str, span: Span) {
+        self.schedule(after, Event::CutCentre(centre.to_owned(), true));
+        self.schedule(after + span, Event::CutCentre(centre.to_owned(), false));
+    }
+
+    /// Crashes an endpoint, which comes back at its address under a new name after `down`. The new row appears and the old one ends
+    /// the given times later.
+    pub(crate) fn crash_and_rename_at(
+        &mut self,
+        after: Span,
+        w: usize,
+        down: Span,
+        rows: (Span, Span),
+        ahead: u64,
+    ) {
+        self.schedule(after, Event::CrashAndRename(w, down, rows, ahead));
+    }
+
+    /// Ends an endpoint for good after a notice. Its row lapses `row` later.
+    pub(crate) fn vanish_at(&mut self, after: Span, w: usize, notice: Span, row: Span) {
+        self.schedule(after, Event::Leave(w));
+        self.schedule(after + notice, Event::Vanish(w, row));
+    }
+
+    /// Adds an endpoint to the rack of another one. Its row appears `row` later.
+    pub(crate) fn join_at(&mut self, after: Span, w: usize, row: Span) {
+        self.schedule(after, Event::Join(w, row));
     }
 
     /// Breaks the connection of a job's caller, who then retries elsewhere. The entry reads the break once it isn't suspended.
@@ -1107,11 +1322,10 @@
                 continue;
             }
             let reply = Box::new(endpoint.poll_reply(now));
-            if !self.muted.contains(&w) && !self.isolated.contains(&w) {
-                self.schedule(
-                    Span(TRANSIT_MICROS),
-                    Event::Reply(i, incarnation, call, sent, reply),
-                );
+            let cut = self.is_cut_off(i, w);
+            if !self.muted.contains(&w) && !self.isolated.contains(&w) && !cut {
+                let transit = Span(TRANSIT_MICROS) + self.draw_call_delay();
+                self.schedule(transit, Event::Reply(i, incarnation, call, sent, reply));
             }
         }
     }
@@ -1119,7 +1333,9 @@
     fn publish_roster(&mut self) {
         self.update_roster();
         for i in 0..self.instances.len() {
-            if !self.is_suspended(i) {
+            if self.roster_lag.is_some() {
+                self.list_later(i);
+            } else if !self.is_suspended(i) {
                 self.feed(i, Input::RosterListed(self.roster.clone(), Vec::new()));
             }
         }
