--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -43,6 +43,8 @@
 mod stored;
 #[path = "dispatch/straggler.rs"]
 mod straggler;
+#[path = "dispatch/unlisted_runs.rs"]
+mod unlisted_runs;
 #[path = "dispatch/withdrawals.rs"]
 mod withdrawals;
 #[path = "dispatch/world.rs"]
