Failing test: a second handover forgets runs on endpoints that aren't listed

Callers see a task run twice at a time, for up to 372 ms here.

Cause: the next owner of a rack gets the runs with it. For one on an endpoint that it doesn't list yet it keeps a doubt (add_doubt in take_over), and the task waits. hand_over passes on executions and batches, and no doubts. So the owner after the next one finds the task in the queue of its rack, knows nothing of the run, and starts the task while the first owner's lease still holds.

No endpoint starts again, no call is late, and no job is submitted again.

--- a/tests/dispatch/mixed_faults.rs
+++ b/tests/dispatch/mixed_faults.rs
@@ -261,6 +261,19 @@
     Change::Other(Fault::Suspend),
 ];
 
+/// Changes of endpoints, and of instances one after the other.
+const ROLLS: [Change; 9] = [
+    Change::RenameRack,
+    Change::RenameRack,
+    Change::Rename,
+    Change::Join,
+    Change::Join,
+    Change::Roll,
+    Change::Roll,
+    Change::Slow,
+    Change::LateInstance,
+];
+
 impl Change {
     /// Adds the change to a world.
     fn add(self, world: &mut World, plan: &Plan, random: &mut SmallRng) {
@@ -365,7 +378,10 @@
         world.submit_at(every.times(n), i, job, shape);
     }
     let kinds: Vec<Change> = (0..plan.faults)
-        .map(|_| CHANGES[random.random_range(0..CHANGES.len())])
+        .map(|_| match std::env::var_os("MIXED_ROLLS").is_some() {
+            true => ROLLS[random.random_range(0..ROLLS.len())],
+            false => CHANGES[random.random_range(0..CHANGES.len())],
+        })
         .collect();
     for change in &kinds {
         change.add(&mut world, plan, &mut random);
@@ -381,7 +397,8 @@
     span: Span::seconds(9),
 };
 
-/// Counts the seeds with overlaps. Setting: `MIXED_SEEDS=FROM-UNTIL`.
+/// Counts the seeds with overlaps. Settings: `MIXED_SEEDS=FROM-UNTIL`, and `MIXED_ROLLS` for those of
+/// [`ROLLS`] alone.
 #[test]
 #[ignore = "a sweep by hand, of some minutes"]
 fn sweep_of_renamed_endpoints() {
--- a/tests/dispatch/unlisted_runs.rs
+++ b/tests/dispatch/unlisted_runs.rs
@@ -1,11 +1,6 @@
-//! Runs on endpoints that the next owners of their rack don't list yet, while the rack changes its owner again and again.
+//! Runs on endpoints that the next owners of their rack don't list yet.
 
 use poplarknot::prelude::*;
-use rand::{
-    rngs::SmallRng,
-    Rng as _,
-    SeedableRng as _, //
-};
 
 use super::{
     world::{
@@ -15,62 +10,68 @@
     NO_FAULTS, //
 };
 
-/// Returns a world in which an endpoint joined the only rack, whose owner alone lists it, and drains two owners one after the other.
-fn world_with_two_handovers(seed: u64) -> World {
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut world = World::new(seed, 4, 1, NO_FAULTS);
+/// Endpoints of the rack, of which the last one joins while the world runs.
+const ENDPOINTS: usize = 5;
+
+/// Returns the owner of the only rack.
+fn owner(world: &World) -> Option<usize> {
+    (0..INSTANCES).find(|i| world.rack_count(*i) > 0)
+}
+
+const INSTANCES: usize = 4;
+
+/// Returns a world in which an endpoint has joined the only rack and runs tasks, and its owner, which alone lists it, was drained.
+/// Returns the next owner too.
+fn world_after_handover(seed: u64) -> (World, usize) {
+    let mut world = World::new(seed, INSTANCES, 1, NO_FAULTS);
     world.collect_overlaps();
-    let owner = |world: &World| (0..4).find(|i| world.rack_count(*i) > 0);
     let first = owner(&world).unwrap();
     world.lag_rosters(Span(0), Span::millis(10));
-    (0..4)
-        .filter(|i| *i != first)
-        .for_each(|i| world.deny_list(i));
+    let others = (0..INSTANCES).filter(|i| *i != first);
+    others.for_each(|i| world.deny_list(i));
     world.join_at(Span(1), 0, Span::millis(100));
     world.run(Span::millis(400));
     let shape = Shape {
         wait: Span::seconds(9),
         ..Shape::default()
     };
-    let entry = (first + 1) % 4;
-    let short = (4, 1_000, Span::millis(random.random_range(100..500)));
+    let entry = (first + 1) % INSTANCES;
     for n in 0..3 {
+        let short = (4, 1_000, Span::millis(150));
         world.submit_at(Span::millis(n), entry, short, shape);
     }
     for n in 0..4 {
         let long = (2, 1_000, Span::seconds(4));
         world.submit_at(Span::millis(10 + n), entry, long, shape);
     }
-    world.run(Span::millis(random.random_range(300..900)));
+    world.run(Span::millis(300));
+    let started = world.starts_on(ENDPOINTS - 1, Time::default());
+    assert!(started > 0, "nothing runs on the endpoint that joined");
     world.drain_at(Span(1), first);
-    let mut second = None;
-    for _ in 0..200 {
-        world.run(Span::millis(10));
-        second = owner(&world).filter(|i| *i != first);
-        if second.is_some() {
-            break;
-        }
+    world.run(Span::millis(50));
+    let second = owner(&world).unwrap();
+    assert_ne!(second, first);
+    (world, second)
+}
+
+/// Guards against a task that the second of two next owners of its rack starts beside its run, since the first one, which didn't list
+/// the run's endpoint yet, doesn't pass on that the task may run there.
+#[test]
+fn second_handover_past_an_unlisted_endpoint_runs_no_task_twice() {
+    for seed in 0..8 {
+        let (mut world, second) = world_after_handover(seed);
+        world.drain_at(Span::millis(50), second);
+        world.run(Span::seconds(9));
+        world.check_no_overlaps();
     }
-    let Some(second) = second else {
-        println!("no second owner");
-        return world;
-    };
-    world.run(Span::millis(random.random_range(0..700)));
-    world.drain_at(Span(1), second);
-    world.run(Span::seconds(9));
-    world
 }
 
+/// Guards against a task that the next owner of its rack starts beside its run on an endpoint that it doesn't list yet.
 #[test]
-#[ignore = "a trial"]
-fn sweep_of_two_handovers() {
-    let mut bad = 0;
-    for seed in 0..200 {
-        let world = world_with_two_handovers(seed);
-        if let Some(overlap) = world.overlaps().first() {
-            bad += 1;
-            println!("TWO seed {seed}: {} ms {overlap:?}", overlap.span.as_millis());
-        }
+fn handover_past_an_unlisted_endpoint_runs_no_task_twice() {
+    for seed in 0..8 {
+        let (mut world, _) = world_after_handover(seed);
+        world.run(Span::seconds(9));
+        world.check_no_overlaps();
     }
-    println!("TWO: {bad} of 200");
 }
