--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -45,6 +45,8 @@
 mod straggler;
 #[path = "dispatch/travelling_doubts.rs"]
 mod travelling_doubts;
+#[path = "dispatch/unlisted_runs.rs"]
+mod unlisted_runs;
 #[path = "dispatch/withdrawals.rs"]
 mod withdrawals;
 #[path = "dispatch/world.rs"]
