Starts in doubt are known wherever their task goes

Callers saw a task run twice at a time after its rack had been handed over twice within a second, or after their job had come again through another entry, or to the same owner, while a start of the first attempt was still on its way.

Cause: that a start may still be carried out was kept in the batch's tasks at one owner. It ended with the batch, the rack, the entry or the wait of the caller, and whoever got the task next knew nothing of it: the next owner of the rack (a run on an endpoint that it doesn't list, passed on once more), the same owner (an unwanted run ends without a trace), the owner of another rack (a resubmission, a returned batch, the next coordinator).

Starts in doubt are now kept by task, for as long as a call may be on its way. They go with a rack to its next owner, with a batch to its owner, and to all instances when a batch is dropped whose start got no answer; an entry does the same for batches of an owner that died. An entry places such tasks at the rack of the start only, whose owner finds out what becomes of it, and a job with one is not refused as not run. Nothing is sent where no start is in doubt. Instances of an earlier build get no such message.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,7 @@
 mod coordination;
 mod discovery;
 mod documents;
+pub mod doubt;
 pub mod durable;
 pub mod endpoint;
 pub mod entry;
@@ -185,6 +186,8 @@
     pub reserved_tasks: usize,
     /// Runs on silent endpoints of which a start may still be carried out, so that their tasks can't start elsewhere.
     pub unsettled_runs: usize,
+    /// Tasks with a start in doubt that this instance knows of.
+    pub doubtful_tasks: usize,
 }
 
 /// What a heartbeat changes besides its sender's entry among the members.
@@ -393,6 +396,7 @@
             held_back_tasks,
             reserved_tasks: reserved_tasks as usize,
             unsettled_runs: self.owner.count_unsettled_runs(self.stepped_at),
+            doubtful_tasks: self.owner.count_doubts(),
         }
     }
 
@@ -418,6 +422,7 @@
             if messages.is_empty() {
                 self.owner.process_due(now, out);
                 self.report_run_ends(now, out);
+                self.tell_doubts(now, out);
                 if out.messages.is_empty() {
                     return;
                 }
@@ -735,6 +740,7 @@
             }
             SenderCheck::NewSession => {
                 if before.is_some_and(|(_, incarnation, _)| incarnation != from.incarnation) {
+                    self.entry.tell_doubts_of_dropped(name);
                     // Its former incarnation has ended, so its racks can be claimed at once.
                     self.former_owners
                         .retain(|_, former| former.owner.as_ref() != Some(name));
@@ -865,6 +871,10 @@
             Message::Withdraw { serial, tasks } => {
                 self.owner.withdraw(&from.name, serial, &tasks, out);
             }
+            Message::Doubts(told) => {
+                self.owner.learn_doubts(&told, now);
+                self.entry.learn_doubts(&told, now);
+            }
         }
     }
 
@@ -914,6 +924,7 @@
             let claims = member.status.as_ref();
             let claims = claims.map_or_else(Vec::new, |status| status.racks.clone());
             self.end_session(member, now, out);
+            self.entry.tell_doubts_of_dropped(&name);
             self.add_former_owner(&name, &claims, now);
             self.coordinator.require_lock_checks(now);
         }
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -51,6 +51,9 @@
 /// Racks in one heartbeat, so that it fits in one packet.
 const MAX_RACKS_PER_HEARTBEAT: usize = 6;
 
+/// Starts in doubt in one message, some 20 KiB.
+const MAX_DOUBTS: usize = 256;
+
 impl Dispatcher {
     /// Sends a member that has become alive what it needs to place tasks: the room of all racks.
     pub(super) fn introduce(&mut self, to: &Contact, now: Time, out: &mut Effects) {
@@ -59,6 +62,25 @@
         let rooms = self.owner.vacancies(now);
         self.update_own_rooms(&rooms, now);
         self.send_heartbeats(slice::from_ref(&to.name), &rooms, now, out);
+        let doubts = self.owner.doubts_to_tell(now);
+        for part in doubts.chunks(MAX_DOUBTS) {
+            out.messages
+                .push((to.clone(), Message::Doubts(part.to_vec())));
+        }
+    }
+
+    /// Tells all members of starts in doubt whose tasks may come to any of them.
+    pub(super) fn tell_doubts(&mut self, now: Time, out: &mut Effects) {
+        let mut doubts = self.owner.take_untold_doubts();
+        doubts.extend(self.entry.take_untold_doubts());
+        if doubts.is_empty() {
+            return;
+        }
+        self.owner.learn_doubts(&doubts, now);
+        self.entry.learn_doubts(&doubts, now);
+        for part in doubts.chunks(MAX_DOUBTS) {
+            self.broadcast(Message::Doubts(part.to_vec()), out);
+        }
     }
 
     /// Sends heartbeats with `rooms` to members. They say whether this instance needs to watch the receiver closely.
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -1,6 +1,7 @@
 //! The entry: accepts callers' jobs, sends their tasks to rack owners in batches, and answers the callers.
 
 mod batches;
+mod doubts;
 mod ending;
 mod rack;
 mod stored;
@@ -30,12 +31,15 @@
         Limits,
         ESTIMATE_SHARE, //
     },
+    doubt::Doubts,
     id::{
         JobId,
-        RackId, //
+        RackId,
+        TaskId, //
     },
     license::RETRY_DELAY,
     message::{
+        self,
         Answer,
         Batch,
         Contact,
@@ -186,6 +190,15 @@
     withdrawn: Vec<u32>,
 }
 
+/// A batch whose job has ended early, and that its owner hasn't dropped yet as far as this entry has heard.
+#[derive(Debug)]
+struct DroppedBatch {
+    owner: Instance,
+    rack: RackId,
+    tasks: Vec<TaskId>,
+    dropped_at: Time,
+}
+
 /// The jobs in progress that an instance has accepted, and its view of all racks.
 #[derive(Debug)]
 pub struct Entry {
@@ -199,6 +212,12 @@
     racks: BTreeMap<RackId, Rack>,
     /// Data centres where nothing may be started.
     evacuated: BTreeSet<String>,
+    /// Starts in doubt: their tasks go to the racks of these, whose owners know when they may start again.
+    doubts: Doubts,
+    /// Starts in doubt that other instances are to be told of.
+    untold_doubts: Vec<message::Doubt>,
+    /// Batches of jobs that have ended early, until their owners have dropped them.
+    dropped: BTreeMap<u64, DroppedBatch>,
     /// Stored jobs and when they may start: after their runs under a former coordinator have ended.
     delayed_starts: Vec<(Time, JobId)>,
     /// The serial number of the last batch.
@@ -228,6 +247,9 @@
             by_serial: HashMap::new(),
             racks: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            doubts: Doubts::default(),
+            untold_doubts: Vec::new(),
+            dropped: BTreeMap::new(),
             delayed_starts: Vec::new(),
             refusals: 0,
             several_priorities: false,
@@ -469,7 +491,7 @@
             remaining: (0..step.count).collect(),
             placed: false,
         });
-        let job = Job {
+        let mut job = Job {
             tickets: vec![ticket],
             service: route.service.clone(),
             attempts: route.attempts.max(1),
@@ -489,6 +511,7 @@
             stored: false,
             route: route.name.clone(),
         };
+        job.started = self.has_doubts(id);
         let record = LogRecord::routine("job_accepted").job(id);
         let record = record.with("route", route.name.as_str());
         let record = record.with("due_ms", job.due_at.since(now));
@@ -529,9 +552,14 @@
             .max(RETRY_DELAY_RANGE.0)
             .min(RETRY_DELAY_RANGE.1);
         let again = Span(again.0 + spread);
+        let is_in_doubt = record.job.is_some_and(|job| self.has_doubts(job));
         out.outputs
             .push(Output::Log(record.with("again_ms", again)));
-        let answer = Answer::Refused { again };
+        // A start of a former attempt may still be carried out.
+        let answer = match is_in_doubt {
+            true => Answer::GivenUp { again },
+            false => Answer::Refused { again },
+        };
         out.outputs.push(Output::Answer(ticket, answer));
     }
 
@@ -631,6 +659,10 @@
         };
         let submission = job.submission.clone();
         let wanted = &submission.steps[step as usize];
+        let (tasks, in_doubt) = self.split_by_doubt(id, step, tasks, now);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         let mut shares: BTreeMap<RackId, Vec<u32>> = BTreeMap::new();
         let mut unplaced = Vec::new();
         let mut starts = false;
@@ -667,10 +699,13 @@
             });
         }
         job.committed |= starts;
-        let is_split = shares.len() > 1;
+        let is_split = shares.len() + in_doubt.len() > 1;
         for (rack, tasks) in shares {
             self.send_batch(id, step, tasks, (rack, is_split), 0, now, out);
         }
+        for (rack, tasks) in in_doubt {
+            self.place_in_doubt(id, step, tasks, (rack, is_split), now, out);
+        }
     }
 
     /// Gives tasks of a lost owner to the next owner of their rack, which knows when no start of the lost one can arrive there any more.
@@ -699,7 +734,12 @@
                 preferred_rack: None,
                 lost_on: Some((lost_on, until)),
             }),
-            _ => self.place(id, step, tasks, None, now, out),
+            Some(false) => {
+                let lost_at = Time(until.0.saturating_sub(NEXT_OWNER_TIMEOUT.0));
+                self.doubt_starts_on(lost_on, id, step, &tasks, lost_at);
+                self.place(id, step, tasks, None, now, out);
+            }
+            None => self.place(id, step, tasks, None, now, out),
         }
     }
 
@@ -775,14 +815,22 @@
             moves,
             withdrawn: Vec::new(),
         };
-        job.batches.insert(serial, sent);
+        let doubts = self.doubts_of_tasks(id, step, &sent.tasks, now);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.batches.insert(serial, sent);
+        }
         self.by_serial.insert(serial, id);
+        if !doubts.is_empty() {
+            // It arrives before the batch.
+            out.messages.push((owner.clone(), Message::Doubts(doubts)));
+        }
         out.messages.push((owner, Message::Batch(Box::new(batch))));
     }
 
     /// Places the tasks that are due and gives up jobs that can't meet their deadline.
     pub fn run_due(&mut self, now: Time, out: &mut Effects) {
         self.set_now(now);
+        self.expire_doubts(now);
         let mut overdue = Vec::new();
         let mut ready = Vec::new();
         for (id, job) in &mut self.jobs {
--- a/src/dispatch/entry/batches.rs
+++ b/src/dispatch/entry/batches.rs
@@ -38,6 +38,7 @@
         now: Time,
         out: &mut Effects,
     ) -> Option<JobId> {
+        self.on_batch_dropped(serial);
         let id = self.by_serial.remove(&serial)?;
         let job = self.jobs.get_mut(&id)?;
         let sent = job.batches.remove(&serial)?;
@@ -185,6 +186,7 @@
             Some((sent, job.given_up))
         });
         let (Some(id), Some((sent, given_up))) = (id, batch) else {
+            self.on_dropped_batch_moved(serial, &to);
             return send_cancel(to, serial, out);
         };
         if moves < sent.moves {
@@ -229,6 +231,7 @@
         now: Time,
         out: &mut Effects,
     ) {
+        self.on_dropped_batches_unknown(from, serials);
         let given_up: BTreeSet<u64> = serials
             .iter()
             .copied()
--- a/src/dispatch/entry/ending.rs
+++ b/src/dispatch/entry/ending.rs
@@ -30,7 +30,6 @@
         };
         if !job.given_up {
             job.given_up = true;
-            job.unplaced.clear();
             let record = LogRecord::new("job_given_up")
                 .job(id)
                 .with("reason", reason);
@@ -38,6 +37,10 @@
             out.outputs.push(Output::Log(record));
             let mut serials: Vec<u64> = job.batches.keys().copied().collect();
             serials.sort_unstable();
+            self.tell_doubts_of_lost(id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.unplaced.clear();
+            }
             for serial in serials {
                 self.cancel_batch(id, serial, out);
             }
@@ -78,6 +81,7 @@
         for serial in job.batches.keys() {
             self.by_serial.remove(serial);
         }
+        self.remember_dropped(id, &job);
         let record = LogRecord::routine("job_answered").job(id);
         let record = record.with("answer", format!("{answer:?}"));
         let record = record.with("age_ms", now.since(job.arrived_at));
@@ -111,6 +115,7 @@
             for serial in job.batches.keys() {
                 self.by_serial.remove(serial);
             }
+            self.remember_dropped(id, &job);
         }
     }
 
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -1,6 +1,7 @@
 //! Inputs and outputs of the dispatcher, and the messages that dispatchers exchange.
 
 mod call;
+mod doubt;
 mod handover;
 mod heartbeat;
 mod kind;
@@ -28,6 +29,7 @@
         Reply,
         Running, //
     },
+    doubt::Doubt,
     handover::{
         Handover,
         HeldBatch,
@@ -433,6 +435,8 @@
         /// The tasks.
         tasks: Vec<u32>,
     },
+    /// Tells of starts in doubt.
+    Doubts(Vec<Doubt>),
 }
 
 /// Why an owner returns tasks.
--- a/src/dispatch/message/kind.rs
+++ b/src/dispatch/message/kind.rs
@@ -26,6 +26,7 @@
             Self::Ended(_) => "ended",
             Self::Noted { .. } => "noted",
             Self::Withdraw { .. } => "withdraw",
+            Self::Doubts(_) => "doubts",
         }
     }
 }
--- a/src/dispatch/message/protocol.rs
+++ b/src/dispatch/message/protocol.rs
@@ -23,8 +23,11 @@
     /// Adds [`Message::Withdraw`].
     pub const WITHDRAWALS: Self = Self(1);
 
+    /// Adds [`Message::Doubts`].
+    pub const DOUBTS: Self = Self(2);
+
     /// That of this build.
-    pub const CURRENT: Self = Self::WITHDRAWALS;
+    pub const CURRENT: Self = Self::DOUBTS;
 }
 
 impl fmt::Display for Protocol {
@@ -38,6 +41,7 @@
     pub fn protocol(&self) -> Protocol {
         match self {
             Self::Withdraw { .. } => Protocol::WITHDRAWALS,
+            Self::Doubts(_) => Protocol::DOUBTS,
             _ => Protocol::FIRST,
         }
     }
--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -26,14 +26,14 @@
 use self::{
     cancelled::CancelledBatches,
     probe::Probe,
-    speeds::Waits,
-    unsettled::Doubt, //
+    speeds::Waits, //
 };
 pub use self::{
     probe::Availability,
     speeds::Speeds, //
 };
 use super::{
+    doubt::Doubts,
     endpoint::{
         Fate,
         State, //
@@ -52,6 +52,7 @@
     },
     license::Confirmation,
     message::{
+        self,
         Batch,
         CallId,
         Cause,
@@ -180,8 +181,6 @@
     failed_on: Option<Endpoint>,
     /// Runs that were taken for lost, with their endpoints. They may have ended as done.
     lost_runs: Vec<(Endpoint, Run)>,
-    /// Endpoints that have barred a start of it that may still be on its way.
-    doubts: Vec<Doubt>,
 }
 
 impl Default for TaskState {
@@ -193,7 +192,6 @@
             suspicion: Suspicion::default(),
             failed_on: None,
             lost_runs: Vec::new(),
-            doubts: Vec::new(),
         }
     }
 }
@@ -222,6 +220,10 @@
     run_locations: HashMap<TaskId, Endpoint>,
     /// The tasks of runs that endpoints list and this owner doesn't know. They don't start before these runs have ended.
     tasks_of_unknown_runs: BTreeMap<Endpoint, Vec<TaskId>>,
+    /// Starts in doubt, here and as other instances have told.
+    doubts: Doubts,
+    /// Starts in doubt that other instances are to be told of.
+    untold_doubts: Vec<message::Doubt>,
     /// Calls that weren't answered yet, with their fencing tokens.
     pending_calls: HashMap<CallId, (Endpoint, Purpose, Token)>,
     probes: HashMap<RackId, Probe>,
@@ -255,6 +257,8 @@
     last_handle: u64,
     last_call: u64,
     rack_changes: u64,
+    /// The time of the last step.
+    now: Time,
 }
 
 /// What a step of the dispatcher asks for.
@@ -352,6 +356,7 @@
         let record = LogRecord::new("rack_yielded").with("rack", rack.to_string());
         out.log(record.with("reason", reason));
         for id in &state.endpoints {
+            self.doubt_runs_on(id);
             self.remove_endpoint_state(id);
         }
         let handles = self.assignments_of(rack);
@@ -380,6 +385,7 @@
     }
 
     fn return_batch(&mut self, handle: Handle, out: &mut Effects) {
+        self.tell_doubts_of(handle, out);
         if let Some(assignment) = self.remove_assignment(handle) {
             assignment.return_to_entry(out);
         }
@@ -416,8 +422,14 @@
 
     /// Drops all state after a pause of the process: other instances have taken over its racks.
     pub fn reset(&mut self, own: &Instance) {
+        let endpoints: Vec<Endpoint> = self.endpoints.keys().cloned().collect();
+        for id in &endpoints {
+            self.doubt_runs_on(id);
+        }
         // Call IDs continue, so that answers to earlier calls are ignored.
         *self = Self {
+            doubts: std::mem::take(&mut self.doubts),
+            now: self.now,
             last_call: self.last_call,
             rack_changes: self.rack_changes + 1,
             evacuated: std::mem::take(&mut self.evacuated),
@@ -688,8 +700,10 @@
         }
     }
 
-    /// Drops a batch and stops its runs. Returns whether any start of it was sent.
+    /// Drops a batch and stops its runs. Returns whether any start of its tasks was sent, for this batch or for a former one.
     fn drop_assignment(&mut self, handle: Handle, out: &mut Effects) -> bool {
+        self.tell_doubts_of(handle, out);
+        let has_doubts = self.has_doubts(handle);
         let Some(assignment) = self.remove_assignment(handle) else {
             return false;
         };
@@ -697,7 +711,7 @@
             let task = assignment.task_id(*index);
             self.stop_run(task, handle, Fate::Drop, out);
         }
-        assignment.started
+        assignment.started || has_doubts
     }
 
     /// Stops the current run of a task if it belongs to the given batch. `fate` says what happens to the task then.
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -391,6 +391,7 @@
                 Event::Pace(change) => self.log_pace(id, change, out),
                 Event::Discarded(loss) => {
                     self.run_locations.remove(&loss.task);
+                    self.record_doubt(id, &loss, false, now);
                     let record = run_record("run_discarded", id, loss.task, loss.run);
                     let record = record.with("reason", loss.reason.to_string());
                     out.log(record.with("start", loss.start()));
--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -63,6 +63,11 @@
                 });
             }
         }
+        let doubts = self.doubts_of_rack(rack, &ids, now);
+        if !doubts.is_empty() {
+            // It arrives before the rack.
+            out.send(to, Message::Doubts(doubts));
+        }
         let mut batches = Vec::new();
         for handle in self.assignments_of(rack) {
             let Some(mut assignment) = self.remove_assignment(handle) else {
@@ -160,7 +165,7 @@
             execution.suspicion = assignment.suspicion(run.task.index);
             let Some(state) = self.endpoints.get_mut(&run.endpoint) else {
                 // The endpoint has left the list, and may still run the task.
-                self.add_doubt(handle, run.task, run.endpoint, now);
+                self.doubt_unlisted(run.task, handover.rack, run.endpoint, now);
                 continue;
             };
             state.adopt(run.task, execution, former_token);
--- a/src/dispatch/owner/place.rs
+++ b/src/dispatch/owner/place.rs
@@ -60,6 +60,8 @@
     /// Does all work that is due: expires runs, releases held tasks, resends calls, starts queued tasks and polls
     /// endpoints.
     pub fn process_due(&mut self, now: Time, out: &mut Effects) {
+        self.now = now;
+        self.doubts.expire(now);
         self.update_speeds(now, out);
         self.expire_silent(now, out);
         self.expire_unknown_runs(now);
@@ -147,11 +149,10 @@
             };
             let min_duration =
                 Span((assignment.batch.estimate.0 as f64 * MIN_ESTIMATE_SHARE) as u64);
-            let doubts = assignment.tasks.get(&waiting.index);
-            let doubts = doubts.map_or(&[][..], |task_state| &task_state.doubts);
-            let is_in_doubt = assignment.in_doubt || self.is_in_doubt(doubts, now);
+            let task = assignment.task_id(waiting.index);
+            let is_in_doubt = assignment.in_doubt || self.is_in_doubt(&task, now);
             if is_in_doubt && self.is_overdue(waiting.batch, min_duration, now) {
-                unsettled.push((assignment.task_id(waiting.index), waiting.batch));
+                unsettled.push((task, waiting.batch));
                 continue;
             }
             if now + min_duration > assignment.deadline {
@@ -159,7 +160,6 @@
                 continue;
             }
             let (need, label) = (assignment.batch.need, assignment.batch.label.as_ref());
-            let task = assignment.task_id(waiting.index);
             let entry_lost = !self.live_entries.contains(&assignment.entry.name);
             let may_start = !entry_lost && self.may_start(assignment, now);
             let is_running = self.run_locations.contains_key(&task) || self.has_unknown_run(&task);
@@ -325,8 +325,7 @@
             ratio: State::predicted_ratio(state),
             free: state.free.cpu,
         };
-        let doubts = assignment.tasks.get(&index);
-        let doubts = doubts.map_or(&[][..], |task_state| &task_state.doubts);
+        let doubts = self.doubts.of(&assignment.task_id(index));
         if !doubts.is_empty() {
             let is_preferred = |state: &&State| doubts.iter().any(|d| d.prefers(&state.listing.id));
             if let Some(state) = with_room.clone().find(is_preferred) {
--- a/src/dispatch/owner/room.rs
+++ b/src/dispatch/owner/room.rs
@@ -238,8 +238,7 @@
                 || assignment.in_doubt
                 || assignment.suspicion(waiting.index).is_present()
                 || rack.waits.contains(waiting.batch, waiting.index);
-            if pinned || self.run_locations.contains_key(&task) || self.may_run(&task, waiting, now)
-            {
+            if pinned || self.run_locations.contains_key(&task) || self.may_run(&task) {
                 continue;
             }
             let (need, priority) = (assignment.batch.need, assignment.batch.priority);
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -2,7 +2,9 @@
 
 use super::{
     super::{
+        doubt::Doubt,
         endpoint::{
+            Execution,
             Loss,
             Standing,
             State,
@@ -14,6 +16,7 @@
             TaskId, //
         },
         message::{
+            self,
             CallId,
             LogRecord,
             Name,
@@ -33,65 +36,172 @@
 /// The time that the report of a batch that is given up takes to its caller. Later the caller would stop waiting without an answer.
 const REPORT_TIME: Span = Span::millis(50);
 
-/// A start that may still be on its way to an endpoint, whose run was given up.
-#[derive(Debug, Clone)]
-pub(super) struct Doubt {
-    /// The endpoint. It has barred the start in its present life.
-    endpoint: Endpoint,
-    /// When the run was given up.
-    since: Time,
-    /// Whether the endpoint has restarted after the start was sent.
-    restarted: bool,
-}
-
 impl Owner {
     /// Records that a run is given up of which a start may still be on its way.
     pub(super) fn record_doubt(&mut self, id: &Endpoint, loss: &Loss, restarted: bool, now: Time) {
-        let assignment = self.assignments.get_mut(&loss.batch);
-        let task_state = assignment.and_then(|a| a.tasks.get_mut(&loss.task.index));
-        if let Some(task_state) = task_state.filter(|_| !loss.answered) {
-            task_state.doubts.push(Doubt {
-                endpoint: id.clone(),
-                since: now,
-                restarted,
-            });
-        }
+        let Some(state) = self.endpoints.get(id).filter(|_| !loss.answered) else {
+            return;
+        };
+        let doubt = Doubt {
+            rack: state.listing.rack_id(),
+            endpoint: Some(id.clone()),
+            since: now,
+            restarted,
+        };
+        self.doubts.insert(loss.task, doubt);
     }
 
     /// Records that a task may run, or may be about to, on an endpoint that isn't listed any more.
-    pub(super) fn add_doubt(&mut self, batch: Handle, task: TaskId, endpoint: Endpoint, now: Time) {
-        let assignment = self.assignments.get_mut(&batch);
-        let task_state = assignment.and_then(|a| a.tasks.get_mut(&task.index));
-        if let Some(task_state) = task_state {
-            task_state.doubts.push(Doubt {
-                endpoint,
-                since: now,
+    pub(super) fn doubt_unlisted(&mut self, task: TaskId, rack: RackId, id: Endpoint, now: Time) {
+        let doubt = Doubt {
+            rack,
+            endpoint: Some(id),
+            since: now,
+            restarted: false,
+        };
+        self.doubts.insert(task, doubt);
+    }
+
+    /// Records the unanswered starts of all runs on an endpoint that is given up with them.
+    pub(super) fn doubt_runs_on(&mut self, id: &Endpoint) {
+        let Some(state) = self.endpoints.get(id) else {
+            return;
+        };
+        let unanswered = state.executions.iter();
+        let unanswered = unanswered.filter(|(_, run)| run.has_unanswered_start());
+        for (task, _) in unanswered {
+            let doubt = Doubt {
+                rack: state.listing.rack_id(),
+                endpoint: Some(id.clone()),
+                since: self.now,
                 restarted: false,
-            });
+            };
+            self.doubts.insert(*task, doubt);
+        }
+    }
+
+    /// Marks the starts in doubt of a batch that leaves this owner, to be told to all instances: its caller may submit the job again at
+    /// any of them.
+    pub(super) fn tell_doubts_of(&mut self, batch: Handle, out: &mut Effects) {
+        let Some(assignment) = self.assignments.get(&batch) else {
+            return;
+        };
+        let mut told: Vec<message::Doubt> = Vec::new();
+        for index in assignment.tasks.keys() {
+            let task = assignment.task_id(*index);
+            told.extend(self.doubts.to_tell_of(&task, self.now));
+            let location = self.run_locations.get(&task);
+            let state = location.and_then(|id| self.endpoints.get(id));
+            let Some(state) = state else {
+                continue;
+            };
+            let execution = state.executions.get(&task);
+            if execution.is_some_and(|run| run.batch == batch && run.has_unanswered_start()) {
+                told.push(message::Doubt {
+                    task,
+                    rack: state.listing.rack_id(),
+                    endpoint: Some(state.listing.id.clone()),
+                    age: Span(0),
+                    restarted: false,
+                });
+            }
         }
+        for doubt in &told {
+            let record = LogRecord::new("start_in_doubt").job(doubt.task.job);
+            let record = record.with("task", doubt.task.to_string());
+            let record = record.with("rack", doubt.rack.to_string());
+            let endpoint = doubt.endpoint.as_ref().map_or("", Endpoint::as_str);
+            let record = record.with("endpoint", endpoint);
+            let record = record.with("age_ms", doubt.age);
+            out.log(record.with("batch", assignment.batch.serial));
+        }
+        self.untold_doubts.extend(told);
     }
 
-    /// Returns whether a task must not start now: an endpoint to which a start of it may be on its way is silent, and may come back in a
-    /// later life that hasn't barred it.
-    pub(super) fn is_in_doubt(&self, doubts: &[Doubt], now: Time) -> bool {
-        doubts.iter().any(|doubt| {
+    /// Returns whether a start of a task of a batch is in doubt.
+    pub(super) fn has_doubts(&self, batch: Handle) -> bool {
+        let assignment = self.assignments.get(&batch);
+        assignment.is_some_and(|assignment| {
+            let mut tasks = assignment.tasks.keys();
+            tasks.any(|index| !self.doubts.of(&assignment.task_id(*index)).is_empty())
+        })
+    }
+
+    /// Returns the starts in doubt that other instances are to be told of.
+    pub fn take_untold_doubts(&mut self) -> Vec<message::Doubt> {
+        std::mem::take(&mut self.untold_doubts)
+    }
+
+    /// Returns all starts in doubt, for an instance that may not have been told of them.
+    pub fn doubts_to_tell(&self, now: Time) -> Vec<message::Doubt> {
+        self.doubts.to_tell(|_, _| true, now)
+    }
+
+    /// Records the starts in doubt that another instance tells of.
+    pub fn learn_doubts(&mut self, told: &[message::Doubt], now: Time) {
+        self.doubts.learn(told, now);
+    }
+
+    /// Returns the number of tasks with a start in doubt.
+    pub fn count_doubts(&self) -> usize {
+        self.doubts.len()
+    }
+
+    /// Returns what the next owner of a rack must know of besides its batches and their runs: the starts in doubt there and those of the
+    /// batches' tasks, and the runs there that belong to no batch.
+    pub(super) fn doubts_of_rack(
+        &self,
+        rack: RackId,
+        endpoints: &[Endpoint],
+        now: Time,
+    ) -> Vec<message::Doubt> {
+        let is_held = |task: &TaskId| !self.batches_with(*task).is_empty();
+        let mut told = self
+            .doubts
+            .to_tell(|task, doubt| doubt.rack == rack || is_held(task), now);
+        for id in endpoints {
+            let state = self.endpoints.get(id).into_iter();
+            let runs = state.flat_map(|state| &state.executions);
+            let unwanted = |(task, run): (&TaskId, &Execution)| {
+                let is_unwanted = !self.assignments.contains_key(&run.batch);
+                (is_unwanted && run.has_unanswered_start()).then_some(*task)
+            };
+            let unknown = self.tasks_of_unknown_runs.get(id).into_iter().flatten();
+            let tasks = runs.filter_map(unwanted).chain(unknown.copied());
+            told.extend(tasks.map(|task| message::Doubt {
+                task,
+                rack,
+                endpoint: Some(id.clone()),
+                age: Span(0),
+                restarted: false,
+            }));
+        }
+        told
+    }
+
+    /// Returns whether a task must not start now: a start of it may be on its way to an endpoint that is silent and may come back in a
+    /// later life that hasn't barred it, or that another instance calls.
+    pub(super) fn is_in_doubt(&self, task: &TaskId, now: Time) -> bool {
+        self.doubts.of(task).iter().any(|doubt| {
             let age = now.since(doubt.since);
-            match self.endpoints.get(&doubt.endpoint) {
-                Some(state) => {
+            let is_owned = self.racks.contains_key(&doubt.rack);
+            let state = doubt.endpoint.as_ref().map(|id| self.endpoints.get(id));
+            match state {
+                Some(Some(state)) => {
                     let is_known = state.has_answered() && !state.may_restart_unnoticed(now);
                     age <= MAX_CALL_DELAY && !is_known
                 }
-                None => age <= UNLISTED_SILENCE,
+                Some(None) if is_owned => age <= UNLISTED_SILENCE,
+                None if is_owned => age <= MAX_CALL_DELAY && !self.is_settled(doubt.rack, now),
+                _ => age <= MAX_CALL_DELAY,
             }
         })
     }
 
-    /// Returns whether a waiting task may run, or be about to, on an endpoint of its rack: it must not go to another rack.
-    pub(super) fn may_run(&self, task: &TaskId, waiting: Waiting, now: Time) -> bool {
-        let assignment = self.assignments.get(&waiting.batch);
-        let task_state = assignment.and_then(|assignment| assignment.tasks.get(&waiting.index));
-        let doubts = task_state.map_or(&[][..], |task_state| &task_state.doubts);
-        self.has_unknown_run(task) || self.is_in_doubt(doubts, now)
+    /// Returns whether a waiting task may run, or be about to, on an endpoint of its rack: it must not go to another rack, whose owner
+    /// doesn't hear of a restart of that endpoint.
+    pub(super) fn may_run(&self, task: &TaskId) -> bool {
+        self.has_unknown_run(task) || !self.doubts.of(task).is_empty()
     }
 
     /// Lets the waiting tasks of a lost owner start once each endpoint of the rack has answered this owner, and so bars the other's calls,
@@ -248,11 +358,3 @@
         }
     }
 }
-
-impl Doubt {
-    /// Returns whether its endpoint is the best place for the task's next run: if it restarts once more, that run ends with it, and the
-    /// start that is on its way can't begin beside it.
-    pub(super) fn prefers(&self, id: &Endpoint) -> bool {
-        self.restarted && self.endpoint == *id
-    }
-}
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -226,6 +226,7 @@
         set("held_back_tasks", stats.held_back_tasks);
         set("reserved_tasks", stats.reserved_tasks);
         set("unsettled_runs", stats.unsettled_runs);
+        set("doubtful_tasks", stats.doubtful_tasks);
         self.registry.render()
     }
 }
