Tests of requests that are read after their callers have gone

Callers would see a job run twice at a time: a request that its link or the accept queue holds reaches its instance together with the end of its connection, after the caller has come again elsewhere, and its tasks start all the same.

Cause: the runtime takes a new connection for readable before its first event. The request is read in the turn of the event loop in which the connection is accepted, and the end only with the first event, a turn later. By then the starts are written, or the batch is with another owner. Seen in a system call trace: accept4, recvfrom (request), writev (run-start), epoll_pwait (EPOLLRDHUP), recvfrom (end). Bytes behind a request hide the end as well, on any connection.

The license doesn't help: it begins with what has been read, and the request is read after its caller has come again.

--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -611,3 +611,134 @@
     }
     Ok(())
 }
+
+/// When a request and the end of its connection reach an instance that doesn't run for a while.
+#[derive(Debug, Clone, Copy)]
+struct LateRequest {
+    /// How long after the caller's break they arrive: the link has held them.
+    held: Duration,
+    /// How long the instance doesn't run from then on.
+    stopped: Duration,
+}
+
+impl LateRequest {
+    /// Delivers a job's request and the end of its connection to an instance that finds both, and the connection, at once. The job is
+    /// submitted again at `third` [`RETRY_DELAY`] after the break, and no task of it may run twice at a time.
+    async fn deliver(self, world: &World, to: &Instance, job: u64, how: Break) -> Result {
+        let broken_at = Instant::now();
+        let retry = async {
+            sleep_until(broken_at + RETRY_DELAY).await;
+            let third = world.third();
+            let mut client = Client::connect(third.caller_address()).await?;
+            third.submit_over(&mut client, job, &long_job(2)).await
+        };
+        let deliver = async {
+            sleep_until(broken_at + self.held).await;
+            to.signal(Signal::SIGSTOP)?;
+            let mut caller = TcpStream::connect(to.caller_address()).await?;
+            caller.write_all(&request(job, &long_job(2))).await?;
+            how.apply(caller)?;
+            sleep(self.stopped).await;
+            to.signal(Signal::SIGCONT)
+        };
+        let (answer, ()) = tokio::try_join!(retry, deliver)?;
+        let runs = world.runs(job);
+        for run in &runs {
+            println!("{}", describe(run, broken_at));
+        }
+        assert_eq!(answer.status, 200, "{}", world.log_of(&[job], broken_at));
+        world.assert_no_overlap(&runs, job, broken_at);
+        Ok(())
+    }
+}
+
+/// A request whose caller has come again by the time at which its link delivers it.
+const HELD_REQUEST: LateRequest = LateRequest {
+    held: Duration::from_millis(1_700),
+    stopped: Duration::from_millis(50),
+};
+
+/// An owner that reads a request when its caller has closed the connection must not start its tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn held_request_of_a_closed_connection_starts_no_task_at_an_owner() -> Result {
+    let world = World::start(2).await?;
+    HELD_REQUEST
+        .deliver(&world, world.owner(), JOB, Break::Close)
+        .await
+}
+
+/// An owner that reads a request when its caller has reset the connection must not start its tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn held_request_of_a_reset_connection_starts_no_task_at_an_owner() -> Result {
+    let world = World::start(2).await?;
+    HELD_REQUEST
+        .deliver(&world, world.owner(), JOB, Break::Reset)
+        .await
+}
+
+/// An entry that reads a request when its caller has closed the connection must not have its tasks started elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn held_request_of_a_closed_connection_starts_no_task_at_an_entry() -> Result {
+    let world = World::start(2).await?;
+    HELD_REQUEST
+        .deliver(&world, &world.entry, JOB, Break::Close)
+        .await
+}
+
+/// An instance that doesn't run while its caller sends a request, breaks off and comes again must not start the request's tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_read_after_a_pause_starts_no_task_of_a_caller_that_has_gone() -> Result {
+    for stopped in [440, 1_200, 1_600, 4_000] {
+        for at_owner in [true, false] {
+            let world = World::start(2).await?;
+            let late = LateRequest {
+                held: Duration::ZERO,
+                stopped: Duration::from_millis(stopped),
+            };
+            let to = match at_owner {
+                true => world.owner(),
+                false => &world.entry,
+            };
+            println!("stopped for {stopped} ms, at its owner: {at_owner}");
+            late.deliver(&world, to, JOB, Break::Close).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Delivers jobs' requests and the ends of their connections to an instance that finds them at once, and checks that no task starts.
+async fn no_request_starts(
+    world: &World,
+    to: &Instance,
+    jobs: std::ops::Range<u64>,
+    behind: &[u8],
+) -> Result {
+    to.signal(Signal::SIGSTOP)?;
+    for job in jobs.clone() {
+        let mut caller = TcpStream::connect(to.caller_address()).await?;
+        let bytes = [request(job, &long_job(1)), behind.to_vec()].concat();
+        caller.write_all(&bytes).await?;
+        [Break::Close, Break::Reset][job as usize % 2].apply(caller)?;
+    }
+    to.signal(Signal::SIGCONT)?;
+    sleep(RUN_TIME).await;
+    let started: Vec<u64> = jobs.filter(|job| !world.runs(*job).is_empty()).collect();
+    assert!(started.is_empty(), "these jobs started: {started:x?}");
+    Ok(())
+}
+
+/// An instance that finds many connections to accept, whose callers have sent their requests and gone, must start none of their tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_requests_of_callers_that_have_gone_start_no_tasks() -> Result {
+    const COUNT: u64 = 200;
+    let world = World::start(8).await?;
+    no_request_starts(&world, world.owner(), JOB..JOB + COUNT, b"").await?;
+    no_request_starts(&world, &world.entry, JOB + COUNT..JOB + 2 * COUNT, b"").await
+}
+
+/// Bytes behind a request must not hide that its caller has gone before the request is read: its task must not start.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_behind_a_request_hide_no_caller_that_has_gone() -> Result {
+    let world = World::start(2).await?;
+    no_request_starts(&world, world.owner(), JOB..JOB + 2, b"\r\n").await
+}
