Look for the end of a caller's connection before its job is accepted

Callers would see a job run twice at a time, when its request and the end of its connection reach an instance together, and late: see the tests of requests that are read after their callers have gone.

Cause: the runtime reads a new connection before its first event, and tells its end only with that. So the first request was handed over as if its caller were there, and starts or batches left before the end was read.

The system is now asked for the end, with a read that doesn't wait, before a job is handed over. That costs one system call for each job. A caller that has shut down its write side only is told 503, as nothing was accepted.

--- a/src/instance/front.rs
+++ b/src/instance/front.rs
@@ -56,7 +56,10 @@
         now,
         Hub, //
     },
-    read_ahead, //
+    read_ahead::{
+        self,
+        Watch, //
+    }, //
 };
 use crate::{
     dispatch::{
@@ -213,11 +216,13 @@
 
     async fn run_connection(&self, stream: TcpStream, state: &Rc<Connection>) {
         let limits = self.limits();
+        let (stream, watch) = read_ahead::split(stream);
+        let watch = Rc::new(watch);
         let service = service_fn(|request| {
-            let (hub, state) = (self.hub.clone(), state.clone());
+            let (hub, state, watch) = (self.hub.clone(), state.clone(), watch.clone());
             async move {
                 state.idle_since.set(None);
-                let answer = handle_request(&hub, request).await;
+                let answer = handle_request(&hub, &watch, request).await;
                 state.idle_since.set(Some(now()));
                 answer
             }
@@ -227,7 +232,6 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-        let (stream, watch) = read_ahead::split(stream);
         // While no request is in progress, the library reads by itself.
         let caller_gone = poll_fn(|context| match state.idle_since.get() {
             Some(_) => Poll::Pending,
@@ -322,9 +326,9 @@
 }
 
 /// Answers a request; while the instance drains, the response asks the caller to close the connection.
-async fn handle_request(hub: &Rc<Hub>, request: Request<Incoming>) -> HttpResult {
+async fn handle_request(hub: &Rc<Hub>, watch: &Watch, request: Request<Incoming>) -> HttpResult {
     let draining = hub.with_dispatcher(|dispatcher| dispatcher.is_draining());
-    let mut response = route_request(hub, request).await;
+    let mut response = route_request(hub, watch, request).await;
     if draining {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -332,7 +336,11 @@
     Ok(response)
 }
 
-async fn route_request(hub: &Rc<Hub>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn route_request(
+    hub: &Rc<Hub>,
+    watch: &Watch,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
     let host = request.headers().get(HOST).and_then(|h| h.to_str().ok());
     let host = host.unwrap_or_default().to_owned();
@@ -358,7 +366,7 @@
         return error_response(StatusCode::NOT_FOUND, text);
     };
     match *request.method() {
-        Method::POST => submit(hub, request, &route, id, host, path).await,
+        Method::POST => submit(hub, watch, request, &route, id, (host, path)).await,
         Method::GET if hub.with_dispatcher(|d| d.has_job(id)) => {
             json_response(StatusCode::OK, ingress::encode_state(JobState::Running))
         }
@@ -387,11 +395,11 @@
 /// Submits a job, and waits for the dispatcher's answer.
 async fn submit(
     hub: &Rc<Hub>,
+    watch: &Watch,
     request: Request<Incoming>,
     route: &Route,
     id: JobId,
-    host: String,
-    path: String,
+    (host, path): (String, String),
 ) -> Response<Full<Bytes>> {
     let received = now();
     let wait = request.headers().get(ingress::DEADLINE_HEADER);
@@ -417,6 +425,11 @@
             return error_response(StatusCode::BAD_REQUEST, &fault.to_string());
         }
     };
+    if watch.has_ended() {
+        hub.log(&LogRecord::new("caller_gone_before").job(id));
+        let text = "the caller has closed the connection";
+        return error_response(StatusCode::SERVICE_UNAVAILABLE, text);
+    }
     let (ticket, answered) = hub.register_caller();
     let guard = CallerGuard {
         hub: hub.clone(),
--- a/src/instance/read_ahead.rs
+++ b/src/instance/read_ahead.rs
@@ -3,10 +3,16 @@
 //! The HTTP library doesn't read while a request is in progress and bytes behind it wait to be parsed, such as a further request or
 //! an empty line. Without this, the break of such a connection would go unnoticed until the answer, and the job would run on while
 //! its caller submits it again elsewhere.
+//!
+//! A request may also be read when its caller has already gone, and submitted the job again: it may have waited on the link, or for
+//! an instance that didn't run. So a job isn't accepted without a look at its connection.
 
 use std::{
     cell::RefCell,
-    io,
+    io::{
+        self,
+        Read as _, //
+    },
     pin::Pin,
     rc::Rc,
     task::{
@@ -19,6 +25,10 @@
     Buf as _,
     BytesMut, //
 };
+use socket2::{
+    SockRef,
+    Socket, //
+};
 use tokio::{
     io::{
         AsyncRead,
@@ -58,6 +68,27 @@
 }
 
 impl Watch {
+    /// Reads ahead what has arrived, and returns whether the caller has closed the connection or broken it off.
+    ///
+    /// Asks the system and not the runtime, which learns of an end with the next event on the connection: on a new one that's after the
+    /// first request was read.
+    pub(super) fn has_ended(&self) -> bool {
+        let connection = &mut *self.0.borrow_mut();
+        let socket = SockRef::from(&connection.stream);
+        let mut socket: &Socket = &socket;
+        let mut chunk = [0; CHUNK];
+        while !connection.has_ended && connection.ahead.len() < MAX_AHEAD {
+            match socket.read(&mut chunk) {
+                Ok(0) => connection.has_ended = true,
+                Ok(count) => connection.ahead.extend_from_slice(&chunk[..count]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => connection.has_ended = true,
+            }
+        }
+        connection.has_ended
+    }
+
     /// Reads ahead, and is ready once the caller has closed the connection or broken it off.
     pub(super) fn poll_end(&self, context: &mut Context<'_>) -> Poll<()> {
         let connection = &mut *self.0.borrow_mut();
