Ignore answers to starts that were barred and sent again

An answer to a copy whose token is below that of the run's latest start says nothing about the run any more: neither that it wasn't carried out, nor that its start is settled. A copy without an answer still counts as one that a later life may carry out.

--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -10,6 +10,7 @@
 
 use super::{
     super::id::{
+        Run,
         TaskId,
         Token, //
     },
@@ -77,6 +78,13 @@
         token < self.token
     }
 
+    /// Returns whether a start of a run with this token was followed by one with a higher token.
+    pub fn is_superseded(&self, task: &TaskId, run: Run, token: Token) -> bool {
+        let execution = self.executions.get(task).filter(|e| e.run == run);
+        let latest = execution.and_then(|execution| execution.unsettled);
+        latest.is_some_and(|latest| token < latest)
+    }
+
     /// Returns whether starts can be resent: the endpoint answers, and its clock is known.
     pub fn takes_starts(&self) -> bool {
         self.standing == Standing::Open && self.reading.is_some()
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -16,7 +16,8 @@
         id::{
             Life,
             Run,
-            TaskId, //
+            TaskId,
+            Token, //
         },
         message::{
             CallId,
@@ -69,6 +70,7 @@
                 }
             }
             Reply::Looked(_) => {}
+            Reply::Unwell | Reply::Unsent if is_superseded(state, &purpose, token) => return,
             _ => {
                 if reply == Reply::Silent {
                     self.call_timeout.record_timeout();
@@ -79,6 +81,10 @@
         let Some(state) = self.endpoints.get_mut(&id) else {
             return;
         };
+        // The answer to the later copy decides.
+        if is_superseded(state, &purpose, token) {
+            return;
+        }
         let is_fenced =
             matches!(&reply, Reply::Refused { refusal, .. } if *refusal == Refusal::Fenced);
         if is_fenced && state.is_outdated(token) {
@@ -543,6 +549,14 @@
     }
 }
 
+/// Returns whether a call with this token is a start that was sent again since, as the endpoint had barred it.
+fn is_superseded(state: &State, purpose: &Purpose, token: Token) -> bool {
+    match purpose {
+        Purpose::Start(task, run) => state.is_superseded(task, *run, token),
+        _ => false,
+    }
+}
+
 /// Returns the event of a refusal because of the fencing token, or none for other refusals.
 fn fencing_events(refusal: Refusal) -> Vec<Event> {
     match refusal {
