Licenses count from a time that the entry states on its owner's clock

Callers saw a task run twice at a time: after their connection to a restarted entry broke, they came again after 1.3 s while a run of the first attempt still went on, as its owner took the entry's last confirmation for a later one.

Cause: the owner turned the entry's `settled` into its own time by the smallest difference between arrival and sending of the entry's messages. That is an upper bound, late by the shortest transit, and by hundreds of milliseconds where all messages so far were read late. The entry has the lower bound, from the owner's messages to it. It states it in each heartbeat behind the protocol, where earlier builds ignore it; without it a receipt of this build confirms nothing. Receipts of earlier builds count as they did. The drift of the clocks is added once since the measurement, where whole microseconds per message were added, and none for messages within a millisecond.

Tests: confirmation_is_no_later_than_its_member_settled showed only one direction, in which no bound exists. It now plays heartbeats both ways with the same transit and the same check, on equal clocks and on ones that differ by 5,000 s, and also bounds how early the time may be. Added are a drifting clock, the wire format and members of earlier builds. In heartbeat_with_an_unreadable_receipt_confirms_nothing a literal takes its remaining fields, one of them zero as before, from the default.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 mod announcement;
+mod clock_offset;
 mod coordination;
 mod discovery;
 mod documents;
--- a/src/dispatch/license.rs
+++ b/src/dispatch/license.rs
@@ -39,12 +39,31 @@
     pub sent: u64,
     /// The number of messages of the receiver that the sender has handled.
     pub received: u64,
+    /// [`Receipt::settled`] on the receiver's clock. It follows the protocol in the datagram, where builds that don't know it ignore
+    /// it.
+    #[serde(skip)]
+    pub settled_there: SettledThere,
+}
+
+/// [`Receipt::settled`] on the receiver's clock, as far as the sender can tell from what it has heard of the receiver.
+///
+/// The receiver can't tell by itself: it doesn't know how long the member's messages were on their way, and a time that is later than
+/// the true one would lengthen a license.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SettledThere {
+    /// The sender is of an earlier build, which doesn't state it.
+    #[default]
+    Unstated,
+    /// The sender hasn't heard the receiver yet.
+    Unknown,
+    /// At this time or later.
+    NotBefore(Time),
 }
 
 /// An entry's confirmation that it wants all of its batches that it hasn't cancelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Confirmation {
-    /// When it held, on this instance's clock.
+    /// When it held, on this instance's clock, or earlier.
     pub at: Time,
     /// The number of this instance's messages that the entry had handled.
     pub received: u64,
@@ -90,7 +109,7 @@
         }
     }
 
-    /// Handles the receipt in a heartbeat of the member. `at` is [`Receipt::settled`] on this instance's clock.
+    /// Handles the receipt in a heartbeat of the member. `at` is [`Receipt::settled`] on this instance's clock, or earlier.
     pub fn on_receipt(&mut self, receipt: &Receipt, at: Time) {
         let received = receipt.received;
         let confirmation = Confirmation { at, received };
@@ -114,11 +133,12 @@
     }
 
     /// Returns the receipt for the next heartbeat to the member.
-    pub fn receipt(&self, settled: Time) -> Receipt {
+    pub fn receipt(&self, settled: Time, settled_there: SettledThere) -> Receipt {
         Receipt {
             settled,
             sent: self.sent,
             received: self.received,
+            settled_there,
         }
     }
 
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    clock_offset::ClockOffset,
     id::{
         keyed_hash,
         Epoch,
@@ -15,7 +16,8 @@
     license::{
         Channel,
         Confirmation,
-        Receipt, //
+        Receipt,
+        SettledThere, //
     },
     message::{
         Absence,
@@ -57,9 +59,6 @@
 /// their size would grow with the fleet.
 const MAX_ABSENCES: usize = 8;
 
-/// The largest drift between the clocks of two machines, as a fraction: ten times that of quartz oscillators.
-const MAX_CLOCK_DRIFT: f64 = 0.001;
-
 /// How long after its loss a member is removed and gets no more heartbeats. If it starts again, its row in the store brings it
 /// back.
 const FORGET_AFTER: Span = Span::seconds(30);
@@ -79,9 +78,8 @@
     pub last_heard: Option<Time>,
     /// When the heartbeat with its status was sent, on its own clock.
     status_sent: Time,
-    /// The smallest difference between the arrival of a message on this clock and its sending on the member's clock, in
-    /// microseconds: the offset of the clocks plus the shortest transit time.
-    clock_offset: Option<i64>,
+    /// The most by which this instance's clock can be ahead of the member's. `None` before it was heard.
+    clock_offset: Option<ClockOffset>,
     /// Whether it's alive.
     pub live: bool,
     /// When it became alive, was lost, or was found.
@@ -122,10 +120,11 @@
         self.channel = Channel::default();
     }
 
-    /// Returns a time on its clock as a time on this instance's clock, at most `now`.
-    fn local_time(&self, time: Time, now: Time) -> Time {
-        let offset = self.clock_offset.unwrap_or_default();
-        Time((time.0 as i64 + offset).max(1) as u64).min(now)
+    /// Returns the receipt for the next heartbeat to it, and tells it `settled` on its own clock.
+    fn receipt(&self, settled: Time) -> Receipt {
+        let there = self.clock_offset.and_then(|o| o.earliest_there(settled));
+        let there = there.map_or(SettledThere::Unknown, SettledThere::NotBefore);
+        self.channel.receipt(settled, there)
     }
 
     /// Returns whether it hasn't been heard, or was silent for longer than [`HEARTBEAT_TIMEOUT`] while it was watched closely.
@@ -305,13 +304,9 @@
         let Some(member) = self.members.get_mut(name) else {
             return;
         };
-        let difference = now.0 as i64 - sent.0 as i64;
-        let offset = member.clock_offset.map_or(difference, |offset| {
-            let since = member.last_heard.map_or(0, |heard| now.since(heard).0);
-            difference.min(offset + (since as f64 * MAX_CLOCK_DRIFT) as i64)
-        });
+        let offset = ClockOffset::measure(member.clock_offset, sent, now);
         member.clock_offset = Some(offset);
-        let sent_here = member.local_time(sent, now);
+        let sent_here = offset.latest_here(sent, now);
         member.last_heard = member.last_heard.max(Some(sent_here));
         member.watch.on_heard(sent_here);
     }
@@ -330,6 +325,9 @@
     }
 
     /// Handles what a heartbeat says about messages. One without a receipt, of an earlier build, confirms what it's sent after.
+    ///
+    /// A member that hasn't heard this instance confirms nothing: nobody knows when on this clock. It hasn't sent batches either, since
+    /// it places them by this instance's heartbeats.
     pub fn on_receipt(
         &mut self,
         name: &Instance,
@@ -340,18 +338,25 @@
         let Some(member) = self.members.get_mut(name) else {
             return;
         };
-        match receipt {
-            // One that couldn't be read has no time.
-            Some(receipt) if receipt.settled == Time::default() => {}
-            Some(receipt) => {
-                let settled = member.local_time(receipt.settled, now);
-                member.channel.on_receipt(receipt, settled);
-            }
-            None => {
-                let sent = member.local_time(sent, now);
-                member.channel.on_plain_heartbeat(sent);
-            }
+        // For members of earlier builds only: the result is too late by what the quickest of their messages was on its way.
+        let latest_here = |time| {
+            let offset = member.clock_offset;
+            offset.map_or(now, |offset| offset.latest_here(time, now))
+        };
+        let Some(receipt) = receipt else {
+            let sent = latest_here(sent);
+            return member.channel.on_plain_heartbeat(sent);
+        };
+        // One that couldn't be read has no time.
+        if receipt.settled == Time::default() {
+            return;
         }
+        let settled = match receipt.settled_there {
+            SettledThere::Unstated => latest_here(receipt.settled),
+            SettledThere::Unknown => return,
+            SettledThere::NotBefore(at) => at.min(now),
+        };
+        member.channel.on_receipt(receipt, settled);
     }
 
     /// Records the protocol of the messages that a member can read.
@@ -462,7 +467,7 @@
     ) -> Option<(Contact, Receipt)> {
         let member = self.members.get_mut(name)?;
         member.watch.heartbeat_sent = now;
-        Some((member.contact.clone(), member.channel.receipt(settled)))
+        Some((member.contact.clone(), member.receipt(settled)))
     }
 
     /// Marks members as lost that have been silent too long, starts a new session with each, and returns them. A member that
--- a/src/instance/heartbeats.rs
+++ b/src/instance/heartbeats.rs
@@ -13,12 +13,16 @@
     Hub, //
 };
 use crate::dispatch::{
-    license::Receipt,
+    license::{
+        Receipt,
+        SettledThere, //
+    },
     message::{
         Contact,
         Heartbeat,
         Input,
         LogRecord,
+        Protocol,
         Sender, //
     }, //
 };
@@ -73,8 +77,7 @@
                 bytes.extend_from_slice(&body);
                 bytes
             });
-            let with_receipt = with_body.and_then(|bytes| postcard::to_extend(receipt, bytes));
-            match with_receipt.and_then(|bytes| postcard::to_extend(&heartbeat.protocol, bytes)) {
+            match with_body.and_then(|bytes| append_receipt(bytes, receipt, heartbeat.protocol)) {
                 Ok(bytes) => {
                     hub.metrics.count_heartbeat(bytes.len());
                     self.socket.try_send_to(&bytes, address).ok();
@@ -118,8 +121,23 @@
     postcard::to_extend(&heartbeat.loads, body)
 }
 
+/// Appends a receipt and a protocol to an encoded sender and heartbeat with loads, and [`Receipt::settled_there`] behind them.
+///
+/// # Errors
+///
+/// Returns an error if they can't be encoded.
+pub fn append_receipt(
+    bytes: Vec<u8>,
+    receipt: &Receipt,
+    protocol: Protocol,
+) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_extend(receipt, bytes)?;
+    let bytes = postcard::to_extend(&protocol, bytes)?;
+    postcard::to_extend(&receipt.settled_there, bytes)
+}
+
 /// Decodes a datagram, that is an encoded sender and heartbeat with loads, receipt and protocol. Loads that are missing or can't be
-/// read count as none, and a protocol as the first.
+/// read count as none, a protocol as the first, and a time on the receiver's clock that can't be read as unknown.
 ///
 /// # Errors
 ///
@@ -134,9 +152,9 @@
     if let Ok((loads, rest)) = postcard::take_from_bytes(rest) {
         heartbeat.loads = loads;
         if !rest.is_empty() {
-            let (receipt, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+            let (receipt, protocol) = decode_receipt(rest);
             heartbeat.receipt = Some(receipt);
-            heartbeat.protocol = postcard::from_bytes(rest).unwrap_or_default();
+            heartbeat.protocol = protocol;
         }
     } else if !rest.is_empty() {
         heartbeat.receipt = Some(Receipt::default());
@@ -144,6 +162,24 @@
     Ok((sender, heartbeat))
 }
 
+/// Decodes a receipt and what follows it. Earlier builds send neither a protocol nor [`Receipt::settled_there`], or not the latter.
+fn decode_receipt(bytes: &[u8]) -> (Receipt, Protocol) {
+    let Ok((mut receipt, rest)) = postcard::take_from_bytes::<Receipt>(bytes) else {
+        return (Receipt::default(), Protocol::FIRST);
+    };
+    if rest.is_empty() {
+        return (receipt, Protocol::FIRST);
+    }
+    let (protocol, rest) = match postcard::take_from_bytes(rest) {
+        Ok((protocol, [])) => return (receipt, protocol),
+        Ok(decoded) => decoded,
+        Err(_) => (Protocol::FIRST, rest),
+    };
+    let there = postcard::from_bytes(rest);
+    receipt.settled_there = there.unwrap_or(SettledThere::Unknown);
+    (receipt, protocol)
+}
+
 fn log_unsent(hub: &Hub, to: &str, error: &str) {
     let record = LogRecord::new("heartbeat_unsent").with("to", to);
     hub.log(&record.with("error", error));
--- a/tests/dispatch/licenses.rs
+++ b/tests/dispatch/licenses.rs
@@ -3,7 +3,10 @@
 use poplarknot::{
     dispatch::{
         id::JobId,
-        license::Receipt,
+        license::{
+            Receipt,
+            SettledThere, //
+        },
         member::Members,
         message::{
             Answer,
@@ -210,38 +213,118 @@
     }
 }
 
-/// Heartbeats of a member take 150 ms from the first on, by which its clock's offset is wrong. A confirmation counts as of a time after
-/// that at which the member had settled, and a license ends later by that.
-#[test]
-fn confirmation_is_no_later_than_its_member_settled() {
-    let transit = Span::millis(150);
-    let contact = |name: &str| Contact {
-        name: name.parse().unwrap(),
-        address: format!("{name}:1"),
-    };
-    let (own, member) = (contact("own"), contact("member"));
-    let mut members = Members::new(&own.name, "a");
-    let start = Time(10_000_000);
-    for n in 0..20 {
-        let sent = start + Span::millis(100 * n);
-        let now = sent + transit;
-        let from = Sender {
-            contact: member.clone(),
+/// Two instances whose clocks differ, and the heartbeats between them.
+struct Pair {
+    instances: [(Contact, Members); 2],
+    /// By how much the second one's clock is ahead, and by how much it gains on the first one's.
+    ahead: Span,
+    gain: f64,
+}
+
+impl Pair {
+    fn new(ahead: Span, gain: f64) -> Self {
+        let instance = |name: &str| {
+            let contact = Contact {
+                name: name.parse().unwrap(),
+                address: format!("{name}:1"),
+            };
+            let members = Members::new(&contact.name, "a");
+            (contact, members)
+        };
+        Self {
+            instances: [instance("own"), instance("member")],
+            ahead,
+            gain,
+        }
+    }
+
+    /// Returns a time on the first one's clock on that of one of them.
+    fn clock(&self, of: usize, time: Time) -> Time {
+        match of {
+            0 => time,
+            _ => time + self.ahead + Span((time.0 as f64 * self.gain) as u64),
+        }
+    }
+
+    /// Sends a heartbeat that confirms as of its sending, and returns the confirmation that its receiver has then.
+    fn beat(&mut self, from: usize, sent: Time, transit: Span) -> Option<Time> {
+        let to = 1 - from;
+        let (sent_there, now) = (self.clock(from, sent), self.clock(to, sent + transit));
+        let receiver = self.instances[to].0.name.clone();
+        let (contact, members) = &mut self.instances[from];
+        let receipt = members.mark_heartbeat_sent(&receiver, sent_there, sent_there);
+        let sender = Sender {
+            contact: contact.clone(),
             centre: "a".to_owned(),
             incarnation: 1,
             receiver_incarnation: 1,
             session: 0,
-            sent,
-        };
-        members.check_sender(&from, 1, now);
-        members.on_heartbeat(&member.name, Status::default(), sent, now);
-        let receipt = Receipt {
-            settled: sent,
-            ..Receipt::default()
+            sent: sent_there,
         };
-        members.on_receipt(&member.name, Some(&receipt), sent, now);
-        let at = members.confirmation(&member.name).unwrap().at;
-        assert!(at <= sent, "{} ms too late", at.since(sent).as_millis());
+        let members = &mut self.instances[to].1;
+        let name = &sender.contact.name;
+        members.check_sender(&sender, 1, now);
+        members.on_heartbeat(name, Status::default(), sent_there, now);
+        // One that doesn't know the receiver is sent to its address, and hasn't heard it.
+        let receipt = receipt.map_or_else(
+            || Receipt {
+                settled: sent_there,
+                settled_there: SettledThere::Unknown,
+                ..Receipt::default()
+            },
+            |(_, receipt)| receipt,
+        );
+        members.on_receipt(name, Some(&receipt), sent_there, now);
+        Some(members.confirmation(name)?.at)
+    }
+}
+
+/// Heartbeats of a member take 150 ms from the first on, by which its clock's offset is wrong. A confirmation counts as of a time after
+/// that at which the member had settled, and a license ends later by that.
+#[test]
+fn confirmation_is_no_later_than_its_member_settled() {
+    let transit = Span::millis(150);
+    for ahead in [Span(0), Span::seconds(5_000)] {
+        let mut pair = Pair::new(ahead, 0.0);
+        let start = Time(10_000_000);
+        assert_eq!(pair.beat(1, start, transit), None, "of an unknown time");
+        for n in 0..20 {
+            let sent = start + Span::millis(160 + 310 * n);
+            pair.beat(0, sent, transit);
+            let sent = sent + transit + Span::millis(5);
+            let at = pair.beat(1, sent, transit).unwrap();
+            assert!(at <= sent, "{} ms too late", at.since(sent).as_millis());
+            // The least that can be said: the clocks differ by the transit either way.
+            let least = transit + Span::millis(1);
+            assert!(
+                at + least >= sent,
+                "{} ms too early",
+                sent.since(at).as_millis()
+            );
+        }
+    }
+}
+
+/// A member has once been quickly heard, and its clock drifts since, while messages take long. A confirmation by the offset of that time
+/// would count as of a time after that at which the member had settled.
+#[test]
+fn confirmation_is_no_later_than_its_member_settled_on_a_drifting_clock() {
+    for gain in [0.000_9, 0.0] {
+        for slow in [0, 1] {
+            let mut pair = Pair::new(Span::millis(50), gain);
+            let start = Time(10_000_000);
+            pair.beat(0, start, Span(100));
+            pair.beat(1, start + Span::millis(1), Span(100));
+            for n in 1..600 {
+                let sent = start + Span::millis(100 * n);
+                pair.beat(slow, sent, Span::millis(90));
+                let sent = sent + Span::millis(95);
+                let settled = pair.clock(slow, sent);
+                let at = pair.beat(1 - slow, sent, Span::millis(90)).unwrap();
+                let late = at.since(settled);
+                assert_eq!(late, Span(0), "after {n} heartbeats, from {}", 1 - slow);
+            }
+        }
     }
 }
 
@@ -274,7 +357,7 @@
     let receipt = Receipt {
         settled: now,
         sent: 1_000,
-        received: 0,
+        ..Receipt::default()
     };
     let mut bytes = postcard::to_stdvec(&sender).unwrap();
     bytes.extend(heartbeats::encode(&heartbeat).unwrap());
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -3,7 +3,10 @@
 use poplarknot::{
     dispatch::{
         id::RackId,
-        license::Receipt,
+        license::{
+            Receipt,
+            SettledThere, //
+        },
         member::Members,
         message::{
             Contact,
@@ -18,6 +21,7 @@
         queue::Class, //
     },
     instance::heartbeats::{
+        append_receipt,
         decode,
         encode, //
     },
@@ -130,3 +134,67 @@
         assert!(members.can_read(name, &Message::Cancel(1)));
     }
 }
+
+/// The time on the receiver's clock follows the protocol. Earlier builds read what they know and ignore it, and a time that is cut off is
+/// unknown: taken as one of an earlier build, it would confirm a batch as of a later time.
+#[test]
+fn time_on_the_receivers_clock_follows_the_protocol() {
+    let plain = datagram(&heartbeat(vec![load()]));
+    let receipt = Receipt {
+        settled: Time(70_000),
+        sent: 5,
+        received: 6,
+        settled_there: SettledThere::NotBefore(Time(90_000)),
+    };
+    let bytes = append_receipt(plain.clone(), &receipt, Protocol::CURRENT);
+    let bytes = bytes.expect("a receipt can be encoded");
+    let (_, received) = decode(&bytes).expect("the datagram can be read");
+    assert_eq!(received.receipt, Some(receipt));
+    assert_eq!(received.protocol, Protocol::CURRENT);
+
+    let known = postcard::take_from_bytes::<(Receipt, Protocol)>(&bytes[plain.len()..]);
+    let ((earlier, protocol), rest) = known.expect("an earlier build can read it");
+    let unstated = Receipt {
+        settled_there: SettledThere::Unstated,
+        ..receipt
+    };
+    assert_eq!((earlier, protocol), (unstated, Protocol::CURRENT));
+
+    let end = bytes.len() - rest.len();
+    let (_, received) = decode(&bytes[..end]).expect("the datagram can be read");
+    assert_eq!(received.receipt, Some(unstated), "of an earlier build");
+    for length in end + 1..bytes.len() {
+        let (_, received) = decode(&bytes[..length]).expect("the datagram can be read");
+        let there = received.receipt.map(|receipt| receipt.settled_there);
+        assert_eq!(there, Some(SettledThere::Unknown), "of {length} bytes");
+    }
+}
+
+/// The batches of a member of an earlier build, which doesn't state the time on the receiver's clock, are confirmed: in a fleet that is being
+/// upgraded no task of its callers would start otherwise. Those of one that doesn't know the time aren't.
+#[test]
+fn member_of_an_earlier_build_confirms_its_batches() {
+    let now = Time(10_000_000);
+    for (settled_there, confirmed) in [
+        (SettledThere::Unstated, Some(now)),
+        (SettledThere::Unknown, None),
+        (
+            SettledThere::NotBefore(Time(9_000_000)),
+            Some(Time(9_000_000)),
+        ),
+        (SettledThere::NotBefore(Time(11_000_000)), Some(now)),
+    ] {
+        let receipt = Receipt {
+            settled: sender().sent,
+            settled_there,
+            ..Receipt::default()
+        };
+        let mut members = Members::new(&"own".parse().expect("a name"), "c");
+        let name = &sender().contact.name;
+        members.check_sender(&sender(), 2, now);
+        members.on_heartbeat(name, Status::default(), sender().sent, now);
+        members.on_receipt(name, Some(&receipt), sender().sent, now);
+        let confirmation = members.confirmation(name);
+        assert_eq!(confirmation.map(|c| c.at), confirmed, "{settled_there:?}");
+    }
+}
