A start that couldn't be sent is not in doubt

Callers' tasks waited for an endpoint that refuses connections or starts, and stayed on its rack though others had room, as if a start of them were on its way there.

Cause: a run's start counts as unanswered from its order on, also when the call failed before a byte of it was sent, or the endpoint answered that it did nothing.

Evidence: start_that_was_not_sent_leaves_no_doubt fails without the change (one task with a start in doubt, none expected).

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -836,6 +836,14 @@
         }
     }
 
+    /// Removes a run of which no start was carried out or can be.
+    pub fn remove_unsent(&mut self, task: TaskId, events: &mut Vec<Event>) {
+        if let Some(execution) = self.executions.get_mut(&task) {
+            execution.unsettled = None;
+        }
+        self.remove_lost(task, Reason::Unsent, events);
+    }
+
     /// Removes a run that ended without a result.
     pub fn remove_lost(&mut self, task: TaskId, reason: Reason, events: &mut Vec<Event>) {
         if let Some(execution) = self.remove(&task) {
--- a/src/dispatch/owner/answer.rs
+++ b/src/dispatch/owner/answer.rs
@@ -8,7 +8,6 @@
             Loss,
             Phase,
             Reaction,
-            Reason,
             Standing,
             State,
             MAX_START_SENDS, //
@@ -292,7 +291,7 @@
         if nothing_done && !duplicate_possible {
             state.on_unwell(now);
             let mut events = Vec::new();
-            state.remove_lost(task, Reason::Unsent, &mut events);
+            state.remove_unsent(task, &mut events);
             return self.handle_events(id, events, now, out);
         }
         match sends {
--- a/tests/barrier.rs
+++ b/tests/barrier.rs
@@ -675,6 +675,22 @@
     }
 }
 
+/// A start that couldn't be sent counts as one that may still be carried out, and its task waits for the endpoint.
+#[test]
+fn start_that_was_not_sent_leaves_no_doubt() {
+    for answer in [Reply::Unsent, Reply::Unwell] {
+        let mut script = Script::new(&["w-1", "w-2"]);
+        script.submit(1);
+        let calls = script.process_due(START);
+        let start = calls.iter().find(|call| call.is_start()).unwrap();
+        let now = START + Span::millis(1);
+        let calls = script.reply(start, answer.clone(), now);
+        let calls = [calls, script.process_due(now)].concat();
+        assert!(calls.iter().any(Call::is_start), "{answer:?}: {calls:?}");
+        assert_eq!(script.owner.count_doubts(), 0, "{answer:?}");
+    }
+}
+
 /// A task that came with a rack whose endpoints have lost it waits for long, or a run that a poll lists is given up.
 #[test]
 fn adopted_run_is_given_up_by_the_first_poll_that_does_not_list_it() {
