--- a/tests/barrier.rs
+++ b/tests/barrier.rs
@@ -691,6 +691,46 @@
     }
 }
 
+/// A start has no answer yet and was sent again, and the copy is refused or can't be sent. Its task would start elsewhere without a doubt about
+/// the first one, which the next life of the endpoint may carry out.
+#[test]
+fn refused_copy_of_a_start_leaves_the_first_one_in_doubt() {
+    let refused = |refusal, now| Reply::Refused {
+        clock: clock(now),
+        refusal,
+    };
+    let answers: [&dyn Fn(Time) -> Reply; 4] = [
+        &|now| refused(Refusal::Full, now),
+        &|now| refused(Refusal::Late, now),
+        &|_| Reply::Unwell,
+        &|_| Reply::Unsent,
+    ];
+    let mut forgotten = Vec::new();
+    for answer in answers {
+        let mut script = Script::new(&["w-1", "w-2"]);
+        script.submit(1);
+        let calls = script.process_due(START);
+        let start = calls.iter().find(|call| call.is_start()).unwrap();
+        let is_beside = |call: &&Call| call.is_poll() && call.endpoint == start.endpoint;
+        let poll = calls.iter().find(is_beside).unwrap();
+        let next = script.fall_silent(poll, START + SILENCE);
+        let now = next.sent + Span::millis(1);
+        script.answer_poll(&next, LIFE, &[], now);
+        let again = script.await_call(Call::is_start, now);
+        assert_eq!(again.endpoint, start.endpoint);
+        let now = again.sent + Span::millis(1);
+        let mut calls = script.reply(&again, answer(now), now);
+        for n in 0..20 {
+            calls.extend(script.process_due(now + Span::millis(10 * n)));
+        }
+        let elsewhere = |call: &Call| call.is_start() && call.endpoint != start.endpoint;
+        if calls.iter().any(elsewhere) && script.owner.count_doubts() == 0 {
+            forgotten.push(answer(now));
+        }
+    }
+    assert!(forgotten.is_empty(), "started elsewhere after {forgotten:?}");
+}
+
 /// A task that came with a rack whose endpoints have lost it waits for long, or a run that a poll lists is given up.
 #[test]
 fn adopted_run_is_given_up_by_the_first_poll_that_does_not_list_it() {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -33,6 +33,8 @@
 mod placement;
 #[path = "dispatch/renewed.rs"]
 mod renewed;
+#[path = "dispatch/review_doubts.rs"]
+mod review_doubts;
 #[path = "dispatch/review_restarts.rs"]
 mod review_restarts;
 #[path = "dispatch/rows.rs"]
