--- a/tests/dispatch/review_doubts.rs
+++ b/tests/dispatch/review_doubts.rs
@@ -179,3 +179,22 @@
         world.stall_at(stalled, owner, other, Span::seconds(2));
     });
 }
+
+/// The owner of a start in doubt dies, and the next one hands the rack over just when the entry sends it the task. It declines the batch as
+/// one of which nothing was started, and the entry forgets that a start may be on its way.
+#[test]
+fn lost_task_that_the_next_owner_declines_runs_once() {
+    for step in [0, 1] {
+        check(8, |site| {
+            let idle = site.idle.clone();
+            site.hold_start(idle[0]);
+            let world = &mut site.world;
+            world.isolate_endpoint_at(CRASH + DOWN, HELD_AT, CUT);
+            world.kill_at(CRASH + Span::millis(300), site.owner, KILLED);
+            // The entry sends the task some 10 ms later, before it hears of the handover.
+            let drained = CRASH + Span::millis(2_512 + 8 * step);
+            world.drain_at(drained, idle[1]);
+            world.drain_at(drained, idle[2]);
+        });
+    }
+}
