--- a/tests/barrier.rs
+++ b/tests/barrier.rs
@@ -728,7 +728,10 @@
             forgotten.push(answer(now));
         }
     }
-    assert!(forgotten.is_empty(), "started elsewhere after {forgotten:?}");
+    assert!(
+        forgotten.is_empty(),
+        "started elsewhere after {forgotten:?}"
+    );
 }
 
 /// A task that came with a rack whose endpoints have lost it waits for long, or a run that a poll lists is given up.
--- a/tests/dispatch/review_doubts.rs
+++ b/tests/dispatch/review_doubts.rs
@@ -198,3 +198,19 @@
         });
     }
 }
+
+/// The owner of a start in doubt dies in a data centre that is being evacuated. Its rack can't run the task any more, and the entry sends it
+/// to another one without a doubt.
+#[test]
+fn lost_task_of_an_evacuated_rack_runs_once() {
+    check(4, |site| {
+        let entry = site.idle[0];
+        site.hold_start(entry);
+        let world = &mut site.world;
+        world.isolate_endpoint_at(CRASH + DOWN, HELD_AT, CUT);
+        let kill = CRASH + Span::millis(300);
+        world.kill_at(kill, site.owner, KILLED);
+        let evacuated = kill + Span::millis(500);
+        world.evacuate_at(evacuated, "ulemiste", Span::seconds(8));
+    });
+}
