Barred copies of a start stay in doubt whatever the next copy is answered

Callers could see a task run twice after its endpoint restarted: the task had been freed by the answer to a copy of its start.

Cause: a start that is barred is sent again while the call of the first one is still open, and counted as the only copy. A refusal of the copy, or a failure to send it, freed the task as if nothing was on its way.

Evidence: refused_copy_of_a_start_leaves_the_first_one_in_doubt and its kind in tests/barrier.rs failed before (no start in doubt), and pass.

--- a/src/dispatch/endpoint/barrier.rs
+++ b/src/dispatch/endpoint/barrier.rs
@@ -162,6 +162,8 @@
         for (task, run) in &mut self.executions {
             if run.may_be_resent() && run.is_barred_by(token) && !listed.contains(task) {
                 run.retry_at = Some(Time::default());
+                // The barred copies may still be carried out by a later life, whatever is answered to the next one.
+                run.duplicate_possible = true;
             }
         }
     }
