A handover tells of unanswered copies, and of what a lost owner may have sent

Callers saw a task run twice after a planned handover, without the death of an instance in one case.

Cause: the next owner settled a handed-over run with the first poll that listed it, though an earlier copy of its start was unanswered; and that a batch of a lost owner waits for endpoints that haven't answered wasn't handed over with it.

--- a/src/dispatch/owner/handover.rs
+++ b/src/dispatch/owner/handover.rs
@@ -163,6 +163,8 @@
             );
             execution.stored = assignment.batch.stored;
             execution.suspicion = assignment.suspicion(run.task.index);
+            // An earlier copy of its start may be carried out though the endpoint lists the run.
+            execution.duplicate_possible = self.is_start_in_doubt(&run.task, &run.endpoint);
             let Some(state) = self.endpoints.get_mut(&run.endpoint) else {
                 // The endpoint has left the list, and may still run the task.
                 self.doubt_unlisted(run.task, handover.rack, run.endpoint, now);
--- a/src/dispatch/owner/unsettled.rs
+++ b/src/dispatch/owner/unsettled.rs
@@ -148,7 +148,7 @@
     }
 
     /// Returns what the next owner of a rack must know of besides its batches and their runs: the starts in doubt there and those of the
-    /// batches' tasks, and the runs there that belong to no batch.
+    /// batches' tasks, unanswered starts of runs there, runs that no batch here has, and tasks of which a lost owner may have sent starts.
     pub(super) fn doubts_of_rack(
         &self,
         rack: RackId,
@@ -162,12 +162,10 @@
         for id in endpoints {
             let state = self.endpoints.get(id).into_iter();
             let runs = state.flat_map(|state| &state.executions);
-            let unwanted = |(task, run): (&TaskId, &Execution)| {
-                let is_unwanted = !self.assignments.contains_key(&run.batch);
-                (is_unwanted && run.has_unanswered_start()).then_some(*task)
-            };
+            let unanswered =
+                |(task, run): (&TaskId, &Execution)| run.has_unanswered_start().then_some(*task);
             let unknown = self.tasks_of_unknown_runs.get(id).into_iter().flatten();
-            let tasks = runs.filter_map(unwanted).chain(unknown.copied());
+            let tasks = runs.filter_map(unanswered).chain(unknown.copied());
             told.extend(tasks.map(|task| message::Doubt {
                 task,
                 rack,
@@ -176,9 +174,29 @@
                 restarted: false,
             }));
         }
+        for handle in self.assignments_of(rack) {
+            let assignment = self.assignments.get(&handle);
+            let Some(assignment) = assignment.filter(|assignment| assignment.in_doubt) else {
+                continue;
+            };
+            let tasks = assignment.tasks.keys();
+            told.extend(tasks.map(|index| message::Doubt {
+                task: assignment.task_id(*index),
+                rack,
+                endpoint: None,
+                age: Span(0),
+                restarted: false,
+            }));
+        }
         told
     }
 
+    /// Returns whether a start of a task that was sent to an endpoint is in doubt.
+    pub(super) fn is_start_in_doubt(&self, task: &TaskId, id: &Endpoint) -> bool {
+        let mut doubts = self.doubts.of(task).iter();
+        doubts.any(|doubt| doubt.endpoint.as_ref() == Some(id))
+    }
+
     /// Returns whether a task must not start now: a start of it may be on its way to an endpoint that is silent and may come back in a
     /// later life that hasn't barred it, or that another instance calls.
     pub(super) fn is_in_doubt(&self, task: &TaskId, now: Time) -> bool {
