A declined batch of a lost owner still belongs to its rack

Cause: an owner that had just handed its rack over declined a batch as one of which nothing was started, although it had come from a lost owner. The entry placed it anywhere 10 ms later. What is to be told of starts in doubt is also kept over a pause of the process.

--- a/src/dispatch/owner.rs
+++ b/src/dispatch/owner.rs
@@ -429,6 +429,7 @@
         // Call IDs continue, so that answers to earlier calls are ignored.
         *self = Self {
             doubts: std::mem::take(&mut self.doubts),
+            untold_doubts: std::mem::take(&mut self.untold_doubts),
             now: self.now,
             last_call: self.last_call,
             rack_changes: self.rack_changes + 1,
@@ -512,12 +513,13 @@
         }
     }
 
-    /// Returns a batch, none of which was started, to its entry.
+    /// Returns a batch, none of which was started here, to its entry.
     pub fn decline(&self, entry: &Contact, batch: Batch, out: &mut Effects) {
         let message = Message::Returned {
             serial: batch.serial,
             tasks: batch.tasks,
-            started: false,
+            // A lost owner may have started them: they still belong to its rack.
+            started: batch.moves > 0,
             cause: Cause::Lost,
         };
         out.send(entry, message);
