Starts in doubt are told again in a new session, and no job with one is refused

Cause: what was told of starts in doubt is void with its session, and only members that become alive were told again. A job that was given up after its entry had learnt of a start of a former attempt was refused as not run.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -751,6 +751,7 @@
                 out.outputs.push(Output::Log(record));
                 self.owner.drop_entry(name, out);
                 self.entry.on_owner_lost(name, now, out);
+                self.tell_all_doubts(&from.contact, now, out);
             }
             SenderCheck::Current => {}
         }
@@ -947,7 +948,7 @@
 
     /// Begins a new session with a member and drops what belongs to the last one.
     fn end_session(&mut self, member: Member, now: Time, out: &mut Effects) {
-        let name = member.contact.name.clone();
+        let (name, contact) = (member.contact.name.clone(), member.contact.clone());
         out.outputs.push(Output::BeginSession {
             to: member.contact,
             incarnation: member.incarnation,
@@ -955,6 +956,7 @@
         });
         self.owner.drop_entry(&name, out);
         self.entry.on_owner_lost(&name, now, out);
+        self.tell_all_doubts(&contact, now, out);
     }
 
     /// Runs the periodic work: ownership of racks, shards, requests, documents, audits, heartbeats and the drain.
--- a/src/dispatch/announcement.rs
+++ b/src/dispatch/announcement.rs
@@ -62,6 +62,11 @@
         let rooms = self.owner.vacancies(now);
         self.update_own_rooms(&rooms, now);
         self.send_heartbeats(slice::from_ref(&to.name), &rooms, now, out);
+        self.tell_all_doubts(to, now, out);
+    }
+
+    /// Tells a member of all starts in doubt that are known here: those that it was told of before may have been lost with a session.
+    pub(super) fn tell_all_doubts(&self, to: &Contact, now: Time, out: &mut Effects) {
         let doubts = self.owner.doubts_to_tell(now);
         for part in doubts.chunks(MAX_DOUBTS) {
             out.messages
--- a/src/dispatch/entry/ending.rs
+++ b/src/dispatch/entry/ending.rs
@@ -48,7 +48,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let (started, failed) = (job.started, job.failed);
+        let (started, failed) = (job.started || self.has_doubts(id), job.failed);
         if failed {
             self.answer(id, Answer::Failed, now, out);
         } else if started {
