Programs that tests write are written by another process

Cause: the test writes the program and runs it, while the other test of the same binary starts a process. Between fork and exec that process has the program's file open for writing, and Linux refuses to run it. Nothing of the product is involved.

The shell that writes the file now has ended before it's run, and starts nothing else. The checks are as they were.

--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -13,7 +13,6 @@
 
 use std::{
     fs::{
-        self,
         File,
         OpenOptions, //
     },
@@ -22,10 +21,7 @@
         Read,
         Write, //
     },
-    os::unix::fs::{
-        OpenOptionsExt,
-        PermissionsExt, //
-    },
+    os::unix::fs::OpenOptionsExt,
     path::{
         Path,
         PathBuf, //
@@ -58,13 +54,19 @@
 const STALL_DURATION: Duration = Duration::from_secs(15);
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Writes a program that runs the instance with the given shell redirection.
+/// Writes a program that runs the instance with the given shell redirection. Another process writes it: a process that this one starts
+/// at that moment for another test would hold the file open for writing, and it couldn't be run.
 fn write_redirecting_program(folder: &TempDir, redirection: &str) -> Result<PathBuf> {
     let path = folder.path().join("program");
     let real = env!("CARGO_BIN_EXE_poplarknot");
     let script = format!("#!/usr/bin/env bash\nexec '{real}' \"$@\" {redirection}\n");
-    fs::write(&path, script)?;
-    fs::set_permissions(&path, fs::Permissions::from_mode(0o700))?;
+    let write = "printf '%s' \"$1\" > \"$2\" && chmod 700 \"$2\"";
+    let mut command = std::process::Command::new("sh");
+    let status = command
+        .args(["-c", write, "sh", &script])
+        .arg(&path)
+        .status()?;
+    assert!(status.success());
     Ok(path)
 }
 
