--- /dev/null
+++ b/review/standin-4/src/cases.rs
@@ -0,0 +1,687 @@
+//! The cases.
+
+use std::{
+    collections::BTreeMap,
+    sync::Mutex,
+    thread::{scope, sleep},
+    time::Duration,
+};
+
+use crate::{
+    record::Event,
+    store::Mode,
+    world::{configuration, Queue, World, FINISH, SIGCONT, SIGSTOP, SIGTERM},
+};
+
+const QUEUES: &[Queue] = &[
+    Queue("probe", "/probe/", 0, 3, 1.6, 60),
+    Queue("model", "/model/", 1, 3, 1.6, 60_000),
+];
+
+/// Runs a case and returns what breaks the rule, or `None` if it couldn't run.
+pub fn run(
+    case: &str,
+    program: &str,
+    folder: &str,
+    record: &str,
+    trouble: bool,
+) -> Option<Vec<String>> {
+    match case {
+        "unstorable" => unstorable(program, folder, record, trouble),
+        "ends" => ends(program, folder, record, trouble),
+        "crash" => crash(program, folder, record, trouble),
+        "pending" => pending(program, folder, record, trouble),
+        "burst" => burst(program, folder, record, trouble),
+        "soak" => soak(program, folder, record, trouble),
+        _ => None,
+    }
+}
+
+/// Builds a stored job of one step.
+fn job(count: u32, cpu: u64, millis: u64) -> String {
+    format!(
+        "{{\"spec\":\"cpu={cpu} mem=64 ms={millis}\",\"steps\":[{{\"count\":{count},\"cpu\":{cpu},\"mem_mb\":64,\"estimated_ms\":{millis}}}]}}"
+    )
+}
+
+/// Builds a stored job of `steps` steps of one task each, that wait for each other in `rounds` rounds.
+fn wide_job(steps: usize, cpu: u64, millis: u64) -> String {
+    let step = format!("{{\"count\":1,\"cpu\":{cpu},\"mem_mb\":64,\"estimated_ms\":{millis}}}");
+    let steps = vec![step; steps].join(",");
+    format!("{{\"spec\":\"cpu={cpu} mem=64 ms={millis}\",\"steps\":[{steps}]}}")
+}
+
+fn id(number: u64) -> String {
+    // Spread over the shards.
+    format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 1)
+}
+
+/// Rule LOST: `finish_s` after the end of the traffic jobs are asked for; one isn't known or gets no answer in time.
+fn unstorable(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    let world = World::new(program, folder, 3, 2, 3, 64_000);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let steps = if trouble { 500 } else { 50 };
+    let large = wide_job(steps, 100, 100);
+    world.record.note(format!(
+        "the large job has {steps} steps and a body of {} bytes",
+        large.len()
+    ));
+    let accepted = Mutex::new(BTreeMap::new());
+    scope(|s| {
+        let (world, accepted) = (&world, &accepted);
+        for client in 0..12_u64 {
+            s.spawn(move || {
+                for round in 0..60_u64 {
+                    let path = format!("/model/{}", id(1 + client * 1_000 + round));
+                    let instance = (client % 3) as usize;
+                    let answer = world.call(
+                        instance,
+                        "POST",
+                        &path,
+                        &job(4, 500, 900),
+                        Duration::from_millis(4_000),
+                    );
+                    let status = answer.map_or(0, |(status, _)| status);
+                    world.record.note(format!("POST {path}: {status}"));
+                    if status == 200 {
+                        accepted.lock().unwrap().insert(path, world.record.now_ms());
+                    }
+                    sleep(Duration::from_millis(150));
+                }
+            });
+        }
+        s.spawn(move || {
+            sleep(Duration::from_secs(4));
+            let path = format!("/model/{}", id(77_777));
+            // Its client comes again after 504 or no response.
+            for _ in 0..3 {
+                let answer = world.call(0, "POST", &path, &large, Duration::from_millis(5_000));
+                let status = answer.map_or(0, |(status, _)| status);
+                world
+                    .record
+                    .note(format!("POST of the large job {path}: {status}"));
+                if !matches!(status, 0 | 502 | 504) {
+                    break;
+                }
+                sleep(Duration::from_millis(1_300));
+            }
+        });
+    });
+    world.record.note("end of the traffic");
+    sleep(FINISH);
+    let accepted = accepted.into_inner().unwrap();
+    let states = Mutex::new(Vec::new());
+    let paths: Vec<&String> = accepted.keys().collect();
+    scope(|s| {
+        for part in paths.chunks(paths.len().div_ceil(40).max(1)) {
+            let (world, states) = (&world, &states);
+            s.spawn(move || {
+                for path in part {
+                    let state = world.state(1, path);
+                    states.lock().unwrap().push((path.to_string(), state));
+                }
+            });
+        }
+    });
+    let (mut findings, mut counts) = (Vec::new(), BTreeMap::new());
+    for (path, state) in states.into_inner().unwrap() {
+        *counts.entry(state.clone()).or_insert(0) += 1;
+        if state != "completed" {
+            let at = accepted[&path];
+            let ended = world.record.count_done(&path["/model/".len()..]);
+            findings.push(format!(
+                "LOST: GET {path}, accepted at {at} ms, {ended} of its 4 tasks ended done: {state}"
+            ));
+        }
+    }
+    world.record.note(format!("states {counts:?}"));
+    let oversized = world.store.oversized();
+    for reason in oversized.iter().take(3) {
+        world
+            .record
+            .note(format!("the store refused a call with 400: {reason}"));
+    }
+    world
+        .record
+        .note(format!("refused with 400 in all: {}", oversized.len()));
+    let listed: Vec<usize> = world.workers.iter().map(|worker| worker.listed()).collect();
+    world
+        .record
+        .note(format!("ends that the workers still list: {listed:?}"));
+    world.record.write(record, 400, &findings);
+    println!("{counts:?}");
+    Some(findings)
+}
+
+/// Rule LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come, there is capacity
+/// for it twice over, and under half of the service's capacity is in use.
+fn ends(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    const JOBS: u64 = 60;
+    const TASKS: u32 = 700;
+    const CPU: u64 = 500;
+    let world = World::new(program, folder, 3, 2, 2, 64_000);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let accepted = submit(&world, JOBS, TASKS, CPU, 100);
+    world.record.note("end of the traffic");
+    let from = world.record.now_ms() + FINISH.as_millis() as u64;
+    if trouble {
+        world
+            .record
+            .note("the store turns one of three instances away with 503 for 9 s");
+        world.store.set_mode(0, Mode::Busy);
+        sleep(Duration::from_secs(9));
+        world.store.set_mode(0, Mode::Serving);
+        world.record.note("the store serves all instances again");
+    }
+    let findings = watch(&world, &accepted, CPU, from, from + 30_000);
+    finish(&world, &accepted, TASKS, record, findings)
+}
+
+/// Submits jobs of one step over four clients and returns the accepted ones with their numbers of tasks.
+fn submit(world: &World, jobs: u64, tasks: u32, cpu: u64, millis: u64) -> BTreeMap<String, usize> {
+    let accepted = Mutex::new(BTreeMap::new());
+    scope(|s| {
+        let accepted = &accepted;
+        for client in 0..4 {
+            s.spawn(move || {
+                for round in (client..jobs).step_by(4) {
+                    let name = id(500 + round);
+                    let path = format!("/model/{name}");
+                    let body = job(tasks, cpu, millis);
+                    let answer = world.call(
+                        (round % 3) as usize,
+                        "POST",
+                        &path,
+                        &body,
+                        Duration::from_millis(4_000),
+                    );
+                    let status = answer.map_or(0, |(status, _)| status);
+                    world.record.note(format!("POST {path}: {status}"));
+                    if status == 200 {
+                        accepted.lock().unwrap().insert(name, tasks as usize);
+                    }
+                }
+            });
+        }
+    });
+    accepted.into_inner().unwrap()
+}
+
+/// Watches the workers until `until` and returns the jobs that had nothing running for too long after `from`.
+fn watch(
+    world: &World,
+    jobs: &BTreeMap<String, usize>,
+    cpu: u64,
+    from: u64,
+    until: u64,
+) -> Vec<String> {
+    while world.record.now_ms() < until {
+        sleep(Duration::from_millis(500));
+        let used: Vec<u64> = world
+            .workers
+            .iter()
+            .map(|worker| worker.used_cpu())
+            .collect();
+        let listed: Vec<usize> = world.workers.iter().map(|worker| worker.listed()).collect();
+        world.record.note(format!(
+            "in use {used:?} of 64000 each, ends listed {listed:?}"
+        ));
+    }
+    let capacity = world.workers.iter().map(|worker| worker.cpu).sum();
+    world.record.idle(jobs, cpu, capacity, from)
+}
+
+/// Asks for all jobs, writes the record and returns the findings.
+fn finish(
+    world: &World,
+    jobs: &BTreeMap<String, usize>,
+    tasks: u32,
+    record: &str,
+    mut findings: Vec<String>,
+) -> Option<Vec<String>> {
+    findings.extend(world.record.twice());
+    let mut states: BTreeMap<String, usize> = BTreeMap::new();
+    for name in jobs.keys() {
+        *states
+            .entry(world.state(1, &format!("/model/{name}")))
+            .or_default() += 1;
+    }
+    world.record.note(format!("states at the end {states:?}"));
+    let starts = world
+        .record
+        .events()
+        .iter()
+        .filter(|(_, e)| matches!(e, Event::Start { .. }))
+        .count();
+    world.record.note(format!(
+        "{} tasks accepted, {starts} starts",
+        jobs.len() * tasks as usize
+    ));
+    world.record.write(record, 3_000, &findings);
+    println!("{states:?}, {starts} starts");
+    Some(findings)
+}
+
+/// Rule LOST, as in [`ends`].
+fn crash(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    const JOBS: u64 = 128;
+    const TASKS: u32 = 4;
+    const CPU: u64 = 500;
+    let world = World::new(program, folder, 3, 2, 4, 64_000);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let accepted = submit(&world, JOBS, TASKS, CPU, 900);
+    world.record.note("end of the traffic");
+    let from = world.record.now_ms() + FINISH.as_millis() as u64;
+    if trouble {
+        let worker = world
+            .workers
+            .iter()
+            .max_by_key(|worker| worker.used_cpu())?;
+        let runs = worker.used_cpu() / CPU;
+        world.record.note(format!(
+            "worker {} crashes with {runs} runs, for 3 s",
+            worker.id
+        ));
+        worker.crash(&world.store, Duration::from_secs(3));
+    }
+    let findings = watch(&world, &accepted, CPU, from, from + 25_000);
+    finish(&world, &accepted, TASKS, record, findings)
+}
+
+/// Rule MIXED: a machine in touch gives as `pending` under half of the jobs that were accepted over `visible_ms` + 2 s before and haven't
+/// begun.
+fn pending(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    const JOBS: u64 = 250;
+    const INSTANCES: usize = 6;
+    let world = World::new(program, folder, INSTANCES, 1, 3, 16_000);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let accepted = submit(&world, JOBS, 6, 1_000, 900);
+    world
+        .record
+        .note(format!("{} jobs are accepted", accepted.len()));
+    let accepted_at = world.record.now_ms();
+    let killed = (0..INSTANCES).find(|index| world.has_logged(*index, "\"rack_claimed\""))?;
+    let mut calm_from = accepted_at;
+    if trouble {
+        world.kill(killed);
+        sleep(Duration::from_millis(500));
+        world.start(killed);
+        calm_from = world.record.now_ms();
+    }
+    // `visible_ms` + 2 s, and `contact_ms`.
+    let from = (accepted_at + 5_000).max(calm_from + 3_000);
+    let mut findings = Vec::new();
+    loop {
+        sleep(Duration::from_millis(500));
+        let shown: Vec<Option<u64>> = (0..INSTANCES)
+            .filter(|i| *i != killed)
+            .map(|i| world.pending(i, "/model/"))
+            .collect();
+        let begun = world.record.started_jobs();
+        let waiting = accepted
+            .keys()
+            .filter(|name| !begun.contains(*name))
+            .count() as u64;
+        let now = world.record.now_ms();
+        world.record.note(format!(
+            "pending {shown:?} at the other instances; {waiting} jobs haven't begun"
+        ));
+        for pending in shown.into_iter().flatten() {
+            if now > from && pending * 2 < waiting {
+                findings.push(format!(
+                    "MIXED: pending {pending} at {now} ms while {waiting} jobs haven't begun"
+                ));
+            }
+        }
+        if waiting == 0 || now > from + 30_000 {
+            break;
+        }
+    }
+    world.record.write(record, 50, &findings);
+    Some(findings)
+}
+
+/// Rule LOST, as in [`ends`].
+fn burst(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    let number = |name: &str, other: u64| {
+        std::env::var(name)
+            .ok()
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(other)
+    };
+    let (tasks, rate, millis) = (
+        number("WIDTH", 32) as u32,
+        number("RATE", 32),
+        number("MS", 300),
+    );
+    const CPU: u64 = 500;
+    let world = World::new(program, folder, 3, 2, 2, 64_000);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let accepted = Mutex::new(BTreeMap::new());
+    let began = world.record.now_ms();
+    scope(|s| {
+        let (world, accepted) = (&world, &accepted);
+        let mut round = 0;
+        loop {
+            let at = world.record.now_ms() - began;
+            if at >= 20_000 {
+                break;
+            }
+            let bursts = trouble && (6_000..10_000).contains(&at);
+            let gap = if bursts {
+                1_000_000 * 10 / (rate * 18)
+            } else {
+                1_000_000 / rate
+            };
+            sleep(Duration::from_micros(gap));
+            round += 1;
+            let number = round;
+            s.spawn(move || {
+                let name = id(500 + number);
+                let path = format!("/model/{name}");
+                let body = job(tasks, CPU, millis);
+                let answer = world.call(
+                    (number % 3) as usize,
+                    "POST",
+                    &path,
+                    &body,
+                    Duration::from_millis(4_000),
+                );
+                let status = answer.map_or(0, |(status, _)| status);
+                world.record.note(format!("POST {path}: {status}"));
+                if status == 200 {
+                    accepted.lock().unwrap().insert(name, tasks as usize);
+                }
+            });
+            if number % 50 == 0 {
+                let used: Vec<u64> = world
+                    .workers
+                    .iter()
+                    .map(|worker| worker.used_cpu())
+                    .collect();
+                world
+                    .record
+                    .note(format!("in use {used:?}; {number} jobs sent"));
+            }
+        }
+    });
+    let accepted = accepted.into_inner().unwrap();
+    world.record.note("end of the traffic");
+    let from = world.record.now_ms() + FINISH.as_millis() as u64;
+    let findings = watch(&world, &accepted, CPU, from, from + 10_000);
+    finish(&world, &accepted, tasks, record, findings)
+}
+
+/// A generator of numbers from a seed.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % most.max(1)
+    }
+}
+
+fn soak(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    let number = |name: &str, other: u64| {
+        std::env::var(name)
+            .ok()
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(other)
+    };
+    let seed = number("SEED", 1);
+    let kinds = std::env::var("FAULTS")
+        .unwrap_or_else(|_| "kill,stop,term,down,node,grey,cancel".to_owned());
+    let kinds: Vec<String> = kinds.split(',').map(str::to_owned).collect();
+    let length = number("LENGTH", 45) * 1_000;
+    let world = World::new(program, folder, 3, 3, 2, 64_000);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let accepted: Mutex<BTreeMap<String, u64>> = Mutex::new(BTreeMap::new());
+    let sent: Mutex<BTreeMap<String, Vec<u16>>> = Mutex::new(BTreeMap::new());
+    let cancelled: Mutex<BTreeMap<String, u64>> = Mutex::new(BTreeMap::new());
+    let findings: Mutex<Vec<String>> = Mutex::new(Vec::new());
+    let end = world.record.now_ms() + length;
+    scope(|s| {
+        let (world, accepted, sent, cancelled, findings, kinds) =
+            (&world, &accepted, &sent, &cancelled, &findings, &kinds);
+        for client in 0..8_u64 {
+            s.spawn(move || {
+                let mut dice = Dice(seed * 1_000 + client);
+                let mut round = 0;
+                while world.record.now_ms() < end {
+                    round += 1;
+                    let name = id(seed * 1_000_003 + client * 10_007 + round);
+                    let path = format!("/model/{name}");
+                    let millis = 80 + dice.below(700);
+                    let step = |after: &str| format!("{{\"count\":3,\"cpu\":1000,\"mem_mb\":64,\"estimated_ms\":{millis}{after}}}");
+                    let body = format!(
+                        "{{\"spec\":\"cpu=1000 mem=64 ms={millis}\",\"steps\":[{},{}]}}", step(""), step(",\"after\":[0]")
+                    );
+                    for _ in 0..4 {
+                        let instance = dice.below(3) as usize;
+                        let answer = world.call(instance, "POST", &path, &body, Duration::from_millis(3_000));
+                        let status = answer.map_or(0, |(status, _)| status);
+                        world.record.note(format!("POST {path} at {instance}: {status}"));
+                        sent.lock().unwrap().entry(name.clone()).or_default().push(status);
+                        if status == 200 {
+                            accepted.lock().unwrap().insert(name.clone(), world.record.now_ms());
+                            break;
+                        }
+                        if !matches!(status, 0 | 502 | 504) {
+                            break;
+                        }
+                        sleep(Duration::from_millis(1_300));
+                    }
+                    if kinds.iter().any(|k| k == "cancel") && dice.below(6) == 0 {
+                        sleep(Duration::from_millis(dice.below(600)));
+                        let answer = world.call(dice.below(3) as usize, "DELETE", &path, "", Duration::from_millis(3_000));
+                        let status = answer.map_or(0, |(status, _)| status);
+                        world.record.note(format!("DELETE {path}: {status}"));
+                        let at = world.record.now_ms();
+                        if status == 200 {
+                            cancelled.lock().unwrap().insert(name.clone(), at);
+                        } else if status == 410 && accepted.lock().unwrap().contains_key(&name) {
+                            findings.lock().unwrap().push(format!("LOST: DELETE {path} at {at} ms: 410 though accepted"));
+                        }
+                        // Sent but perhaps without an answer: not owed.
+                        cancelled.lock().unwrap().entry(name.clone()).or_insert(u64::MAX);
+                    }
+                    if dice.below(3) == 0 {
+                        let old = accepted.lock().unwrap().keys().nth(dice.below(40) as usize).cloned();
+                        if let Some(old) = old {
+                            let state = world.state(dice.below(3) as usize, &format!("/model/{old}"));
+                            if state == "410" {
+                                let at = world.record.now_ms();
+                                findings.lock().unwrap().push(format!("LOST: GET {old} at {at} ms: 410"));
+                            }
+                            if state == "failed" && !kinds.iter().any(|k| k == "grey") {
+                                findings.lock().unwrap().push(format!("LOST: GET {old}: failed"));
+                            }
+                        }
+                    }
+                    sleep(Duration::from_millis(50 + dice.below(150)));
+                }
+            });
+        }
+        if trouble {
+            s.spawn(move || {
+                let mut dice = Dice(seed);
+                sleep(Duration::from_secs(3));
+                while world.record.now_ms() + 4_000 < end {
+                    let kind = kinds[dice.below(kinds.len() as u64) as usize].as_str();
+                    let index = dice.below(3) as usize;
+                    let span = Duration::from_millis(600 + dice.below(3_000));
+                    let worker = &world.workers[dice.below(6) as usize];
+                    world.record.note(format!(
+                        "trouble: {kind} at instance {index} or {} for {span:?}",
+                        worker.id
+                    ));
+                    match kind {
+                        "kill" => {
+                            world.kill(index);
+                            sleep(span / 3);
+                            world.start(index);
+                        }
+                        "term" => {
+                            world.signal(index, SIGTERM);
+                            world.wait(index);
+                            sleep(span / 3);
+                            world.start(index);
+                        }
+                        "stop" => {
+                            world.signal(index, SIGSTOP);
+                            sleep(span);
+                            world.signal(index, SIGCONT);
+                        }
+                        "down" => {
+                            (0..3).for_each(|i| {
+                                world.store.set_mode(
+                                    i,
+                                    if dice.below(2) == 0 {
+                                        Mode::Busy
+                                    } else {
+                                        Mode::Silent
+                                    },
+                                )
+                            });
+                            sleep(span);
+                            (0..3).for_each(|i| world.store.set_mode(i, Mode::Serving));
+                        }
+                        "node" => {
+                            world.store.set_mode(
+                                index,
+                                if dice.below(2) == 0 {
+                                    Mode::Busy
+                                } else {
+                                    Mode::Silent
+                                },
+                            );
+                            sleep(span * 2);
+                            world.store.set_mode(index, Mode::Serving);
+                        }
+                        "lost" => {
+                            (0..3).for_each(|i| world.store.set_mode(i, Mode::Lossy));
+                            sleep(span);
+                            (0..3).for_each(|i| world.store.set_mode(i, Mode::Serving));
+                        }
+                        "late" => {
+                            world
+                                .workers
+                                .iter()
+                                .for_each(|worker| worker.late_for(span));
+                            sleep(span);
+                        }
+                        "reborn" => worker.crash(&world.store, span / 3),
+                        "grey" => worker.fail_for(span),
+                        "both" => {
+                            let other = (index + 1) % 3;
+                            world.signal(other, SIGSTOP);
+                            world.kill(index);
+                            sleep(span / 2);
+                            world.start(index);
+                            sleep(span / 2);
+                            world.signal(other, SIGCONT);
+                        }
+                        "all" => {
+                            (0..3).for_each(|i| world.kill(i));
+                            (0..3).for_each(|i| world.start(i));
+                        }
+                        _ => {}
+                    }
+                    sleep(Duration::from_millis(500 + dice.below(3_000)));
+                }
+            });
+        }
+    });
+    world.record.note("end of the traffic");
+    (0..3).for_each(|i| world.store.set_mode(i, Mode::Serving));
+    sleep(FINISH);
+    let mut findings = findings.into_inner().unwrap();
+    for index in 0..3 {
+        if world.has_ended(index) {
+            findings.push(format!("an instance has ended: {index}"));
+        }
+    }
+    let (accepted, cancelled) = (
+        accepted.into_inner().unwrap(),
+        cancelled.into_inner().unwrap(),
+    );
+    let states = Mutex::new(Vec::new());
+    let names: Vec<&String> = accepted.keys().collect();
+    scope(|s| {
+        for part in names.chunks(names.len().div_ceil(30).max(1)) {
+            let (world, states) = (&world, &states);
+            s.spawn(move || {
+                for name in part {
+                    let state = world.state(0, &format!("/model/{name}"));
+                    states.lock().unwrap().push((name.to_string(), state));
+                }
+            });
+        }
+    });
+    let mut counts = BTreeMap::new();
+    for (name, state) in states.into_inner().unwrap() {
+        *counts.entry(state.clone()).or_insert(0) += 1;
+        let done = world.record.count_done(&name);
+        let sound = match state.as_str() {
+            "completed" => done == 6,
+            "cancelled" => cancelled.contains_key(&name),
+            "failed" => world.record.failures(&name) >= 3 || world.record.crashes(&name) >= 2,
+            _ => false,
+        };
+        if !sound {
+            findings.push(format!("LOST/MIXED: {name}: {state}, {done} of 6 done"));
+        }
+    }
+    for (name, statuses) in sent.into_inner().unwrap() {
+        if statuses.iter().all(|status| matches!(status, 429 | 503))
+            && world.record.has_started(&name)
+        {
+            findings.push(format!("REFUSED: {name} started, answers {statuses:?}"));
+        }
+    }
+    for (at, event) in world.record.events() {
+        if let Event::Start { task, .. } = event {
+            let cancel = cancelled.get(&task[..16]).copied().unwrap_or(u64::MAX);
+            if at > cancel.saturating_add(3_000) {
+                findings.push(format!(
+                    "UNASKED: {task} started at {at} ms, cancelled at {cancel} ms"
+                ));
+            }
+        }
+    }
+    findings.extend(world.record.twice());
+    findings.extend(world.record.budget(3));
+    findings.extend(world.record.order());
+    world.record.note(format!("states {counts:?}"));
+    world.record.write(record, 1_000_000, &findings);
+    println!("{counts:?}");
+    Some(findings)
+}
