--- a/review/standin-4/src/world.rs
+++ b/review/standin-4/src/world.rs
@@ -127,6 +127,7 @@
         let seeds: Vec<String> = ips
             .iter()
             .zip(&controls)
+            .take(3)
             .map(|(ip, port)| format!("\"{ip}:{port}\""))
             .collect();
         for (index, ip) in ips.iter().enumerate() {
@@ -165,8 +166,13 @@
             .append(true)
             .open(&instance.log)
             .expect("a log");
-        let child = Command::new(&self.program)
-            .arg("dispatch")
+        // `max_fds` of the settings.
+        let child = Command::new("/bin/sh")
+            .args([
+                "-c",
+                "ulimit -n 4100 && exec \"$0\" dispatch",
+                &self.program,
+            ])
             .env("POPLARKNOT_SETTINGS", &instance.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log"))
@@ -177,10 +183,15 @@
 
     /// Starts all instances and waits until they are ready; returns whether they are.
     pub fn start_all(&self) -> bool {
-        (0..self.instances.len()).for_each(|index| self.start(index));
+        self.start_first(self.instances.len())
+    }
+
+    /// Starts the first instances and waits until they are ready; returns whether they are.
+    pub fn start_first(&self, count: usize) -> bool {
+        (0..count).for_each(|index| self.start(index));
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
-            if self.instances.iter().all(Instance::is_ready) {
+            if self.instances[..count].iter().all(Instance::is_ready) {
                 return true;
             }
             sleep(Duration::from_millis(50));
