--- a/review/standin-4/src/worker.rs
+++ b/review/standin-4/src/worker.rs
@@ -21,7 +21,7 @@
 const LISTED_ENDS: usize = 500;
 
 /// The most channels of a worker, as `max_connections` of the configuration.
-const CHANNELS: usize = 64;
+pub const CHANNELS: usize = 64;
 
 struct Running {
     run: u64,
@@ -68,6 +68,7 @@
     pub cpu: u64,
     pub memory: u64,
     origin: Instant,
+    channels: usize,
     server: Mutex<Option<Server>>,
     kind: Mutex<String>,
     state: Mutex<State>,
@@ -76,7 +77,13 @@
 }
 
 impl Worker {
-    pub fn start(id: &str, rack: &str, cpu: u64, record: Arc<Record>) -> (Arc<Self>, SocketAddr) {
+    pub fn start(
+        id: &str,
+        rack: &str,
+        cpu: u64,
+        channels: usize,
+        record: Arc<Record>,
+    ) -> (Arc<Self>, SocketAddr) {
         let born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap()
@@ -87,6 +94,7 @@
             cpu,
             memory: 131_072,
             origin: Instant::now(),
+            channels,
             server: Mutex::default(),
             kind: Mutex::new("a".to_owned()),
             state: Mutex::new(State {
@@ -98,7 +106,7 @@
             record,
         });
         let (served, ticked) = (worker.clone(), worker.clone());
-        let server = http::serve_some("127.0.0.1:0", CHANNELS, move |request| served.take(request));
+        let server = http::serve_some("127.0.0.1:0", channels, move |request| served.take(request));
         let address = server.address;
         *worker.server.lock().unwrap() = Some(server);
         thread::spawn(move || loop {
@@ -188,7 +196,7 @@
         }
         let served = self.clone();
         let address = server.address.to_string();
-        let server = http::serve_some(&address, CHANNELS, move |request| served.take(request));
+        let server = http::serve_some(&address, self.channels, move |request| served.take(request));
         *self.server.lock().unwrap() = Some(server);
         let kind = self.kind.lock().unwrap().clone();
         self.record.add(Event::Life {
