--- a/review/standin-4/src/cases.rs
+++ b/review/standin-4/src/cases.rs
@@ -27,7 +27,6 @@
     trouble: bool,
 ) -> Option<Vec<String>> {
     match case {
-        "ends" => ends(program, folder, record, trouble),
         "channels" => channels(program, folder, record, trouble),
         "kind" => kind(program, folder, record, trouble),
         "soak" => soak(program, folder, record, trouble),
@@ -47,64 +46,6 @@
     format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 1)
 }
 
-/// Rule LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come, there is capacity
-/// for it twice over, and under half of the service's capacity is in use.
-fn ends(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
-    const JOBS: u64 = 60;
-    const TASKS: u32 = 700;
-    const CPU: u64 = 500;
-    let world = World::with_channels(program, folder, 3, 2, 2, 64_000, usize::MAX);
-    world.store.set("op", "config", &configuration(3, QUEUES));
-    if !world.start_all() {
-        return None;
-    }
-    sleep(Duration::from_secs(2));
-    let accepted = submit(&world, JOBS, TASKS, CPU, 100);
-    world.record.note("end of the traffic");
-    let from = world.record.now_ms() + FINISH.as_millis() as u64;
-    if trouble {
-        world
-            .record
-            .note("the store turns one of three instances away with 503 for 9 s");
-        world.store.set_mode(0, Mode::Busy);
-        sleep(Duration::from_secs(9));
-        world.store.set_mode(0, Mode::Serving);
-        world.record.note("the store serves all instances again");
-    }
-    let findings = watch(&world, &accepted, CPU, from, from + 30_000);
-    finish(&world, &accepted, TASKS, record, findings)
-}
-
-/// Submits jobs of one step over four clients and returns the accepted ones with their numbers of tasks.
-fn submit(world: &World, jobs: u64, tasks: u32, cpu: u64, millis: u64) -> BTreeMap<String, usize> {
-    let accepted = Mutex::new(BTreeMap::new());
-    scope(|s| {
-        let accepted = &accepted;
-        for client in 0..4 {
-            s.spawn(move || {
-                for round in (client..jobs).step_by(4) {
-                    let name = id(500 + round);
-                    let path = format!("/model/{name}");
-                    let body = job(tasks, cpu, millis);
-                    let answer = world.call(
-                        (round % 3) as usize,
-                        "POST",
-                        &path,
-                        &body,
-                        Duration::from_millis(4_000),
-                    );
-                    let status = answer.map_or(0, |(status, _)| status);
-                    world.record.note(format!("POST {path}: {status}"));
-                    if status == 200 {
-                        accepted.lock().unwrap().insert(name, tasks as usize);
-                    }
-                }
-            });
-        }
-    });
-    accepted.into_inner().unwrap()
-}
-
 /// Watches the workers until `until` and returns the jobs that had nothing running for too long after `from`.
 fn watch(
     world: &World,
@@ -129,7 +70,7 @@
     world.record.idle(jobs, cpu, capacity, from)
 }
 
-/// Asks for all jobs, writes the record and returns the findings.
+/// Asks for some of the jobs, writes the record and returns the findings.
 fn finish(
     world: &World,
     jobs: &BTreeMap<String, usize>,
@@ -139,9 +80,10 @@
 ) -> Option<Vec<String>> {
     findings.extend(world.record.twice());
     let states = Mutex::new(BTreeMap::new());
-    let names: Vec<&String> = jobs.keys().collect();
+    // A part of them, so that the script ends in time also where no GET is answered.
+    let names: Vec<&String> = jobs.keys().take(60).collect();
     scope(|s| {
-        for part in names.chunks(names.len().div_ceil(30).max(1)) {
+        for part in names.chunks(2) {
             let states = &states;
             s.spawn(move || {
                 for name in part {
@@ -152,7 +94,9 @@
         }
     });
     let states: BTreeMap<String, usize> = states.into_inner().unwrap();
-    world.record.note(format!("states at the end {states:?}"));
+    world
+        .record
+        .note(format!("states at the end of the first 60 jobs {states:?}"));
     let starts = world
         .record
         .events()
@@ -168,7 +112,9 @@
     Some(findings)
 }
 
-/// Rule LOST, as in [`ends`], with workers that serve 64 channels each.
+/// Rule LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come, there is capacity
+/// for it twice over, and under half of the service's capacity is in use.
+/// The workers serve 64 channels each.
 fn channels(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
     const CPU: u64 = 600;
     const TASKS: u32 = 200;
