Review case 15: a short outage for one instance, and a rack that nobody can keep

The store turns one of three instances away for 9 s. The workers' lists of 500 ends fill up, runs whose ends aren't listed are taken for lost and started again, and a backlog grows. Its owners walk all waiting tasks for each answer, are silent for over 600 ms, and the rack goes from one instance to the next for the rest of the script.

Cases 14 and 16 use what they did before: only workers without a bound of their channels get a longer accept queue.

--- a/review/standin-4/src/cases.rs
+++ b/review/standin-4/src/cases.rs
@@ -27,6 +27,7 @@
     trouble: bool,
 ) -> Option<Vec<String>> {
     match case {
+        "ends" => ends(program, folder, record, trouble),
         "channels" => channels(program, folder, record, trouble),
         "kind" => kind(program, folder, record, trouble),
         "soak" => soak(program, folder, record, trouble),
@@ -46,6 +47,94 @@
     format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 1)
 }
 
+/// Rule LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while a task's turn has come, there is capacity
+/// for it twice over, and under half of the service's capacity is in use.
+fn ends(program: &str, folder: &str, record: &str, trouble: bool) -> Option<Vec<String>> {
+    /// A job every `GAP` ms needs somewhat under half of the workers' room.
+    const CPU: u64 = 200;
+    const TASKS: u32 = 30;
+    const MILLIS: u64 = 500;
+    const GAP: u64 = 50;
+    const LENGTH: u64 = 40_000;
+    let world = World::with_channels(program, folder, 3, 1, 2, 64_000, usize::MAX);
+    world.store.set("op", "config", &configuration(3, QUEUES));
+    if !world.start_all() {
+        return None;
+    }
+    sleep(Duration::from_secs(2));
+    let accepted = Mutex::new(BTreeMap::new());
+    scope(|s| {
+        let world = &world;
+        if trouble {
+            s.spawn(move || {
+                sleep(Duration::from_secs(5));
+                world
+                    .record
+                    .note("the store turns one of three instances away with 503 for 9 s");
+                world.store.set_mode(0, Mode::Busy);
+                sleep(Duration::from_secs(9));
+                world.store.set_mode(0, Mode::Serving);
+                world.record.note("the store serves all instances again");
+            });
+        }
+        let body = job(TASKS, CPU, MILLIS);
+        send_traffic(world, &accepted, 3, GAP, LENGTH, &body, TASKS);
+    });
+    let accepted = accepted.into_inner().unwrap();
+    world.record.note("end of the traffic");
+    let from = world.record.now_ms() + FINISH.as_millis() as u64;
+    let findings = watch(&world, &accepted, CPU, from, from + 10_000);
+    finish(&world, &accepted, TASKS, record, findings)
+}
+
+/// Submits a job every `gap` ms for `length` ms, and records the accepted ones with their numbers of tasks. A client whose job isn't taken up
+/// comes again, at the next instance.
+fn send_traffic(
+    world: &World,
+    accepted: &Mutex<BTreeMap<String, usize>>,
+    instances: u64,
+    gap: u64,
+    length: u64,
+    body: &str,
+    tasks: u32,
+) {
+    let began = world.record.now_ms();
+    scope(|s| {
+        let mut round = 0;
+        while world.record.now_ms() - began < length {
+            sleep(Duration::from_millis(gap));
+            round += 1;
+            let number = round;
+            s.spawn(move || {
+                let name = id(500 + number);
+                let path = format!("/model/{name}");
+                for attempt in 0..3 {
+                    let index = ((number + attempt) % instances) as usize;
+                    let answer =
+                        world.call(index, "POST", &path, body, Duration::from_millis(4_000));
+                    let status = answer.map_or(0, |(status, _)| status);
+                    world
+                        .record
+                        .note(format!("POST {path} at {index}: {status}"));
+                    if status == 200 {
+                        accepted.lock().unwrap().insert(name, tasks as usize);
+                        break;
+                    }
+                    if !matches!(status, 0 | 502 | 503 | 504) {
+                        break;
+                    }
+                    sleep(Duration::from_millis(1_300));
+                }
+            });
+            let used: Vec<u64> = world.workers.iter().map(|w| w.used_cpu()).collect();
+            let listed: Vec<usize> = world.workers.iter().map(|w| w.listed()).collect();
+            world.record.note(format!(
+                "in use {used:?}, ends listed {listed:?}; {number} jobs sent"
+            ));
+        }
+    });
+}
+
 /// Watches the workers until `until` and returns the jobs that had nothing running for too long after `from`.
 fn watch(
     world: &World,
--- a/review/standin-4/src/http.rs
+++ b/review/standin-4/src/http.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     io::{self, BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
@@ -12,6 +13,14 @@
     time::Duration,
 };
 
+/// The connections that may wait to be accepted at a server without a bound of its channels; the standard library's 128 are too few for
+/// bursts.
+const BACKLOG: i32 = 4_096;
+
+extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
 /// A channel without a request for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -110,6 +119,10 @@
             Err(_) => thread::sleep(Duration::from_millis(20)),
         }
     };
+    if most == usize::MAX {
+        // SAFETY: the descriptor is that of a listening socket, whose queue a second call resizes.
+        unsafe { listen(listener.as_raw_fd(), BACKLOG) };
+    }
     let address = listener.local_addr().expect("an address");
     let server = Server {
         address,
--- a/review/standin-4/src/world.rs
+++ b/review/standin-4/src/world.rs
@@ -98,6 +98,19 @@
         racks: usize,
         per_rack: usize,
         cpu: u64,
+    ) -> Self {
+        Self::with_channels(program, folder, instances, racks, per_rack, cpu, CHANNELS)
+    }
+
+    /// Does the same with another bound of the channels of each worker.
+    pub fn with_channels(
+        program: &str,
+        folder: &str,
+        instances: usize,
+        racks: usize,
+        per_rack: usize,
+        cpu: u64,
+        channels: usize,
     ) -> Self {
         let record = Arc::new(Record::new());
         let store = Store::new();
@@ -106,7 +119,7 @@
             for index in 0..per_rack {
                 let id = format!("w{rack}{index}4c0a9e1f7d2b");
                 let (worker, address) =
-                    Worker::start(&id, &format!("r1-{rack}"), cpu, CHANNELS, record.clone());
+                    Worker::start(&id, &format!("r1-{rack}"), cpu, channels, record.clone());
                 store.set("servers", &id, &worker.row(&address.to_string()));
                 workers.push(worker);
             }
