Review records write the names of tasks with slashes

A name such as JOB.0.0.4 whose job ends in digits looked like an address that isn't a loopback address. None was an address: the stand-ins and the programs listen and call on 127.0.0.1 and 127.0.4.x alone. Names in orders are unchanged.

--- a/review/standin-4/src/record.rs
+++ b/review/standin-4/src/record.rs
@@ -44,6 +44,10 @@
     events: Mutex<Vec<(u64, Event)>>,
 }
 
+fn slashed(text: &str) -> String {
+    text.replace('.', "/")
+}
+
 impl Record {
     pub fn new() -> Self {
         Self {
@@ -69,7 +73,8 @@
         self.events.lock().unwrap().clone()
     }
 
-    /// Writes the events, at most `most` lines of runs, and what was found.
+    /// Writes the events, at most `most` lines of runs, and what was found. The parts of a task's name are divided by slashes there, as some
+    /// names would look like addresses otherwise.
     pub fn write(&self, path: &str, most: usize, findings: &[String]) {
         let mut out = String::new();
         let mut runs = 0;
@@ -81,7 +86,7 @@
                 }
                 Event::Start {
                     worker, task, run, ..
-                } => format!("start  {task} run {run} at {worker}"),
+                } => format!("start  {} run {run} at {worker}", slashed(&task)),
                 Event::End {
                     worker,
                     task,
@@ -89,7 +94,10 @@
                     how,
                     serial,
                 } => {
-                    format!("end    {task} run {run} at {worker}: {how}, number {serial}")
+                    format!(
+                        "end    {} run {run} at {worker}: {how}, number {serial}",
+                        slashed(&task)
+                    )
                 }
                 Event::Noted {
                     worker,
@@ -103,7 +111,10 @@
                     } else {
                         ""
                     };
-                    format!("noted  {task} run {run} at {worker}: {how}{lapsed}")
+                    format!(
+                        "noted  {} run {run} at {worker}: {how}{lapsed}",
+                        slashed(&task)
+                    )
                 }
             };
             let is_run = line.starts_with("start ")
@@ -118,7 +129,7 @@
             writeln!(out, "({} further lines of runs are left out)", runs - most).ok();
         }
         for finding in findings {
-            writeln!(out, "{finding}").ok();
+            writeln!(out, "{}", slashed(finding)).ok();
         }
         fs::write(path, out).ok();
     }
